--- /dev/null
+++ b/internal/core/settings/settings_test.go
@@ -0,0 +1,56 @@
+package settings_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"rosemarywick.example/rosemarywick/internal/core/settings"
+)
+
+const valid = `host = "entry-1"
+region = "montevideo"
+domain = "centro"
+peer-address = "127.0.0.1:7001"
+caller-address = "127.0.0.1:8001"
+operator-address = "127.0.0.1:9001"
+platform-address = "127.0.0.1:9900"
+[tls]
+certificate = "cert.pem"
+key = "key.pem"
+authority = "ca.pem"
+`
+
+// Guards against a faulty settings file that is accepted, or refused without naming line, key and expectation.
+func TestParseRefusals(t *testing.T) {
+	cases := []struct{ name, old, replacement, want string }{
+		{"unknown key", "host =", "hosst =", "s.toml:1: hosst: unknown key"},
+		{"bad address", "127.0.0.1:8001", "localhost:8001", "s.toml:5: caller-address: "},
+		{"no port", "127.0.0.1:8001", "127.0.0.1:0", "s.toml:5: caller-address: expected an IP address and a port"},
+		{"missing address", "peer-address = \"127.0.0.1:7001\"\n", "", "s.toml: peer-address: expected an IP address"},
+		{"unit", "[tls]", "stop-timeout = \"30\"\n[tls]", "s.toml:8: stop-timeout: expected a duration with a unit"},
+		{"range", "[tls]", "peer-count = 99\n[tls]", "s.toml:8: peer-count: expected a number from 1 to 32"},
+		{"empty certificate", "cert.pem", "", "s.toml:9: tls.certificate: expected a text"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := settings.Parse("s.toml", []byte(strings.Replace(valid, test.old, test.replacement, 1)))
+			is.True(err != nil) // faulty settings are refused
+			if !strings.HasPrefix(err.Error(), test.want) {
+				t.Fatalf("got %q, want prefix %q", err, test.want)
+			}
+		})
+	}
+}
+
+// Guards against defaults that a correct file does not get.
+func TestParseDefaults(t *testing.T) {
+	is := is.New(t)
+	got, err := settings.Parse("s.toml", []byte(valid))
+	is.NoErr(err)
+	is.Equal(got.StopTimeout, settings.DefaultStopTimeout)
+	is.Equal(got.PeerCount, settings.DefaultPeerCount)
+	is.Equal(got.Host.Peer.String(), "127.0.0.1:7001")
+}
