--- /dev/null
+++ b/internal/daemon/certificates/issue.go
@@ -0,0 +1,101 @@
+package certificates
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rosemarywick.example/rosemarywick/internal/core/settings"
+)
+
+// testValidity is the life of the certificates of a development fleet.
+const testValidity = 24 * time.Hour
+
+// Authority signs the certificates of a development fleet or a test. Production certificates come from the operators.
+type Authority struct {
+	// Directory is where the files are written.
+	Directory string
+
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+// NewAuthority makes an authority with a fresh key and writes its certificate to directory.
+func NewAuthority(directory string, now time.Time) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, errors.Wrap(err, "generate authority key")
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "rosemarywick development authority"},
+		NotBefore: now.Add(-time.Hour), NotAfter: now.Add(testValidity),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, errors.Wrap(err, "sign authority certificate")
+	}
+	certificate, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, errors.Wrap(err, "parse authority certificate")
+	}
+	authority := &Authority{Directory: directory, certificate: certificate, key: key}
+	return authority, writePEM(authority.path("authority.pem"), "CERTIFICATE", der)
+}
+
+// Issue writes a certificate for name, which is valid on loopback, with the operator role if it is not empty.
+func (a *Authority) Issue(name, role string) (settings.TLS, error) {
+	files := settings.TLS{
+		Certificate: a.path(name + ".pem"), Key: a.path(name + "-key.pem"), Authority: a.path("authority.pem"),
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return files, errors.Wrap(err, "generate key")
+	}
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 64))
+	if err != nil {
+		return files, errors.Wrap(err, "draw serial number")
+	}
+	template := &x509.Certificate{
+		SerialNumber: serial, Subject: pkix.Name{CommonName: name},
+		NotBefore: a.certificate.NotBefore, NotAfter: a.certificate.NotAfter,
+		DNSNames: []string{name}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1), net.IPv6loopback},
+		KeyUsage:    x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	if role != "" {
+		template.Subject.OrganizationalUnit = []string{role}
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	if err != nil {
+		return files, errors.Wrap(err, "sign certificate")
+	}
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return files, errors.Wrap(err, "encode key")
+	}
+	if err := writePEM(files.Certificate, "CERTIFICATE", der); err != nil {
+		return files, err
+	}
+	return files, writePEM(files.Key, "PRIVATE KEY", private)
+}
+
+func (a *Authority) path(name string) string {
+	return filepath.Join(a.Directory, name)
+}
+
+func writePEM(path, kind string, der []byte) error {
+	const ownerOnly = 0o600
+	text := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	return errors.Wrap(os.WriteFile(path, text, ownerOnly), "write PEM file")
+}
--- /dev/null
+++ b/internal/daemon/dev/shape.go
@@ -0,0 +1,148 @@
+// Package dev runs a whole fleet in one process: daemons, a fake platform and fake upstreams in the shape of one of the
+// two deployments that the project is built for. It serves developers and demonstrations and is no part of production.
+package dev
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pelletier/go-toml/v2"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+)
+
+// Shape names a deployment.
+type Shape string
+
+const (
+	// Ceibal has four failure domains, 3 ms apart, and workers with 6 slots.
+	Ceibal Shape = "ceibal"
+	// Nadif has three failure domains, 5 ms apart, and workers with 2 slots.
+	Nadif Shape = "nadif"
+)
+
+// ErrShape means that no deployment has the name.
+var ErrShape = errors.New("dev: unknown shape, expected \"ceibal\" or \"nadif\"")
+
+// deployment describes the upstreams of a shape.
+type deployment struct {
+	region      fleet.Region
+	domains     []fleet.FailureDomain
+	slots       int
+	connections int
+	services    []serviceShape
+	// example is a path of the keyed service for the printed command.
+	example string
+}
+
+// serviceShape describes one service of a deployment.
+type serviceShape struct {
+	name    fleet.ServiceName
+	workers int
+	key     string
+	// routes are pairs of method and path with their delivery.
+	routes []routeText
+	// serviceTime is how long a worker takes for one request.
+	serviceTime time.Duration
+}
+
+func deploymentOf(shape Shape) (*deployment, error) {
+	read := routeText{Method: "GET", Path: "/{rest:.*}", Delivery: "idempotent"}
+	switch shape {
+	case Ceibal:
+		return &deployment{
+			region: "montevideo", domains: []fleet.FailureDomain{"centro", "pocitos", "cerro", "carrasco"},
+			slots: 6, connections: 130, example: "/catalogue/plans/18-de-julio",
+			services: []serviceShape{
+				{name: "catalogue", workers: 15, key: "path:2", routes: []routeText{read}, serviceTime: 4 * time.Millisecond},
+				{name: "dispatch", workers: 10, serviceTime: 8 * time.Millisecond, routes: []routeText{
+					{Method: "POST", Path: "/{rest:.*}", Delivery: "at-most-once"}, read,
+				}},
+				{name: "archive", workers: 10, routes: []routeText{read}, serviceTime: 10 * time.Millisecond},
+				{name: "sensors", workers: 10, routes: []routeText{read}, serviceTime: 2 * time.Millisecond},
+			},
+		}, nil
+	case Nadif:
+		return &deployment{
+			region: "ma-south", domains: []fleet.FailureDomain{"agadir-a", "agadir-b", "taroudant-c"},
+			slots: 2, connections: 45, example: "/stock/items/bleach-5l",
+			services: []serviceShape{
+				{name: "stock", workers: 15, key: "path:2", routes: []routeText{read}, serviceTime: 4 * time.Millisecond},
+				{name: "orders", workers: 5, serviceTime: 8 * time.Millisecond, routes: []routeText{
+					{Method: "POST", Path: "/{rest:.*}", Delivery: "at-most-once"}, read,
+				}},
+				{name: "documents", workers: 5, routes: []routeText{read}, serviceTime: 10 * time.Millisecond},
+				{name: "accounts", workers: 10, routes: []routeText{read}, serviceTime: 3 * time.Millisecond},
+			},
+		}, nil
+	}
+	return nil, errors.Wrapf(ErrShape, "%q", string(shape))
+}
+
+type documentText struct {
+	Services []serviceText `toml:"services"`
+	Tenants  []tenantText  `toml:"tenants"`
+}
+
+type serviceText struct {
+	Name        string         `toml:"name"`
+	Key         string         `toml:"key,omitempty"`
+	Partitions  int            `toml:"partitions,omitempty"`
+	Slots       int            `toml:"slots"`
+	Connections int            `toml:"connections"`
+	Upstreams   []upstreamText `toml:"upstreams"`
+	Routes      []routeText    `toml:"routes"`
+}
+
+type upstreamText struct {
+	ID      string `toml:"id"`
+	Address string `toml:"address"`
+	Region  string `toml:"region"`
+	Domain  string `toml:"domain"`
+}
+
+type routeText struct {
+	Method   string `toml:"method"`
+	Path     string `toml:"path"`
+	Delivery string `toml:"delivery"`
+}
+
+type tenantText struct {
+	Name  string `toml:"name"`
+	Share int    `toml:"share"`
+}
+
+// devPartitions keeps the map of a development fleet short enough to print.
+const devPartitions = 256
+
+// document writes the configuration for upstreams that are already listening.
+func (d *deployment) document(upstreams []fleet.Upstream) ([]byte, error) {
+	text := documentText{Tenants: []tenantText{{Name: "interactive", Share: 4}, {Name: "batch", Share: 1}}}
+	for _, service := range d.services {
+		entry := serviceText{
+			Name: string(service.name), Key: service.key, Slots: d.slots, Connections: d.connections, Routes: service.routes,
+		}
+		if service.key != "" {
+			entry.Partitions = devPartitions
+		}
+		for _, upstream := range upstreams {
+			if upstream.Service == service.name {
+				entry.Upstreams = append(entry.Upstreams, upstreamText{
+					ID: string(upstream.ID), Address: upstream.Address.String(),
+					Region: string(upstream.Place.Region), Domain: string(upstream.Place.Domain),
+				})
+			}
+		}
+		text.Services = append(text.Services, entry)
+	}
+	var out bytes.Buffer
+	err := toml.NewEncoder(&out).Encode(text)
+	return out.Bytes(), errors.Wrap(err, "write configuration")
+}
+
+// upstreamID names the worker with the given index.
+func upstreamID(service fleet.ServiceName, index int) fleet.UpstreamID {
+	return fleet.UpstreamID(fmt.Sprintf("%s-%02d", service, index+1))
+}
