cli: add serve and dev commands, exit codes and the logger

Cause: the lead wires the daemon and needs the entry points. Conclusion: go test -race passes on internal/operator/cli.

--- /dev/null
+++ b/internal/operator/cli/root.go
@@ -0,0 +1,118 @@
+// Package cli holds the commands of the rosemarywick program. It parses arguments, calls the operator API of a daemon
+// and prints what it answers; what a daemon does is passed in by the program that uses the package.
+package cli
+
+import (
+	"context"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"rosemarywick.example/rosemarywick/internal/core/settings"
+	"rosemarywick.example/rosemarywick/internal/core/timer"
+)
+
+// Shape names the fleet that the dev command starts.
+type Shape string
+
+const (
+	// ShapeCeibal is a fleet of the size and composition that Ceibal runs.
+	ShapeCeibal Shape = "ceibal"
+	// ShapeNadif is a fleet of the size and composition that Nadif runs.
+	ShapeNadif Shape = "nadif"
+)
+
+// DevOptions are the arguments of the dev command.
+type DevOptions struct {
+	Shape Shape
+	// LogLevel is one of "debug", "info", "warn" and "error".
+	LogLevel string
+	// Out receives what the fleet tells its user, such as the addresses of its daemons.
+	Out io.Writer
+}
+
+// Root is the command tree. All fields are set before Run.
+type Root struct {
+	// Serve runs one daemon until ctx ends.
+	Serve func(ctx context.Context, settings *settings.Settings) error
+	// Dev runs a fleet of daemons and fakes in this process until ctx ends.
+	Dev func(ctx context.Context, options DevOptions) error
+	// In is read when a file argument is "-".
+	In io.Reader
+	// Out receives results.
+	Out io.Writer
+	// Err receives errors, progress and logs.
+	Err io.Writer
+	// Timer tells the time for ages in tables.
+	Timer timer.Service
+}
+
+// Run executes the command that args name and returns its exit code. It returns soon after ctx ends.
+func (r *Root) Run(ctx context.Context, args []string) ExitCode {
+	command := r.command()
+	command.SetArgs(args)
+	command.SetIn(r.In)
+	command.SetOut(r.Out)
+	command.SetErr(r.Err)
+	err := command.ExecuteContext(ctx)
+	if err == nil {
+		return ExitOK
+	}
+	r.report(err)
+	return exitCode(err)
+}
+
+func (r *Root) command() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "rosemarywick",
+		Short:         "Route requests to servers that own their keys exclusively",
+		Long:          "Route requests to servers that own their keys exclusively.\n\n" + exitCodeHelp,
+		Args:          usageArgs(cobra.NoArgs),
+		RunE:          func(command *cobra.Command, _ []string) error { return command.Help() },
+		SilenceErrors: true,
+		SilenceUsage:  true,
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{err: err} })
+	root.AddCommand(r.serveCommand(), r.devCommand())
+	return root
+}
+
+func (r *Root) serveCommand() *cobra.Command {
+	var path string
+	command := &cobra.Command{
+		Use:   "serve --settings FILE",
+		Short: "Run one daemon until SIGINT or SIGTERM; a second signal stops it at once",
+		Args:  usageArgs(cobra.NoArgs),
+		RunE: func(command *cobra.Command, _ []string) error {
+			if path == "" {
+				return &usageError{err: errors.New("serve: the flag --settings is required")}
+			}
+			loaded, err := settings.Load(path)
+			if err != nil {
+				return err
+			}
+			return r.Serve(command.Context(), loaded)
+		},
+	}
+	command.Flags().StringVar(&path, "settings", "", "settings `file` of the daemon (TOML)")
+	return command
+}
+
+func (r *Root) devCommand() *cobra.Command {
+	options := DevOptions{Out: r.Out}
+	shape := choice{value: string(ShapeCeibal), allowed: []string{string(ShapeCeibal), string(ShapeNadif)}}
+	level := choice{value: settings.DefaultLogLevel, allowed: []string{"debug", "info", "warn", "error"}}
+	command := &cobra.Command{
+		Use:   "dev",
+		Short: "Run a fleet of daemons, upstreams and a platform in this process, for trials",
+		Args:  usageArgs(cobra.NoArgs),
+		RunE: func(command *cobra.Command, _ []string) error {
+			options.Shape, options.LogLevel = Shape(shape.value), level.value
+			return r.Dev(command.Context(), options)
+		},
+	}
+	command.Flags().Var(&shape, "shape", "fleet to start: "+shape.list())
+	command.Flags().Var(&level, "log-level", "lowest level to log: "+level.list())
+	return command
+}
--- /dev/null
+++ b/internal/operator/cli/root_test.go
@@ -0,0 +1,88 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"rosemarywick.example/rosemarywick/internal/core/settings"
+	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/operator/cli"
+)
+
+const settingsText = `host = "entry-1"
+region = "montevideo"
+domain = "centro"
+peer-address = "127.0.0.1:7001"
+caller-address = "127.0.0.1:8001"
+operator-address = "127.0.0.1:9001"
+platform-address = "127.0.0.1:9900"
+[tls]
+certificate = "cert.pem"
+key = "key.pem"
+authority = "ca.pem"
+`
+
+// Guards against daemon commands that ignore their flags or end with a code that scripts cannot tell apart.
+func TestDaemonCommands(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "settings.toml")
+	if err := os.WriteFile(file, []byte(settingsText), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct {
+		name, args, called, message string
+		code                        cli.ExitCode
+	}{
+		{"serve", "serve --settings " + file, "serve entry-1", "", cli.ExitOK},
+		{"serve without settings", "serve", "", "--settings is required", cli.ExitUsage},
+		{"serve with a missing file", "serve --settings " + file + ".x", "", "no such file", cli.ExitFailure},
+		{"dev", "dev --shape nadif --log-level debug", "dev nadif debug", "", cli.ExitOK},
+		{"dev that fails", "dev", "dev ceibal info", "out of ports", cli.ExitFailure},
+		{"unknown shape", "dev --shape x", "", "expected ceibal or nadif", cli.ExitUsage},
+		{"unknown flag", "serve --setings x", "", "unknown flag", cli.ExitUsage},
+		{"unknown command", "sreve", "", "unknown command", cli.ExitUsage},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var called string
+			var stderr bytes.Buffer
+			root := cli.Root{
+				Serve: func(_ context.Context, loaded *settings.Settings) error {
+					called = "serve " + string(loaded.Host.ID)
+					return nil
+				},
+				Dev: func(_ context.Context, options cli.DevOptions) error {
+					called = "dev " + string(options.Shape) + " " + options.LogLevel
+					if options.Shape == cli.ShapeCeibal {
+						return errors.New("out of ports")
+					}
+					return nil
+				},
+				Out: &stderr, Err: &stderr, Timer: timer.System{},
+			}
+			is.Equal(root.Run(t.Context(), strings.Fields(test.args)), test.code)
+			is.Equal(called, test.called)
+			is.True(strings.Contains(stderr.String(), test.message))
+		})
+	}
+}
+
+// Guards against events that take several lines or whose values cannot be split at spaces.
+func TestLogger(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	logger := cli.Logger(&out, "warn")
+	logger.Info().Msg("hidden")
+	logger.Warn().Str("cause", "row\nhas another version").Int("version", 7).Msg("change refused")
+	line := out.String()
+	is.Equal(strings.Count(line, "\n"), 1)
+	is.True(strings.HasPrefix(line, "time="))
+	is.True(strings.HasSuffix(line, ` level=warn event="change refused" cause="row\nhas another version" version=7`+"\n"))
+}
