observe: ring, batches, explain and metrics

Cause: operators have to name the cause of any late, rejected or misrouted request, also after the host that decided is gone. Change: records.Ring keeps the latest records, records.Archive writes batches to the object store, keeps a bounded number while the store is down and states what it dropped, records.Finder searches ring, other hosts and batches in this order. metrics.Metrics has phases, outcomes, causes, imbalance, churn and unavailable time with bounded label values. Conclusion: go test -race passes on internal/observe/...

--- /dev/null
+++ b/internal/observe/metrics/ownership.go
@@ -0,0 +1,135 @@
+package metrics
+
+import (
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/core/timer"
+)
+
+var (
+	movedDesc = prometheus.NewDesc("rosemarywick_partitions_moved_total",
+		"Partitions whose owner has changed.", []string{labelService}, nil)
+	unavailableDesc = prometheus.NewDesc("rosemarywick_unavailable_partition_seconds_total",
+		"Time for which partitions had no owner, added up over the partitions.", []string{labelService}, nil)
+	unownedDesc = prometheus.NewDesc("rosemarywick_partitions_without_owner",
+		"Partitions that have no owner at present.", []string{labelService}, nil)
+)
+
+// ownership follows the map of each service and adds up moves and time without an owner. A partition that is being moved
+// has no owner from its revocation until its grant. A partition counts from the first assignment that is observed.
+type ownership struct {
+	timer timer.Service
+
+	mu sync.Mutex
+	// services is guarded by mu. Its keys are names of the map and thus of declared services.
+	services map[fleet.ServiceName]*serviceOwnership
+}
+
+type serviceOwnership struct {
+	partitions map[fleet.PartitionID]*partitionOwnership
+	moved      uint64
+	// unowned is the number of partitions without an owner since the time at.
+	unowned int
+	at      time.Time
+	// unavailable is the partition time without an owner up to the time at.
+	unavailable time.Duration
+}
+
+type partitionOwnership struct {
+	fence fleet.Fence
+	// lastOwner is the last server that owned the partition, also while nobody does.
+	lastOwner fleet.UpstreamID
+	owned     bool
+}
+
+var _ prometheus.Collector = (*ownership)(nil)
+
+func newOwnership(clock timer.Service) *ownership {
+	return &ownership{timer: clock, services: make(map[fleet.ServiceName]*serviceOwnership)}
+}
+
+func (o *ownership) observe(service fleet.ServiceName, assignment fleet.Assignment) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	state := o.services[service]
+	if state == nil {
+		state = &serviceOwnership{partitions: make(map[fleet.PartitionID]*partitionOwnership), at: o.timer.Now()}
+		o.services[service] = state
+	}
+	state.advance(o.timer.Now())
+	partition, known := state.partitions[assignment.Partition]
+	if !known {
+		partition = &partitionOwnership{owned: true}
+		state.partitions[assignment.Partition] = partition
+	}
+	if assignment.Fence.Less(partition.fence) {
+		return
+	}
+	partition.fence = assignment.Fence
+	state.setOwner(partition, assignment)
+}
+
+func (s *serviceOwnership) setOwner(partition *partitionOwnership, assignment fleet.Assignment) {
+	owned := assignment.Owner != "" && !assignment.Moving
+	if partition.owned && !owned {
+		s.unowned++
+	}
+	if !partition.owned && owned {
+		s.unowned--
+	}
+	partition.owned = owned
+	if !owned {
+		return
+	}
+	if partition.lastOwner != "" && partition.lastOwner != assignment.Owner {
+		s.moved++
+	}
+	partition.lastOwner = assignment.Owner
+}
+
+// advance adds the time without an owner up to now.
+func (s *serviceOwnership) advance(now time.Time) {
+	s.unavailable += now.Sub(s.at) * time.Duration(s.unowned)
+	s.at = now
+}
+
+func (o *ownership) forget(service fleet.ServiceName, id fleet.PartitionID) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	state := o.services[service]
+	if state == nil || state.partitions[id] == nil {
+		return
+	}
+	state.advance(o.timer.Now())
+	if !state.partitions[id].owned {
+		state.unowned--
+	}
+	delete(state.partitions, id)
+}
+
+// Describe sends the descriptions of the metrics.
+func (o *ownership) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- movedDesc
+	descriptions <- unavailableDesc
+	descriptions <- unownedDesc
+}
+
+// Collect sends the measures of each service as of now.
+func (o *ownership) Collect(metrics chan<- prometheus.Metric) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.timer.Now()
+	for name, state := range o.services {
+		state.advance(now)
+		send := func(desc *prometheus.Desc, kind prometheus.ValueType, value float64) {
+			metrics <- prometheus.MustNewConstMetric(desc, kind, value, string(name))
+		}
+		send(movedDesc, prometheus.CounterValue, float64(state.moved))
+		send(unavailableDesc, prometheus.CounterValue, state.unavailable.Seconds())
+		send(unownedDesc, prometheus.GaugeValue, float64(state.unowned))
+	}
+}
--- /dev/null
+++ b/internal/observe/records/records_test.go
@@ -0,0 +1,321 @@
+package records_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"rosemarywick.example/rosemarywick/internal/core/cause"
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/observe/records"
+	"rosemarywick.example/rosemarywick/internal/platform/objects"
+)
+
+// store is an object store in memory that can be taken down.
+type store struct {
+	mu      sync.Mutex
+	objects map[string][]byte
+	down    bool
+	lost    bool // a Put takes effect and its response is lost
+}
+
+func (s *store) do(act func()) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return objects.ErrUnavailable
+	}
+	act()
+	if s.lost {
+		return objects.ErrUnavailable
+	}
+	return nil
+}
+
+func (s *store) Put(_ context.Context, name string, content []byte) error {
+	return s.do(func() { s.objects[name] = content })
+}
+
+func (s *store) Get(_ context.Context, name string) (content []byte, err error) {
+	err = s.do(func() { content = s.objects[name] })
+	if err == nil && content == nil {
+		return nil, objects.ErrNotFound
+	}
+	return content, err
+}
+
+func (s *store) List(_ context.Context, prefix string) (names []string, err error) {
+	err = s.do(func() {
+		for _, name := range slices.Sorted(maps.Keys(s.objects)) {
+			if strings.HasPrefix(name, prefix) {
+				names = append(names, name)
+			}
+		}
+	})
+	return names, err
+}
+
+func (s *store) Delete(_ context.Context, name string) error {
+	return s.do(func() { delete(s.objects, name) })
+}
+
+func (s *store) set(down, lost bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down, s.lost = down, lost
+}
+
+func record(id int) cause.Record {
+	return cause.Record{
+		Request: fleet.RequestID(fmt.Sprintf("r%d", id)), Host: "entry-1", Service: "catalogue", Tenant: "technicians",
+		Key: 7, Partition: 3, Fence: fleet.Fence{Epoch: 4, Counter: 2}, ConfigVersion: 9,
+		Started: time.Date(2026, 12, 4, 7, 0, id, 0, time.UTC), Queued: time.Millisecond, Total: 2500 * time.Microsecond,
+		Attempts: []cause.Attempt{{
+			Upstream: "catalogue-01", Started: time.Date(2026, 12, 4, 7, 0, id, 5, time.UTC),
+			Duration: time.Millisecond, Cause: cause.NotOwner,
+		}},
+		Outcome: cause.NotRun, Cause: cause.NoOwner, Detail: "no map with an owner came in time",
+	}
+}
+
+func ids(found []cause.Record) string {
+	var all []string
+	for _, one := range found {
+		all = append(all, string(one.Request))
+	}
+	return strings.Join(all, " ")
+}
+
+// Guards against a ring that loses its newest records or returns them in another order when it wraps around.
+func TestRingKeepsNewest(t *testing.T) {
+	for _, test := range []struct {
+		added int
+		want  string
+	}{{0, ""}, {2, "r1 r0"}, {3, "r2 r1 r0"}, {4, "r3 r2 r1"}, {8, "r7 r6 r5"}} {
+		is := is.New(t)
+		ring := records.Ring{Capacity: 3}
+		for i := range test.added {
+			ring.Add(record(i))
+		}
+		is.Equal(ids(ring.Recent(records.Filter{}, 10)), test.want)
+		is.Equal(len(ring.Find("r0")) == 1, test.added > 0 && test.added <= 3)
+	}
+}
+
+// Guards against filters that pass records of another cause, service or tenant.
+func TestRingFilters(t *testing.T) {
+	ring := records.Ring{}
+	for i, change := range []func(*cause.Record){
+		func(*cause.Record) {},
+		func(r *cause.Record) { r.Cause = cause.QueueFull },
+		func(r *cause.Record) { r.Service = "stock" },
+		func(r *cause.Record) { r.Tenant = "sales" },
+	} {
+		added := record(i)
+		change(&added)
+		ring.Add(added)
+	}
+	for _, test := range []struct {
+		filter records.Filter
+		limit  int
+		want   string
+	}{
+		{records.Filter{}, 2, "r3 r2"},
+		{records.Filter{Cause: cause.QueueFull}, 9, "r1"},
+		{records.Filter{Service: "stock"}, 9, "r2"},
+		{records.Filter{Tenant: "sales"}, 9, "r3"},
+		{records.Filter{Cause: cause.QueueFull, Service: "stock"}, 9, ""},
+	} {
+		is.New(t).Equal(ids(ring.Recent(test.filter, test.limit)), test.want)
+	}
+}
+
+// Guards against values that a stored batch loses or changes.
+func TestBatchRoundTrip(t *testing.T) {
+	is := is.New(t)
+	batch := records.Batch{
+		Host: "entry-1", Written: time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC), Dropped: 5,
+		Records: []cause.Record{record(1), {Request: "bare", Started: time.Date(2026, 12, 4, 7, 0, 0, 0, time.UTC)}},
+	}
+	content, err := batch.Encode()
+	is.NoErr(err)
+	got, err := records.Decode(content)
+	is.NoErr(err)
+	is.Equal(got, &batch)
+	damaged, err := records.Decode(content[:len(content)-12])
+	is.True(err != nil) // a cut object is reported
+	is.Equal(damaged.Host, fleet.HostID("entry-1"))
+}
+
+func archive(store objects.Store) *records.Archive {
+	return &records.Archive{
+		Host: "entry-1", Store: store, Timer: timer.System{}, Log: zerolog.Nop(), Interval: time.Minute, Buffer: 3,
+	}
+}
+
+// stored returns the requests and the dropped counts of all batches in the order of their names.
+func stored(t *testing.T, store *store) (requests string, dropped uint64) {
+	t.Helper()
+	var all []cause.Record
+	for _, name := range slices.Sorted(maps.Keys(store.objects)) {
+		batch, err := records.Decode(store.objects[name])
+		is.New(t).NoErr(err)
+		all = append(all, batch.Records...)
+		dropped += batch.Dropped
+	}
+	return ids(all), dropped
+}
+
+// Guards against records that are lost, stored twice or dropped without being counted when the store fails.
+func TestArchiveUnderFailures(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		down, lost bool
+		add        int
+		want       string
+		dropped    uint64
+	}{
+		{"store works", false, false, 3, "r0 r1 r2", 0},
+		{"store down", true, false, 2, "r0 r1", 0},
+		{"response lost", false, true, 2, "r0 r1", 0},
+		{"store down, buffer full", true, false, 8, "r0 r1 r2", 5},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := &store{objects: map[string][]byte{}, down: test.down, lost: test.lost}
+				archive := archive(store)
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan error)
+				go func() { done <- archive.Run(ctx) }()
+				for i := range test.add {
+					archive.Add(record(i))
+				}
+				is.NoErr(timer.Wait(ctx, timer.System{}, 150*time.Second))
+				store.set(false, false)
+				is.NoErr(timer.Wait(ctx, timer.System{}, time.Minute))
+				cancel()
+				is.True(errors.Is(<-done, context.Canceled))
+				requests, dropped := stored(t, store)
+				is.Equal(requests, test.want)
+				is.Equal(dropped, test.dropped)
+				is.Equal(archive.Dropped(), test.dropped)
+			})
+		})
+	}
+}
+
+// Guards against records that a planned stop loses.
+func TestArchiveStoresAtStop(t *testing.T) {
+	is := is.New(t)
+	store := &store{objects: map[string][]byte{}}
+	archive := archive(store)
+	archive.Add(record(1))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	is.True(errors.Is(archive.Run(ctx), context.Canceled))
+	requests, _ := stored(t, store)
+	is.Equal(requests, "r1")
+}
+
+// Guards against batches that stay for ever or are deleted before their time.
+func TestArchiveRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &store{objects: map[string][]byte{}}
+		archive := archive(store)
+		archive.Retention = 2 * time.Hour
+		ctx, cancel := context.WithTimeout(t.Context(), 6*time.Hour+30*time.Minute)
+		defer cancel()
+		go func() {
+			for i := range 6 {
+				archive.Add(record(i))
+				_ = timer.Wait(ctx, timer.System{}, time.Hour)
+			}
+		}()
+		is.True(errors.Is(archive.Run(ctx), context.DeadlineExceeded))
+		requests, _ := stored(t, store)
+		is.Equal(requests, "r4 r5")
+	})
+}
+
+// peers answers for other hosts; a host without an entry does not answer.
+type peers map[fleet.HostID][]cause.Record
+
+func (p peers) Others() []fleet.HostID { return []fleet.HostID{"entry-2", "entry-3"} }
+
+func (p peers) Find(_ context.Context, host fleet.HostID, request fleet.RequestID) ([]cause.Record, error) {
+	known, alive := p[host]
+	if !alive {
+		return nil, errors.New("unreachable")
+	}
+	return slices.DeleteFunc(slices.Clone(known), func(r cause.Record) bool { return r.Request != request }), nil
+}
+
+// Guards against a search that misses a place, ends too late, or hides that it could not look somewhere.
+func TestExplain(t *testing.T) {
+	now := time.Date(2026, 12, 4, 9, 30, 0, 0, time.UTC)
+	for _, test := range []struct {
+		name, request string
+		peers         peers
+		down          bool
+		source        records.Source
+		unreachable   string
+		batches       int
+	}{
+		{"own ring", "r1", peers{}, true, records.SourceRing, "[]", 0},
+		{"other host", "r2", peers{"entry-2": nil, "entry-3": {record(2)}}, true, records.SourcePeer, "[]", 0},
+		{"host lost, newest batch", "r4", peers{"entry-2": nil}, false, records.SourceBatch, "[entry-3]", 1},
+		{"host lost, older batch", "r3", peers{"entry-2": nil}, false, records.SourceBatch, "[entry-3]", 2},
+		{"unknown request", "r9", peers{"entry-2": nil, "entry-3": nil}, false, records.SourceNone, "[]", 2},
+		{"store down", "r3", peers{"entry-2": nil}, true, records.SourceNone, "[entry-3]", 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			ring, store := &records.Ring{}, &store{objects: map[string][]byte{}}
+			ring.Add(record(1))
+			for i, age := range []time.Duration{150 * time.Minute, time.Minute} {
+				archive := archive(store)
+				archive.Timer = timer.NewManual(now.Add(-age))
+				archive.Add(record(3 + i))
+				ctx, cancel := context.WithCancel(t.Context())
+				cancel()
+				is.True(archive.Run(ctx) != nil)
+			}
+			store.set(test.down, false)
+			finder := records.Finder{Ring: ring, Peers: test.peers, Store: store, Timer: timer.NewManual(now)}
+			got := finder.Explain(t.Context(), fleet.RequestID(test.request))
+			is.Equal(got.Source, test.source)
+			is.Equal(len(got.Records) > 0, test.source != records.SourceNone)
+			is.Equal(fmt.Sprint(got.Unreachable), test.unreachable)
+			is.Equal(got.Batches, test.batches)
+			is.Equal(got.StoreError != nil, test.down && test.source == records.SourceNone)
+		})
+	}
+}
+
+// Guards against a cause of the closed list that operators are told nothing about.
+func TestMeanings(t *testing.T) {
+	for _, value := range []cause.Cause{
+		cause.OK, cause.NoSuchService, cause.MissingKey, cause.BadRequest, cause.NoOwner, cause.NotOwner, cause.Moving,
+		cause.MapUnconfirmed, cause.QueueFull, cause.DeadlineUnmeetable, cause.DeadlinePassed, cause.TenantShare,
+		cause.UpstreamRefused, cause.UpstreamUnreachable, cause.UpstreamReset, cause.AnswerCut, cause.UpstreamDraining,
+		cause.NoUpstream, cause.RetryBudget, cause.DuplicateRequest, cause.ClaimUnavailable, cause.CallerGone,
+		cause.DaemonStopping, cause.SlowUpstream, cause.ResumedElsewhere,
+	} {
+		if !records.Known(value) {
+			t.Errorf("no meaning for %q", value)
+		}
+	}
+}
