ownership: guard, ledger, assigner, key map and the HTTP edge in a thin working form

Change: lease.Guard and lease.Ledger, assigner.Assigner (takeover, deputy, grants, moves, members, hot-key entries), keymap.Map with its chunk encoding, grants.Server, grants.Client and grants.Runner. core/fleet gets Order.Entries, Grant.Key and Assignment.Key for hot keys. The group row has the reserved epoch as a field of its own, so that a deputy can be replaced without a new epoch for the holder. Not proved yet: the schedules with faults.

--- a/internal/core/fleet/assignment.go
+++ b/internal/core/fleet/assignment.go
@@ -3,6 +3,8 @@
 // Assignment says which server owns a partition, as far as the reader knows.
 type Assignment struct {
 	Partition PartitionID
+	// Key is the key of a hot-key entry, and zero for a hash range.
+	Key KeyHash
 	// Owner is empty while the partition has no owner.
 	Owner UpstreamID
 	// Standby is the server that is to own the partition when the owner is lost.
--- a/internal/core/fleet/order.go
+++ b/internal/core/fleet/order.go
@@ -14,6 +14,19 @@
 type Grant struct {
 	Partition PartitionID
 	Fence     Fence
+	// Key is the key of a hot-key entry, and zero for a hash range.
+	Key KeyHash
+}
+
+// Entry is the dedicated entry of one hot key. The key belongs to this partition and no longer to its hash range.
+type Entry struct {
+	Key       KeyHash
+	Partition PartitionID
+}
+
+// Entries is the full list of the hot-key entries of a service. It is a struct so that an empty list differs from none.
+type Entries struct {
+	List []Entry
 }
 
 // Order is what an assigner sends to a server of its group.
@@ -29,6 +42,9 @@
 	Renewal *Renewal
 	Grants  []Grant
 	Revokes []PartitionID
+	// Entries is nil when the server's list of hot-key entries is to stay as it is. It takes effect before the
+	// revocations and the grants.
+	Entries *Entries
 	// WantHoldings asks for the full list of holdings in the report.
 	WantHoldings bool
 }
--- /dev/null
+++ b/internal/ownership/assigner/place.go
@@ -0,0 +1,239 @@
+package assigner
+
+import (
+	"slices"
+	"time"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+)
+
+// maxRowsWritten bounds the placement rows of one transaction, which the table limits in size.
+const maxRowsWritten = 8
+
+// placementRow is what is known about one placement row.
+type placementRow struct {
+	version Version
+	// dirty is set while the row in the table differs from the plan.
+	dirty bool
+}
+
+// SetLoads tells the measured load of partitions, and lets the partitions be placed anew.
+func (a *Assigner) SetLoads(loads map[fleet.PartitionID]float64) {
+	a.plan.loads = loads
+	a.plan.replace = true
+}
+
+// place asks the placer when the set of live servers has changed and stayed the same for a moment.
+func (a *Assigner) place() {
+	if !a.placementKnown() || !a.ledger.Quorum() {
+		return
+	}
+	var live []Server
+	for _, id := range a.serverOrder() {
+		if known := a.servers[id]; a.isLive(known) {
+			live = append(live, known.spec)
+		}
+	}
+	if !slices.Equal(live, a.plan.live) {
+		a.plan.live, a.plan.liveSince = live, a.now
+	}
+	same := slices.Equal(live, a.plan.placedFor) && !a.plan.replace
+	if len(live) == 0 || same || a.now.Sub(a.plan.liveSince) < a.Timing.Settle {
+		return
+	}
+	a.plan.placedFor, a.plan.replace = live, false
+	for _, spot := range a.Placer.Place(a.spots(), live) {
+		a.applySpot(spot)
+	}
+}
+
+// spots returns the present place of each partition.
+func (a *Assigner) spots() []Spot {
+	spots := make([]Spot, 0, len(a.plan.slots))
+	for id, entry := range a.plan.slots {
+		spots = append(spots, a.spot(id, entry))
+	}
+	slices.SortFunc(spots, func(x, y Spot) int { return int(x.Partition) - int(y.Partition) })
+	return spots
+}
+
+func (a *Assigner) spot(id fleet.PartitionID, entry *slot) Spot {
+	owner := entry.owner
+	if entry.granting != "" {
+		owner = entry.granting
+	}
+	return Spot{
+		Partition: id, Owner: owner, Standby: entry.standby, Fence: entry.fence, Key: entry.key,
+		Load: a.plan.loads[id],
+	}
+}
+
+// applySpot takes over what the placer decided for one partition.
+func (a *Assigner) applySpot(spot Spot) {
+	entry := a.plan.slots[spot.Partition]
+	if entry == nil {
+		return
+	}
+	if entry.target != spot.Owner {
+		entry.target = spot.Owner
+		a.plan.pending[spot.Partition] = struct{}{}
+	}
+	if entry.standby != spot.Standby {
+		entry.standby = spot.Standby
+		if entry.held() && !entry.moving {
+			entry.fence = a.nextFence()
+		}
+		a.plan.note(spot.Partition)
+	}
+}
+
+// publish makes the changed assignments known. A partition without a holder is published when it has one again.
+func (a *Assigner) publish() {
+	if len(a.plan.changed) == 0 {
+		return
+	}
+	var list []fleet.Assignment
+	for _, id := range sortedKeys(a.plan.changed) {
+		entry := a.plan.slots[id]
+		if entry == nil || !entry.held() {
+			continue
+		}
+		list = append(list, fleet.Assignment{
+			Partition: id, Owner: entry.owner, Standby: entry.standby, Fence: entry.fence, Moving: entry.moving, Key: entry.key,
+		})
+	}
+	clear(a.plan.changed)
+	if a.Role() == RoleActing && len(list) > 0 {
+		a.do(Publish{Assignments: list})
+	}
+}
+
+// placementKnown reports whether grants need not wait for the placement rows: they were read, or the table has not
+// answered for so long that the holdings of the servers and the standbys known must do.
+func (a *Assigner) placementKnown() bool {
+	return a.plan.known || a.now.Sub(a.beganAt) > 4*a.Timing.Retry
+}
+
+func (a *Assigner) readPlacement() {
+	if a.plan.reading {
+		return
+	}
+	a.plan.reading, a.plan.readAt = true, a.now
+	a.do(ReadPlacement{})
+}
+
+func (a *Assigner) readPlacementIfUnknown() {
+	if !a.plan.known && (a.plan.readAt.IsZero() || a.now.Sub(a.plan.readAt) >= a.Timing.Retry) {
+		a.readPlacement()
+	}
+}
+
+// PlacementUnread tells that the placement rows could not be read.
+func (a *Assigner) PlacementUnread(now time.Time) []Action {
+	a.enter(now)
+	a.plan.reading = false
+	return a.leave()
+}
+
+// PlacementRead tells what the placement rows contained. What this assigner has learned from the servers in its own
+// epoch takes precedence.
+func (a *Assigner) PlacementRead(now time.Time, rows []StoredPlacement) []Action {
+	a.enter(now)
+	a.plan.reading, a.plan.known = false, true
+	for _, row := range rows {
+		known := a.plan.row(row.Index)
+		known.version = row.Version
+		for _, spot := range row.Spots {
+			if !a.adoptSpot(spot) {
+				known.dirty = true
+			}
+		}
+	}
+	return a.leave()
+}
+
+// adoptSpot takes over a stored place and reports whether it agrees with the plan.
+func (a *Assigner) adoptSpot(spot Spot) bool {
+	entry := a.plan.slots[spot.Partition]
+	if entry == nil {
+		if spot.Key == 0 {
+			return true
+		}
+		entry = a.addEntry(spot.Partition, spot.Key)
+	}
+	if a.Role() == RoleActing && (entry.held() || entry.fence.Epoch == a.epoch) {
+		return entry.owner == spot.Owner && entry.standby == spot.Standby && entry.fence == spot.Fence
+	}
+	entry.owner, entry.standby, entry.fence = spot.Owner, spot.Standby, spot.Fence
+	return true
+}
+
+// tickPlacement writes the changed placement rows.
+func (a *Assigner) tickPlacement() {
+	a.readPlacementIfUnknown()
+	due := a.plan.writeAt.IsZero() || a.now.Sub(a.plan.writeAt) >= a.Timing.Settle
+	if !a.plan.known || a.plan.reading || a.plan.writing != nil || !due || a.row.stale || a.row.content.Epoch != a.epoch {
+		return
+	}
+	write := WritePlacement{Group: a.row.version}
+	for _, index := range a.dirtyRows() {
+		write.Rows = append(write.Rows, a.stored(index))
+		a.plan.row(index).dirty = false
+	}
+	if len(write.Rows) > 0 {
+		a.plan.writing, a.plan.writeAt = &write, a.now
+		a.do(write)
+	}
+}
+
+func (a *Assigner) dirtyRows() []int {
+	var indexes []int
+	for index, row := range a.plan.placed {
+		if row.dirty {
+			indexes = append(indexes, index)
+		}
+	}
+	slices.Sort(indexes)
+	return indexes[:min(len(indexes), maxRowsWritten)]
+}
+
+// stored returns the content of one placement row.
+func (a *Assigner) stored(index int) StoredPlacement {
+	row := StoredPlacement{Index: index, Version: a.plan.row(index).version}
+	for id, entry := range a.plan.slots {
+		if int(id)/PlacementSize == index {
+			spot := a.spot(id, entry)
+			spot.Owner, spot.Load = entry.owner, 0
+			row.Spots = append(row.Spots, spot)
+		}
+	}
+	slices.SortFunc(row.Spots, func(x, y Spot) int { return int(x.Partition) - int(y.Partition) })
+	return row
+}
+
+// PlacementWritten tells how the outstanding write of placement rows ended. Unless nothing was written, the rows are
+// read to learn their new versions, and the group row in case that another assigner has written it.
+func (a *Assigner) PlacementWritten(now time.Time, result WriteResult) []Action {
+	a.enter(now)
+	write := a.plan.writing
+	a.plan.writing = nil
+	if write == nil {
+		return a.leave()
+	}
+	if result != WriteDone {
+		for _, row := range write.Rows {
+			a.plan.row(row.Index).dirty = true
+		}
+	}
+	switch result {
+	case WriteDone, WriteUnknown:
+		a.plan.writes++
+		a.readPlacement()
+	case WriteConflict:
+		a.readRow()
+		a.readPlacement()
+	case WriteFailed:
+		a.plan.writeAt = now.Add(a.Timing.Retry)
+	}
+	return a.leave()
+}
--- /dev/null
+++ b/internal/ownership/assigner/role.go
@@ -0,0 +1,234 @@
+package assigner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+)
+
+// watchers is the number of hosts that watch a group besides holder and deputy. More would only add messages.
+const watchers = 4
+
+// watchState is what a host knows about the other hosts.
+type watchState struct {
+	// hosts are the live hosts, this one included.
+	hosts []fleet.Host
+	// heard is the last time at which an acting assigner with a majority was heard.
+	heard time.Time
+	// asked is the last time at which holder and deputy were asked.
+	asked time.Time
+	// beat is the last time at which a heartbeat was sent to the deputy.
+	beat time.Time
+	// ready is the last time at which the deputy said that it stands by.
+	ready time.Time
+	// placements is the count in the last heartbeat heard.
+	placements uint64
+}
+
+// SetHosts tells which hosts are alive.
+func (a *Assigner) SetHosts(hosts []fleet.Host) {
+	a.watch.hosts = slices.Clone(hosts)
+}
+
+// Received handles a message from the assigner on another host.
+func (a *Assigner) Received(now time.Time, from fleet.HostID, message Message) []Action {
+	a.enter(now)
+	switch message := message.(type) {
+	case Heartbeat:
+		a.receivedHeartbeat(from, message)
+	case Readiness:
+		if a.Role() == RoleActing && from == a.row.content.Deputy && message.Ready && message.Version == a.row.version {
+			a.watch.ready = now
+		}
+	case Question:
+		if a.Role() == RoleActing {
+			a.do(SendMessage{To: from, Message: a.heartbeat()})
+		}
+	}
+	return a.leave()
+}
+
+func (a *Assigner) receivedHeartbeat(from fleet.HostID, beat Heartbeat) {
+	a.observe(beat.Epoch)
+	if beat.Epoch < a.seen || a.Role() == RoleActing {
+		return
+	}
+	if beat.Majority {
+		a.watch.heard = a.now
+	}
+	if beat.Version > a.row.version {
+		a.readRow()
+	}
+	if a.Role() != RoleDeputy {
+		if a.row.content.Deputy == a.Host {
+			a.do(SendMessage{To: from, Message: Readiness{Version: a.row.version}})
+		}
+		return
+	}
+	if beat.HandOver && beat.Epoch == a.row.content.Epoch && a.mayUseReserve() {
+		a.begin(a.row.content.Reserve, ReasonHandOver)
+		return
+	}
+	if beat.Placements != a.watch.placements {
+		a.watch.placements = beat.Placements
+		a.readPlacement()
+	}
+	a.do(SendMessage{To: from, Message: Readiness{Version: a.row.version, Ready: true}})
+}
+
+func (a *Assigner) heartbeat() Heartbeat {
+	return Heartbeat{
+		Epoch: a.epoch, Version: a.row.version, Placements: a.plan.writes, Majority: a.hasMajority(),
+	}
+}
+
+// hasMajority reports whether a majority of the servers accepted orders lately.
+func (a *Assigner) hasMajority() bool {
+	return a.ledger.Quorum() && a.now.Sub(a.evidenceAt) < 4*a.Timing.Round
+}
+
+// tickDeputy takes over when the holder has been silent for too long.
+func (a *Assigner) tickDeputy() {
+	if !a.mayUseReserve() {
+		a.changeRole(RoleWatching, ReasonNotDeputy)
+		return
+	}
+	a.readPlacementIfUnknown()
+	if a.now.Sub(a.watch.heard) > a.Timing.DeputyPatience {
+		a.begin(a.row.content.Reserve, ReasonHolderSilent)
+	}
+}
+
+// mayUseReserve reports whether this host may use the reserved epoch: the row names it as deputy, it was written after
+// this process first read the row, so that no earlier process of the host can have used the epoch, and no such epoch
+// has been seen.
+func (a *Assigner) mayUseReserve() bool {
+	return a.row.known && a.row.content.Deputy == a.Host && a.row.version > a.row.first &&
+		a.seen < a.row.content.Reserve
+}
+
+// tickWatching asks holder and deputy, and takes over with a write when both are silent.
+func (a *Assigner) tickWatching() {
+	if !a.row.known {
+		a.readRowIfDue()
+		return
+	}
+	rank := a.rank()
+	if rank >= watchers {
+		a.watch.heard = a.now
+		return
+	}
+	patience := a.Timing.WatcherPatience + time.Duration(rank)*a.Timing.WatcherPatience/2
+	if a.row.version == 0 {
+		patience = time.Duration(rank) * a.Timing.WatcherPatience / 2
+	}
+	if a.now.Sub(a.watch.heard) >= patience {
+		a.takeOver()
+		return
+	}
+	if a.now.Sub(a.watch.asked) >= a.Timing.WatcherPatience/4 {
+		a.watch.asked = a.now
+		a.ask(a.row.content.Holder)
+		a.ask(a.row.content.Deputy)
+	}
+}
+
+func (a *Assigner) ask(host fleet.HostID) {
+	if host != "" && host != a.Host {
+		a.do(SendMessage{To: host, Message: Question{}})
+	}
+}
+
+// takeOver reads the row once more and then writes it with this host as holder.
+func (a *Assigner) takeOver() {
+	if a.row.writing != nil {
+		return
+	}
+	if !a.row.fresh {
+		a.readRowIfDue()
+		return
+	}
+	a.row.fresh = false
+	next := a.row.content
+	next.Epoch, next.Reserve = a.row.content.Reserve+1, a.row.content.Reserve+2
+	next.Holder, next.Deputy = a.Host, a.chooseDeputy()
+	a.writeRow(next)
+}
+
+// order sorts the live hosts by their rendezvous rank for this service.
+func (a *Assigner) order() []fleet.Host {
+	hosts := slices.Clone(a.watch.hosts)
+	weight := func(host fleet.Host) uint64 { return xxhash.Sum64String(string(a.Service) + "/" + string(host.ID)) }
+	slices.SortFunc(hosts, func(x, y fleet.Host) int {
+		return cmp.Or(cmp.Compare(weight(y), weight(x)), cmp.Compare(x.ID, y.ID))
+	})
+	return hosts
+}
+
+// rank returns the place of this host among the live hosts, without the holder and the deputy.
+func (a *Assigner) rank() int {
+	rank := 0
+	for _, host := range a.order() {
+		if host.ID == a.Host {
+			break
+		}
+		if host.ID != a.row.content.Holder && host.ID != a.row.content.Deputy {
+			rank++
+		}
+	}
+	return rank
+}
+
+// chooseDeputy returns a live host, in another failure domain than this one if there is one.
+func (a *Assigner) chooseDeputy() fleet.HostID {
+	var own fleet.Place
+	for _, host := range a.watch.hosts {
+		if host.ID == a.Host {
+			own = host.Place
+		}
+	}
+	var other fleet.HostID
+	failed := a.row.content.Deputy
+	for _, host := range a.order() {
+		if host.ID == a.Host || (host.ID == failed && len(a.watch.hosts) > 2) {
+			continue
+		}
+		if host.Place != own {
+			return host.ID
+		}
+		if other == "" {
+			other = host.ID
+		}
+	}
+	return other
+}
+
+// HandOver gives up the role because this daemon is about to stop, and tells the deputy to start at once.
+func (a *Assigner) HandOver(now time.Time) []Action {
+	a.enter(now)
+	if a.Role() == RoleActing {
+		beat := a.heartbeat()
+		beat.HandOver = true
+		if a.row.content.Deputy != "" && a.row.content.Deputy != a.Host {
+			a.do(SendMessage{To: a.row.content.Deputy, Message: beat})
+		}
+		a.run++
+		a.changeRole(RoleWatching, ReasonStopping)
+	}
+	return a.leave()
+}
+
+// beatDeputy sends the heartbeat of the round to the deputy.
+func (a *Assigner) beatDeputy() {
+	if a.now.Sub(a.watch.beat) < a.Timing.Round {
+		return
+	}
+	a.watch.beat = a.now
+	if deputy := a.row.content.Deputy; deputy != "" && deputy != a.Host {
+		a.do(SendMessage{To: deputy, Message: a.heartbeat()})
+	}
+}
--- /dev/null
+++ b/internal/ownership/assigner/rounds.go
@@ -0,0 +1,252 @@
+package assigner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/ownership/lease"
+)
+
+// minPause is the least interval of orders to one server. It bounds the rate of extra rounds, which a drain that takes
+// long would otherwise repeat as fast as the network allows.
+const minPause = 4 * time.Millisecond
+
+// server is what an acting assigner knows about one server.
+type server struct {
+	spec Server
+	// configured is set while the configuration lists the server.
+	configured bool
+	// member is the run listed in the group row; its incarnation is empty if none is.
+	member lease.Member
+	// sequence is that of the last order in this epoch.
+	sequence fleet.Sequence
+	// outstanding is set from the sending of an order to its answer.
+	outstanding bool
+	// sentAt and sentStamp are those of the last order.
+	sentAt    time.Time
+	sentStamp lease.Stamp
+	// heard is the last time at which the server answered, and acceptedAt the last at which it accepted.
+	heard      time.Time
+	acceptedAt time.Time
+	// seen is the incarnation in the last report.
+	seen fleet.Incarnation
+	// leaseLeft is that of the last accepted report, and leaseEnd the same on the server's clock.
+	leaseLeft time.Duration
+	leaseEnd  time.Duration
+	// leaving is set when the server wants to stop.
+	leaving bool
+	// unlisted asks for the holdings in the next order.
+	unlisted bool
+	// grants and revokes are repeated in each order until the server has confirmed them.
+	grants  map[fleet.PartitionID]fleet.Fence
+	revokes map[fleet.PartitionID]struct{}
+	// entries is the version of the list of hot keys that the server has accepted in this epoch.
+	entries uint64
+}
+
+// SetServers tells which servers the configuration lists.
+func (a *Assigner) SetServers(specs []Server) {
+	if a.servers == nil {
+		a.servers = make(map[fleet.UpstreamID]*server)
+	}
+	for _, known := range a.servers {
+		known.configured = false
+	}
+	for _, spec := range specs {
+		known := a.servers[spec.ID]
+		if known == nil {
+			known = &server{}
+			a.servers[spec.ID] = known
+		}
+		known.spec, known.configured = spec, true
+	}
+}
+
+// serverOrder returns the known servers in the order of their names, so that decisions do not depend on chance.
+func (a *Assigner) serverOrder() []fleet.UpstreamID {
+	ids := make([]fleet.UpstreamID, 0, len(a.servers))
+	for id := range a.servers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// resetServers forgets what was agreed with the servers in an earlier epoch.
+func (a *Assigner) resetServers() {
+	for id, known := range a.servers {
+		*known = server{
+			spec: known.spec, configured: known.configured, member: lease.Member{Server: id}, seen: known.seen,
+			heard: known.heard, leaving: known.leaving, unlisted: true,
+			grants:  make(map[fleet.PartitionID]fleet.Fence),
+			revokes: make(map[fleet.PartitionID]struct{}),
+		}
+	}
+	for _, member := range slices.Concat(a.row.content.Previous, a.row.content.Members) {
+		known := a.servers[member.Server]
+		if known == nil {
+			known = &server{spec: Server{ID: member.Server}, unlisted: true}
+			known.grants = make(map[fleet.PartitionID]fleet.Fence)
+			known.revokes = make(map[fleet.PartitionID]struct{})
+			a.servers[member.Server] = known
+		}
+		known.member = member
+	}
+}
+
+// tickActing does all that an acting assigner does, after time passed or something happened.
+func (a *Assigner) tickActing() {
+	a.lapse()
+	a.place()
+	a.decide()
+	a.sendOrders()
+	a.beatDeputy()
+	a.tickRow()
+	a.tickPlacement()
+}
+
+// lapse takes note of the leases that have ended.
+func (a *Assigner) lapse() {
+	for _, member := range a.ledger.Lapse(a.now) {
+		a.plan.lost(member)
+		if known := a.servers[member.Server]; known != nil && known.member == member {
+			clear(known.grants)
+			clear(known.revokes)
+		}
+	}
+}
+
+// sendOrders sends an order to each server that is due for one.
+func (a *Assigner) sendOrders() {
+	for _, id := range a.serverOrder() {
+		known := a.servers[id]
+		pause := a.now.Sub(known.sentAt)
+		if known.outstanding || (pause < a.Timing.Round && (pause < minPause || !a.urgent(known))) {
+			continue
+		}
+		a.sendOrder(id, known)
+	}
+}
+
+// urgent reports whether a server should get an order before its round.
+func (a *Assigner) urgent(known *server) bool {
+	if known.sentStamp <= a.wanted || len(known.grants) > 0 || len(known.revokes) > 0 {
+		return true
+	}
+	first := a.ledger.Unrenewed(known.member)
+	return first > 0 && a.ledger.Evidence() > first
+}
+
+func (a *Assigner) sendOrder(id fleet.UpstreamID, known *server) {
+	known.sequence++
+	order := fleet.Order{
+		Service: a.Service, Epoch: a.epoch, Sequence: known.sequence, Incarnation: known.member.Incarnation,
+		WantHoldings: known.unlisted,
+	}
+	if order.Incarnation != "" {
+		order.Renewal = a.ledger.Renewal(known.member)
+		order.Grants = a.grantList(known.grants)
+		order.Revokes = sortedKeys(known.revokes)
+		order.Entries = a.entriesFor(known)
+	}
+	known.outstanding, known.sentAt = true, a.now
+	known.sentStamp = a.ledger.Sent(known.member, order.Grants)
+	a.do(SendOrder{Server: id, Order: order, member: known.member, stamp: known.sentStamp, run: a.run, entries: a.plan.entryVersion})
+}
+
+func (a *Assigner) grantList(grants map[fleet.PartitionID]fleet.Fence) []fleet.Grant {
+	list := make([]fleet.Grant, 0, len(grants))
+	for partition, fence := range grants {
+		list = append(list, fleet.Grant{Partition: partition, Fence: fence, Key: a.plan.slots[partition].key})
+	}
+	slices.SortFunc(list, func(a, b fleet.Grant) int { return cmp.Compare(a.Partition, b.Partition) })
+	return list
+}
+
+func sortedKeys(set map[fleet.PartitionID]struct{}) []fleet.PartitionID {
+	list := make([]fleet.PartitionID, 0, len(set))
+	for partition := range set {
+		list = append(list, partition)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Unanswered tells that an order got no answer. It may still arrive or have been carried out.
+func (a *Assigner) Unanswered(now time.Time, sent SendOrder) []Action {
+	a.enter(now)
+	if known := a.servers[sent.Server]; known != nil && sent.run == a.run {
+		known.outstanding = false
+	}
+	return a.leave()
+}
+
+// Reported handles the answer to an order.
+func (a *Assigner) Reported(now time.Time, sent SendOrder, report fleet.Report) []Action {
+	a.enter(now)
+	a.observe(report.HighestEpoch)
+	known := a.servers[sent.Server]
+	if known == nil || sent.run != a.run || a.Role() != RoleActing {
+		return a.leave()
+	}
+	known.outstanding, known.heard, known.seen = false, now, report.Incarnation
+	if report.Accepted() && a.counts(sent.member, report.Incarnation) {
+		a.accepted(known, sent, report)
+	}
+	a.tickActing()
+	return a.leave()
+}
+
+// counts reports whether a report counts for a member, which is rule G4.
+func (a *Assigner) counts(member lease.Member, incarnation fleet.Incarnation) bool {
+	if a.Omit == lease.RuleIncarnation {
+		return member.Incarnation != ""
+	}
+	return member.Incarnation != "" && member.Incarnation == incarnation
+}
+
+// accepted draws the conclusions from the report on an accepted order.
+func (a *Assigner) accepted(known *server, sent SendOrder, report fleet.Report) {
+	a.ledger.Accepted(a.now, sent.member, sent.stamp, report.Reading)
+	if evidence := a.ledger.Evidence(); evidence > a.evidence {
+		a.evidence, a.evidenceAt = evidence, a.now
+	}
+	a.wanted = max(a.wanted, a.ledger.Unrenewed(sent.member))
+	lapsed := known.leaseEnd > 0 && report.Reading >= known.leaseEnd
+	known.acceptedAt, known.leaving = a.now, report.Leaving
+	known.leaseLeft, known.leaseEnd = report.LeaseLeft, report.Reading+report.LeaseLeft
+	if sent.Order.Entries != nil {
+		known.entries = sent.entries
+	}
+	a.confirm(known, sent.Order, report)
+	switch {
+	case sent.Order.WantHoldings:
+		known.unlisted = false
+		a.ledger.Listed(sent.member, report.Holdings)
+		a.adoptHoldings(sent.member, report.Holdings)
+		a.holdEntries(known)
+	case lapsed:
+		known.unlisted = true
+	}
+}
+
+// confirm records the grants and the releases that a report confirms.
+func (a *Assigner) confirm(known *server, order fleet.Order, report fleet.Report) {
+	for _, grant := range order.Grants {
+		if report.LeaseLeft <= 0 || known.grants[grant.Partition] != grant.Fence {
+			continue
+		}
+		delete(known.grants, grant.Partition)
+		a.plan.granted(known.member, grant)
+	}
+	for _, partition := range report.Released {
+		if _, ordered := known.revokes[partition]; !ordered {
+			continue
+		}
+		delete(known.revokes, partition)
+		a.ledger.Released(known.member, partition)
+		a.plan.released(known.member, partition)
+	}
+}
--- /dev/null
+++ b/internal/ownership/lease/ledger.go
@@ -0,0 +1,303 @@
+package lease
+
+import (
+	"slices"
+	"time"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+)
+
+// Member is one run of a server that is listed in the group row.
+type Member struct {
+	Server      fleet.UpstreamID
+	Incarnation fleet.Incarnation
+}
+
+// Stamp orders the events that one assigner observes, so that "sent after received" needs no clock.
+type Stamp uint64
+
+// Rule names one rule of the protocol, so that a test can omit it and show that its check notices.
+type Rule string
+
+const (
+	// RuleNone omits nothing.
+	RuleNone Rule = ""
+	// RuleRenewalEvidence is G1: a renewal needs a majority that accepted orders sent after its reading was received.
+	RuleRenewalEvidence Rule = "G1"
+	// RuleGrantEvidence is G2: a grant needs a majority that accepted orders sent after the partition became free.
+	RuleGrantEvidence Rule = "G2"
+	// RuleFree is G3: every member has reported that it does not hold the partition, or its lease has ended.
+	RuleFree Rule = "G3"
+	// RuleIncarnation is G4: only incarnations of the group row count.
+	RuleIncarnation Rule = "G4"
+	// RuleUnknownWrite is G5: an epoch is not used before its row was read or acknowledged.
+	RuleUnknownWrite Rule = "G5"
+	// RuleStepDown is G6: a higher epoch ends the role.
+	RuleStepDown Rule = "G6"
+)
+
+// maxReadings bounds the readings kept for one member. A reading becomes usable about one round after it was received,
+// so that more than a few are only kept while a majority is missing, and then old ones are of no use.
+const maxReadings = 8
+
+// Ledger is what an assigner knows in one epoch about the servers of its group.
+type Ledger struct {
+	// Term is the lease duration. It is set before Begin.
+	Term time.Duration
+	// Drift bounds the deviation of each clock's rate from true time; 0.01 stands for 1%. It is set before Begin.
+	Drift float64
+	// Omit is empty but in tests, which show that the omission of a rule is noticed.
+	Omit Rule
+
+	members  []Member
+	previous []Member
+	accounts map[Member]*account
+	stamp    Stamp
+	// quorum is set once a majority has accepted this epoch, at quorumAt.
+	quorum   bool
+	quorumAt time.Time
+}
+
+// account is what is known about one member in this epoch.
+type account struct {
+	// accepted is the stamp of the latest order that the member accepted; zero if none.
+	accepted Stamp
+	// readings are in the order in which they were received.
+	readings []reading
+	// leaseFrom is the time after which the lease runs for one term at most: the receipt of the reading last used,
+	// or of the first report in this epoch.
+	leaseFrom time.Time
+	// lapsed is set once the lease has ended for certain, until the member is renewed.
+	lapsed bool
+	// holdings contains what the member may hold. It is meaningful once the member has listed its holdings.
+	holdings map[fleet.PartitionID]struct{}
+	// listed is set once the member has listed its holdings in this epoch.
+	listed bool
+	// renewed is set once a renewal was sent in this epoch.
+	renewed bool
+}
+
+// reading is a member's clock reading and the moment of its receipt.
+type reading struct {
+	value    time.Duration
+	stamp    Stamp
+	received time.Time
+}
+
+// Begin starts an epoch. Nothing that was known in an earlier epoch counts any longer, since another assigner may have
+// acted in between.
+func (l *Ledger) Begin(members, previous []Member) {
+	l.members, l.previous = slices.Clone(members), slices.Clone(previous)
+	l.accounts = make(map[Member]*account)
+	l.quorum = false
+	for _, member := range slices.Concat(members, previous) {
+		l.accounts[member] = &account{}
+	}
+}
+
+// Bound returns the time after the receipt of a reading at which a lease of one term has ended for certain, measured by
+// a clock that runs slow by Drift while the server's clock runs fast by as much.
+func (l *Ledger) Bound() time.Duration {
+	return time.Duration(float64(l.Term)*(1+l.Drift)/(1-l.Drift)) + time.Microsecond
+}
+
+// Tick returns a stamp that is later than all before.
+func (l *Ledger) Tick() Stamp {
+	l.stamp++
+	return l.stamp
+}
+
+// Sent records an order before it is sent, and returns its stamp. Grants count as held from now on.
+func (l *Ledger) Sent(member Member, grants []fleet.Grant) Stamp {
+	if held := l.accounts[member]; held != nil {
+		for _, grant := range grants {
+			held.hold(grant.Partition)
+		}
+	}
+	return l.Tick()
+}
+
+// Accepted records that a member accepted the order with the given stamp and reported reading at now.
+func (l *Ledger) Accepted(now time.Time, member Member, sent Stamp, value time.Duration) {
+	entry := l.accounts[member]
+	if entry == nil {
+		return
+	}
+	if entry.accepted == 0 && entry.leaseFrom.IsZero() {
+		entry.leaseFrom = now
+	}
+	entry.accepted = max(entry.accepted, sent)
+	entry.readings = append(entry.readings, reading{value: value, stamp: l.Tick(), received: now})
+	if len(entry.readings) > maxReadings {
+		entry.readings = entry.readings[1:]
+	}
+	if !l.quorum && l.Evidence() > 0 {
+		l.quorum, l.quorumAt = true, now
+	}
+}
+
+// Evidence returns a stamp such that a joint majority accepted orders that were sent at that stamp or later; zero if no
+// majority has accepted this epoch.
+func (l *Ledger) Evidence() Stamp {
+	return min(l.majority(l.members), l.majority(l.previous))
+}
+
+// majority returns the highest stamp at or after which a majority of set accepted orders. An empty set, which only a
+// group without earlier members has, restricts nothing.
+func (l *Ledger) majority(set []Member) Stamp {
+	if len(set) == 0 {
+		return ^Stamp(0)
+	}
+	stamps := make([]Stamp, 0, len(set))
+	for _, member := range set {
+		stamps = append(stamps, l.accounts[member].accepted)
+	}
+	slices.Sort(stamps)
+	return stamps[(len(stamps)-1)/2]
+}
+
+// Quorum reports whether a majority has accepted this epoch.
+func (l *Ledger) Quorum() bool {
+	return l.quorum || len(l.accounts) == 0
+}
+
+// Renewal returns the latest reading that G1 allows to use for a renewal, and records its use.
+func (l *Ledger) Renewal(member Member) *fleet.Renewal {
+	entry := l.accounts[member]
+	if entry == nil {
+		return nil
+	}
+	evidence := l.Evidence()
+	for i := len(entry.readings) - 1; i >= 0; i-- {
+		candidate := entry.readings[i]
+		if candidate.stamp >= evidence && l.Omit != RuleRenewalEvidence {
+			continue
+		}
+		if candidate.received.After(entry.leaseFrom) {
+			entry.leaseFrom = candidate.received
+		}
+		entry.renewed, entry.lapsed = true, false
+		return &fleet.Renewal{Reading: candidate.value, Term: l.Term}
+	}
+	return nil
+}
+
+// Unrenewed returns the stamp of the first reading of a member that has not been renewed in this epoch; zero if there is
+// none. Evidence beyond that stamp is wanted soon, since the lease stems from an earlier epoch.
+func (l *Ledger) Unrenewed(member Member) Stamp {
+	entry := l.accounts[member]
+	if entry == nil || entry.renewed || len(entry.readings) == 0 {
+		return 0
+	}
+	return entry.readings[0].stamp
+}
+
+// Listed replaces what a member may hold by the list that it reported.
+func (l *Ledger) Listed(member Member, holdings []fleet.Grant) {
+	entry := l.accounts[member]
+	if entry == nil {
+		return
+	}
+	entry.listed = true
+	entry.holdings = make(map[fleet.PartitionID]struct{}, len(holdings))
+	for _, grant := range holdings {
+		entry.holdings[grant.Partition] = struct{}{}
+	}
+}
+
+// Released records that a member no longer holds a partition.
+func (l *Ledger) Released(member Member, partition fleet.PartitionID) {
+	if entry := l.accounts[member]; entry != nil {
+		delete(entry.holdings, partition)
+	}
+}
+
+// Hold records that a member may hold a partition from now on.
+func (l *Ledger) Hold(member Member, partition fleet.PartitionID) {
+	if entry := l.accounts[member]; entry != nil {
+		entry.hold(partition)
+	}
+}
+
+// Lapse returns the members whose lease has ended for certain since the last call, and forgets what they held.
+func (l *Ledger) Lapse(now time.Time) []Member {
+	var lapsed []Member
+	for member, entry := range l.accounts {
+		if entry.lapsed || !l.ended(now, entry) {
+			continue
+		}
+		entry.lapsed, entry.listed = true, true
+		entry.holdings = nil
+		lapsed = append(lapsed, member)
+	}
+	slices.SortFunc(lapsed, compareMembers)
+	return lapsed
+}
+
+// ended reports whether the lease of a member has ended for certain.
+func (l *Ledger) ended(now time.Time, entry *account) bool {
+	from := entry.leaseFrom
+	if from.IsZero() {
+		if !l.Quorum() {
+			return false
+		}
+		from = l.quorumAt
+	}
+	return now.Sub(from) > l.Bound()
+}
+
+// Free reports whether no member can hold a partition, which is rule G3.
+func (l *Ledger) Free(partition fleet.PartitionID) bool {
+	for _, entry := range l.accounts {
+		if l.Omit == RuleFree && !entry.listed {
+			continue
+		}
+		if _, held := entry.holdings[partition]; held || !entry.listed {
+			return false
+		}
+	}
+	return true
+}
+
+// Complete reports whether every member has listed its holdings or lost its lease, so that nothing unknown is held.
+func (l *Ledger) Complete() bool {
+	for _, entry := range l.accounts {
+		if !entry.listed {
+			return false
+		}
+	}
+	return true
+}
+
+// MayGrant reports whether G2 allows the grant of a partition that has been free since the given stamp.
+func (l *Ledger) MayGrant(free Stamp) bool {
+	return l.Evidence() > free || l.Omit == RuleGrantEvidence
+}
+
+// Counts reports whether a member is listed in the group row or among the previous members.
+func (l *Ledger) Counts(member Member) bool {
+	return l.accounts[member] != nil
+}
+
+func (a *account) hold(partition fleet.PartitionID) {
+	if a.holdings == nil {
+		a.holdings = make(map[fleet.PartitionID]struct{})
+	}
+	a.holdings[partition] = struct{}{}
+}
+
+func compareMembers(a, b Member) int {
+	if a.Server != b.Server {
+		if a.Server < b.Server {
+			return -1
+		}
+		return 1
+	}
+	if a.Incarnation < b.Incarnation {
+		return -1
+	}
+	if a.Incarnation > b.Incarnation {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/upstream/grants/rows.go
@@ -0,0 +1,126 @@
+package grants
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/ownership/assigner"
+	"rosemarywick.example/rosemarywick/internal/ownership/lease"
+)
+
+type wireMember struct {
+	Server      string `json:"server"`
+	Incarnation string `json:"incarnation"`
+}
+
+type wireRow struct {
+	Epoch    uint64       `json:"epoch"`
+	Reserve  uint64       `json:"reserve"`
+	Holder   string       `json:"holder"`
+	Deputy   string       `json:"deputy"`
+	Members  []wireMember `json:"members"`
+	Previous []wireMember `json:"previous"`
+	Token    string       `json:"token"`
+}
+
+// wirePlacement lists the servers once, and each partition as [partition, owner, standby, epoch, counter, key] with the
+// positions of the servers, so that a row of 256 partitions stays below 8 kB.
+type wirePlacement struct {
+	Servers []string    `json:"servers"`
+	Spots   [][6]uint64 `json:"spots"`
+}
+
+func groupName(service fleet.ServiceName) string {
+	return "group/" + string(service)
+}
+
+func placementPrefix(service fleet.ServiceName) string {
+	return fmt.Sprintf("placement/%s/", service)
+}
+
+// placementName has a fixed width, so that the names sort like the numbers.
+func placementName(service fleet.ServiceName, index int) string {
+	return fmt.Sprintf("%s%04d", placementPrefix(service), index)
+}
+
+func encodeRow(row assigner.Row) ([]byte, error) {
+	encoded, err := json.Marshal(wireRow{
+		Epoch: uint64(row.Epoch), Reserve: uint64(row.Reserve), Holder: string(row.Holder), Deputy: string(row.Deputy),
+		Members: encodeMembers(row.Members), Previous: encodeMembers(row.Previous), Token: row.Token,
+	})
+	return encoded, errors.Wrap(err, "grants: encode group row")
+}
+
+func decodeRow(encoded []byte) (assigner.Row, error) {
+	var wire wireRow
+	if err := json.Unmarshal(encoded, &wire); err != nil {
+		return assigner.Row{}, errors.Mark(errors.Wrap(err, "grants: decode group row"), ErrMalformed)
+	}
+	return assigner.Row{
+		Epoch: fleet.Epoch(wire.Epoch), Reserve: fleet.Epoch(wire.Reserve), Holder: fleet.HostID(wire.Holder),
+		Deputy: fleet.HostID(wire.Deputy), Members: decodeMembers(wire.Members),
+		Previous: decodeMembers(wire.Previous), Token: wire.Token,
+	}, nil
+}
+
+func encodeMembers(members []lease.Member) []wireMember {
+	wire := make([]wireMember, 0, len(members))
+	for _, member := range members {
+		wire = append(wire, wireMember{Server: string(member.Server), Incarnation: string(member.Incarnation)})
+	}
+	return wire
+}
+
+func decodeMembers(wire []wireMember) []lease.Member {
+	members := make([]lease.Member, 0, len(wire))
+	for _, member := range wire {
+		members = append(members, lease.Member{
+			Server: fleet.UpstreamID(member.Server), Incarnation: fleet.Incarnation(member.Incarnation),
+		})
+	}
+	return members
+}
+
+func encodePlacement(spots []assigner.Spot) ([]byte, error) {
+	wire := wirePlacement{Servers: []string{""}}
+	positions := map[fleet.UpstreamID]uint64{"": 0}
+	position := func(server fleet.UpstreamID) uint64 {
+		at, found := positions[server]
+		if !found {
+			at = uint64(len(wire.Servers))
+			positions[server] = at
+			wire.Servers = append(wire.Servers, string(server))
+		}
+		return at
+	}
+	for _, spot := range spots {
+		wire.Spots = append(wire.Spots, [6]uint64{
+			uint64(spot.Partition), position(spot.Owner), position(spot.Standby),
+			uint64(spot.Fence.Epoch), spot.Fence.Counter, uint64(spot.Key),
+		})
+	}
+	encoded, err := json.Marshal(wire)
+	return encoded, errors.Wrap(err, "grants: encode placement row")
+}
+
+func decodePlacement(encoded []byte) ([]assigner.Spot, error) {
+	var wire wirePlacement
+	if err := json.Unmarshal(encoded, &wire); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "grants: decode placement row"), ErrMalformed)
+	}
+	spots := make([]assigner.Spot, 0, len(wire.Spots))
+	for _, spot := range wire.Spots {
+		if spot[1] >= uint64(len(wire.Servers)) || spot[2] >= uint64(len(wire.Servers)) {
+			return nil, errors.Wrap(ErrMalformed, "placement row: server position out of range")
+		}
+		spots = append(spots, assigner.Spot{
+			Partition: fleet.PartitionID(spot[0]), Owner: fleet.UpstreamID(wire.Servers[spot[1]]),
+			Standby: fleet.UpstreamID(wire.Servers[spot[2]]),
+			Fence:   fleet.Fence{Epoch: fleet.Epoch(spot[3]), Counter: spot[4]}, Key: fleet.KeyHash(spot[5]),
+		})
+	}
+	return spots, nil
+}
--- /dev/null
+++ b/internal/upstream/grants/wire.go
@@ -0,0 +1,187 @@
+// Package grants speaks the grant protocol with fenced servers over HTTP, and runs the assigner of a group: it carries
+// out the actions that the decision in ownership/assigner returns.
+package grants
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+)
+
+// Path is the path at which a fenced server accepts orders.
+const Path = "/ownership/orders"
+
+// maxBody bounds an order or a report. 65,536 grants of about 60 bytes each fit.
+const maxBody = 8 << 20
+
+// ErrMalformed means that a message does not follow the protocol.
+var ErrMalformed = errors.New("grants: malformed message")
+
+// Durations are in nanoseconds on the wire, since readings are compared exactly.
+
+type wireFence struct {
+	Epoch   uint64 `json:"epoch"`
+	Counter uint64 `json:"counter"`
+}
+
+type wireGrant struct {
+	Partition uint32    `json:"partition"`
+	Fence     wireFence `json:"fence"`
+	Key       uint64    `json:"key,omitempty,string"`
+}
+
+type wireRenewal struct {
+	Reading time.Duration `json:"reading"`
+	Term    time.Duration `json:"term"`
+}
+
+type wireEntry struct {
+	Key       uint64 `json:"key,string"`
+	Partition uint32 `json:"partition"`
+}
+
+type wireOrder struct {
+	Service      string       `json:"service"`
+	Epoch        uint64       `json:"epoch"`
+	Sequence     uint64       `json:"sequence"`
+	Incarnation  string       `json:"incarnation,omitempty"`
+	Renewal      *wireRenewal `json:"renewal,omitempty"`
+	Grants       []wireGrant  `json:"grants,omitempty"`
+	Revokes      []uint32     `json:"revokes,omitempty"`
+	Entries      *[]wireEntry `json:"entries,omitempty"`
+	WantHoldings bool         `json:"want-holdings,omitempty"`
+}
+
+type wireReport struct {
+	Incarnation  string        `json:"incarnation"`
+	Reading      time.Duration `json:"reading"`
+	HighestEpoch uint64        `json:"highest-epoch"`
+	Refusal      string        `json:"refusal,omitempty"`
+	LeaseLeft    time.Duration `json:"lease-left"`
+	Holdings     []wireGrant   `json:"holdings,omitempty"`
+	Released     []uint32      `json:"released,omitempty"`
+	InFlight     int           `json:"in-flight"`
+	Leaving      bool          `json:"leaving,omitempty"`
+}
+
+// decode reads one JSON value into value and accepts neither unknown fields nor anything after it.
+func decode(body io.Reader, value any) error {
+	limited := io.LimitReader(body, maxBody+1)
+	content, err := io.ReadAll(limited)
+	if err != nil {
+		return errors.Wrap(err, "grants: read message")
+	}
+	if len(content) > maxBody {
+		return errors.Wrapf(ErrMalformed, "message exceeds %d bytes", maxBody)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(content))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(value); err != nil {
+		return errors.Mark(errors.Wrap(err, "grants: decode message"), ErrMalformed)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return errors.Wrap(ErrMalformed, "content after the message")
+	}
+	return nil
+}
+
+func encodeOrder(order fleet.Order) wireOrder {
+	wire := wireOrder{
+		Service: string(order.Service), Epoch: uint64(order.Epoch), Sequence: uint64(order.Sequence),
+		Incarnation: string(order.Incarnation), Grants: encodeGrants(order.Grants),
+		Revokes: encodePartitions(order.Revokes), WantHoldings: order.WantHoldings,
+	}
+	if order.Renewal != nil {
+		wire.Renewal = &wireRenewal{Reading: order.Renewal.Reading, Term: order.Renewal.Term}
+	}
+	if order.Entries != nil {
+		entries := make([]wireEntry, 0, len(order.Entries.List))
+		for _, entry := range order.Entries.List {
+			entries = append(entries, wireEntry{Key: uint64(entry.Key), Partition: uint32(entry.Partition)})
+		}
+		wire.Entries = &entries
+	}
+	return wire
+}
+
+func decodeOrder(wire wireOrder) (fleet.Order, error) {
+	order := fleet.Order{
+		Service: fleet.ServiceName(wire.Service), Epoch: fleet.Epoch(wire.Epoch), Sequence: fleet.Sequence(wire.Sequence),
+		Incarnation: fleet.Incarnation(wire.Incarnation), Grants: decodeGrants(wire.Grants),
+		Revokes: decodePartitions(wire.Revokes), WantHoldings: wire.WantHoldings,
+	}
+	if wire.Renewal != nil {
+		order.Renewal = &fleet.Renewal{Reading: wire.Renewal.Reading, Term: wire.Renewal.Term}
+		if order.Renewal.Reading < 0 || order.Renewal.Term <= 0 {
+			return order, errors.Wrap(ErrMalformed, "renewal: reading must not be negative and term must be positive")
+		}
+	}
+	if wire.Entries != nil {
+		order.Entries = &fleet.Entries{List: make([]fleet.Entry, 0, len(*wire.Entries))}
+		for _, entry := range *wire.Entries {
+			order.Entries.List = append(order.Entries.List,
+				fleet.Entry{Key: fleet.KeyHash(entry.Key), Partition: fleet.PartitionID(entry.Partition)})
+		}
+	}
+	return order, nil
+}
+
+func encodeReport(report fleet.Report) wireReport {
+	return wireReport{
+		Incarnation: string(report.Incarnation), Reading: report.Reading, HighestEpoch: uint64(report.HighestEpoch),
+		Refusal: string(report.Refusal), LeaseLeft: report.LeaseLeft, Holdings: encodeGrants(report.Holdings),
+		Released: encodePartitions(report.Released), InFlight: report.InFlight, Leaving: report.Leaving,
+	}
+}
+
+func decodeReport(wire wireReport) fleet.Report {
+	return fleet.Report{
+		Incarnation: fleet.Incarnation(wire.Incarnation), Reading: wire.Reading,
+		HighestEpoch: fleet.Epoch(wire.HighestEpoch), Refusal: fleet.Refusal(wire.Refusal), LeaseLeft: wire.LeaseLeft,
+		Holdings: decodeGrants(wire.Holdings), Released: decodePartitions(wire.Released),
+		InFlight: wire.InFlight, Leaving: wire.Leaving,
+	}
+}
+
+func encodeGrants(grants []fleet.Grant) []wireGrant {
+	wire := make([]wireGrant, 0, len(grants))
+	for _, grant := range grants {
+		wire = append(wire, wireGrant{
+			Partition: uint32(grant.Partition), Key: uint64(grant.Key),
+			Fence: wireFence{Epoch: uint64(grant.Fence.Epoch), Counter: grant.Fence.Counter},
+		})
+	}
+	return wire
+}
+
+func decodeGrants(wire []wireGrant) []fleet.Grant {
+	var grants []fleet.Grant
+	for _, grant := range wire {
+		grants = append(grants, fleet.Grant{
+			Partition: fleet.PartitionID(grant.Partition), Key: fleet.KeyHash(grant.Key),
+			Fence: fleet.Fence{Epoch: fleet.Epoch(grant.Fence.Epoch), Counter: grant.Fence.Counter},
+		})
+	}
+	return grants
+}
+
+func encodePartitions(partitions []fleet.PartitionID) []uint32 {
+	wire := make([]uint32, 0, len(partitions))
+	for _, partition := range partitions {
+		wire = append(wire, uint32(partition))
+	}
+	return wire
+}
+
+func decodePartitions(wire []uint32) []fleet.PartitionID {
+	var partitions []fleet.PartitionID
+	for _, partition := range wire {
+		partitions = append(partitions, fleet.PartitionID(partition))
+	}
+	return partitions
+}
