peer: mesh over QUIC, membership and dissemination of versioned items

Cause: configuration, maps and membership have to reach every daemon without a second coordination service. Change: protobuf messages between daemons with bounds; a mesh with mutual TLS in which each connection has one goroutine that reads it and a bounded queue of its own; membership from records with incarnations, suspicions and refutations, seeded by the host list; versioned items that are forwarded at once, offered first when large, and repaired by digests of 64 buckets; adoptions of configuration versions as 4 bytes for each host. An authority in memory issues certificates for tests and development fleets.

--- /dev/null
+++ b/internal/peer/membership/choice.go
@@ -0,0 +1,167 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+)
+
+// position is a member's place on the ring of hashed identifiers.
+type position struct {
+	hash uint64
+	host fleet.Host
+}
+
+// Members returns the members in the order of their identifiers, this daemon included.
+func (v *View) Members() []fleet.Host {
+	var members []fleet.Host
+	for _, k := range v.all() {
+		if k.member {
+			members = append(members, k.host)
+		}
+	}
+	slices.SortFunc(members, byID)
+	return members
+}
+
+// Member returns a member by its identifier.
+func (v *View) Member(id fleet.HostID) (fleet.Host, bool) {
+	k := v.all()[id]
+	if k == nil || !k.member {
+		return fleet.Host{}, false
+	}
+	return k.host, true
+}
+
+// MemberIncarnation returns the latest known incarnation of a member, and zero when no record of it is known.
+func (v *View) MemberIncarnation(id fleet.HostID) uint64 {
+	if id == v.Self.ID {
+		return v.Incarnation
+	}
+	if k := v.all()[id]; k != nil && k.recorded {
+		return k.record.Incarnation
+	}
+	return 0
+}
+
+// Peers returns the members to which this daemon keeps connections: half of PeerCount, as on average as many choose it.
+//
+// All members stand on several rings, each in another order of hashes. The first peer is the next member on the first
+// ring, so that the graph of the whole fleet is connected and each host is watched by at least one other. The second is
+// the next on the second ring in another region, if there is one; those after it the next on their rings in failure
+// domains that are not covered yet. The different orders keep the paths through the fleet short, and a member that
+// comes or goes changes the choice of its neighbours on the rings only.
+func (v *View) Peers() []fleet.Host {
+	count := min(max(1, v.PeerCount/2), len(v.ring(0)))
+	chosen := make([]fleet.Host, 0, count)
+	anyHost := func(fleet.Host) bool { return true }
+	otherRegion := func(h fleet.Host) bool { return h.Place.Region != v.Self.Place.Region }
+	otherDomain := func(h fleet.Host) bool { return !v.covered(h, chosen) }
+	for _, fits := range []func(fleet.Host) bool{anyHost, otherRegion, otherDomain, otherDomain} {
+		if len(chosen) < count {
+			chosen = v.next(chosen, fits)
+		}
+	}
+	for len(chosen) < count {
+		chosen = v.next(chosen, anyHost)
+	}
+	return chosen
+}
+
+// covered reports whether the failure domain of a host is this daemon's own or that of a chosen peer.
+func (v *View) covered(host fleet.Host, chosen []fleet.Host) bool {
+	return host.Place == v.Self.Place || slices.ContainsFunc(chosen, func(c fleet.Host) bool {
+		return c.Place == host.Place
+	})
+}
+
+// next appends the next member that fits and is not chosen yet, if there is one, from the ring of the next choice.
+func (v *View) next(chosen []fleet.Host, fits func(fleet.Host) bool) []fleet.Host {
+	number := len(chosen)
+	ring := v.ring(number)
+	start, _ := slices.BinarySearchFunc(ring, ringHash(number, v.Self.ID), func(p position, hash uint64) int {
+		return cmp.Compare(p.hash, hash)
+	})
+	for i := range ring {
+		host := ring[(start+i)%len(ring)].host
+		if fits(host) && !slices.Contains(chosen, host) {
+			return append(chosen, host)
+		}
+	}
+	return chosen
+}
+
+// ring returns the other members in the order of one of their hashes.
+func (v *View) ring(number int) []position {
+	for len(v.rings) <= number {
+		salt := len(v.rings)
+		ring := make([]position, 0, len(v.all()))
+		for id, k := range v.all() {
+			if k.member && id != v.Self.ID {
+				ring = append(ring, position{hash: ringHash(salt, id), host: k.host})
+			}
+		}
+		slices.SortFunc(ring, func(a, b position) int {
+			return cmp.Or(cmp.Compare(a.hash, b.hash), byID(a.host, b.host))
+		})
+		v.rings = append(v.rings, ring)
+	}
+	return v.rings[number]
+}
+
+// Probe returns a host that is taken for dead and is to be tried now, one at each probe interval.
+func (v *View) Probe(now time.Time) (fleet.Host, bool) {
+	if now.Sub(v.probed) < v.Timing.Probe {
+		return fleet.Host{}, false
+	}
+	var candidates []fleet.HostID
+	for id, k := range v.all() {
+		if !k.member && k.host.Peer.IsValid() && v.mayReturn(now, k) {
+			candidates = append(candidates, id)
+		}
+	}
+	if len(candidates) == 0 {
+		return fleet.Host{}, false
+	}
+	slices.Sort(candidates)
+	// The hosts take turns, and each daemon begins with another one.
+	next, found := slices.BinarySearch(candidates, v.probe)
+	switch {
+	case v.probe == "":
+		next = int(ringHash(0, v.Self.ID) % uint64(len(candidates)))
+	case found:
+		next++
+	}
+	v.probe, v.probed = candidates[next%len(candidates)], now
+	return v.all()[v.probe].host, true
+}
+
+// mayReturn reports whether a dead host is worth a probe.
+func (v *View) mayReturn(now time.Time, k *knowledge) bool {
+	if k.recorded {
+		return k.record.State == Suspect && now.Sub(k.doubted) <= v.Timing.Forget
+	}
+	return k.listed
+}
+
+// Rank returns the first count members in the order of their rendezvous hash for a role. A member that comes or goes
+// changes the rank of no other pair of members.
+func (v *View) Rank(role string, count int) []fleet.Host {
+	score := func(host fleet.Host) uint64 { return xxhash.Sum64String(role + "\x00" + string(host.ID)) }
+	members := v.Members()
+	slices.SortStableFunc(members, func(a, b fleet.Host) int { return cmp.Compare(score(b), score(a)) })
+	return members[:min(count, len(members))]
+}
+
+func ringHash(ring int, id fleet.HostID) uint64 {
+	return xxhash.Sum64String(strconv.Itoa(ring) + "\x00" + string(id))
+}
+
+func byID(a, b fleet.Host) int {
+	return cmp.Compare(a.ID, b.ID)
+}
--- /dev/null
+++ b/internal/peer/membership/view.go
@@ -0,0 +1,321 @@
+// Package membership decides which hosts are members of the fleet, which of them are this daemon's peers, and which
+// take a role. The platform's host list only seeds it, as the list lags and has wrong entries; records that the hosts
+// publish about themselves and what peers observe correct it. The package does no I/O and takes the time as an argument.
+package membership
+
+import (
+	"time"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/platform/hosts"
+)
+
+// State is what a record claims about its host.
+type State string
+
+const (
+	// Alive means that the host published the record itself.
+	Alive State = "alive"
+	// Suspect means that a peer of the host has heard nothing of it. The host refutes that with a later record.
+	Suspect State = "suspect"
+	// Left means that the host has announced its end.
+	Left State = "left"
+)
+
+// Record is the latest claim about a host. Of two records the one with the higher incarnation, then with the higher
+// counter, holds.
+type Record struct {
+	Host fleet.Host
+	// Incarnation rises with each start of the host.
+	Incarnation uint64
+	// Counter is raised by each claim within an incarnation: a suspicion is one above the record that it doubts, and
+	// its refutation one above the suspicion.
+	Counter uint64
+	State   State
+}
+
+func (r Record) newer(other Record) bool {
+	if r.Incarnation != other.Incarnation {
+		return r.Incarnation > other.Incarnation
+	}
+	return r.Counter > other.Counter
+}
+
+// Timing holds the timeouts of the view.
+type Timing struct {
+	// Silence is the time without a message after which a peer is suspected.
+	Silence time.Duration
+	// Confirm is the time that a suspected host has for a refutation before it is taken for dead.
+	Confirm time.Duration
+	// Claim is the time after which a host that only the list knows is taken for dead.
+	Claim time.Duration
+	// Probe is the interval at which one host is tried that is taken for dead but was listed or known, so that the two
+	// sides of a partition find each other again.
+	Probe time.Duration
+	// Forget is the time after which a dead host is no longer tried.
+	Forget time.Duration
+}
+
+// DefaultTiming suspects after three missed digests and allows a paused host a few seconds to refute. A probe costs
+// three packets of 1,200 bytes when there is no response, which is 120 bytes a second at this interval.
+var DefaultTiming = Timing{
+	Silence: 3 * time.Second, Confirm: 5 * time.Second, Claim: 15 * time.Second, Probe: 30 * time.Second,
+	Forget: 24 * time.Hour,
+}
+
+// View is one daemon's view of the fleet. It is not safe for concurrent use. The exported fields are set before the
+// first call.
+type View struct {
+	Self        fleet.Host
+	Incarnation uint64
+	// PeerCount is the number of connections that a daemon is to have on average. It chooses half of them, and as
+	// many choose it.
+	PeerCount int
+	Timing    Timing
+
+	known map[fleet.HostID]*knowledge
+	// rings holds the other members in several orders of hashes; it is emptied when the members change.
+	rings [][]position
+	// counter is that of this daemon's own latest record.
+	counter   uint64
+	published bool
+	left      bool
+	ticked    time.Time
+	probed    time.Time
+	probe     fleet.HostID
+}
+
+// knowledge is what is known about one host.
+type knowledge struct {
+	// host is from the record if there is one, and else from the list.
+	host fleet.Host
+	// record is valid if recorded is set.
+	record   Record
+	recorded bool
+	listed   bool
+	// leaving is set while the list claims that the host is about to be taken away.
+	leaving bool
+	// listedSince is the time at which the list first showed the host.
+	listedSince time.Time
+	// doubted is the time at which the present suspicion became known here.
+	doubted time.Time
+	// heard is the time of the host's last message on a connection, and connected whether there is one.
+	heard     time.Time
+	connected bool
+	// wantedSince is the time since which the host has been a chosen peer without interruption.
+	wantedSince time.Time
+	member      bool
+}
+
+// Action is what the daemon is to do. The implementations are Publish and Doubt.
+type Action interface {
+	action()
+}
+
+// Publish asks for this daemon's own record to be disseminated.
+type Publish struct {
+	Record Record
+}
+
+// Doubt asks for the suspicion of a silent host to be disseminated.
+type Doubt struct {
+	Record Record
+}
+
+func (Publish) action() {}
+func (Doubt) action()   {}
+
+// Listed takes the host list as it was read.
+func (v *View) Listed(now time.Time, entries []hosts.Entry) {
+	for _, k := range v.all() {
+		k.listed, k.leaving = false, false
+	}
+	for _, entry := range entries {
+		k := v.get(entry.Host.ID)
+		k.listed, k.leaving = true, entry.State == hosts.Leaving
+		if k.listedSince.IsZero() {
+			k.listedSince = now
+		}
+		if !k.recorded {
+			k.host = entry.Host
+		}
+	}
+	v.assess(now)
+}
+
+// Learn takes a record that was received or published. It returns the refutation if the record wrongly doubts this
+// daemon, or stems from an earlier run of it.
+func (v *View) Learn(now time.Time, record Record) []Action {
+	if record.Host.ID == v.Self.ID {
+		return v.learnSelf(record)
+	}
+	k := v.get(record.Host.ID)
+	if k.recorded && !record.newer(k.record) {
+		return nil
+	}
+	if record.State == Suspect {
+		k.doubted = now
+	}
+	if k.host != record.Host {
+		v.rings = nil
+	}
+	k.record, k.recorded, k.host = record, true, record.Host
+	v.assessOne(now, k)
+	return nil
+}
+
+func (v *View) learnSelf(record Record) []Action {
+	own := v.own()
+	if !record.newer(own) {
+		return nil
+	}
+	if record.Incarnation > v.Incarnation {
+		// The clock has gone back since an earlier run, whose records would otherwise stay in force.
+		v.Incarnation = record.Incarnation + 1
+	}
+	v.counter = max(v.counter, record.Counter) + 1
+	return []Action{Publish{Record: v.own()}}
+}
+
+func (v *View) own() Record {
+	state := Alive
+	if v.left {
+		state = Left
+	}
+	return Record{Host: v.Self, Incarnation: v.Incarnation, Counter: v.counter, State: state}
+}
+
+// Leave announces the end of this daemon.
+func (v *View) Leave() []Action {
+	v.left = true
+	v.counter++
+	return []Action{Publish{Record: v.own()}}
+}
+
+// Heard notes a message from a host on a connection.
+func (v *View) Heard(now time.Time, id fleet.HostID) {
+	k := v.get(id)
+	k.heard = now
+	v.assessOne(now, k)
+}
+
+// Connected notes that the connection to a peer was made or has ended.
+func (v *View) Connected(now time.Time, id fleet.HostID, connected bool) {
+	k := v.get(id)
+	k.connected = connected
+	k.heard = now
+	v.assessOne(now, k)
+}
+
+// Tick is called at intervals of about a second. It publishes this daemon's first record and the suspicion of silent
+// peers, and takes hosts for dead whose time is up.
+func (v *View) Tick(now time.Time) []Action {
+	var actions []Action
+	if !v.published {
+		v.published = true
+		actions = append(actions, Publish{Record: v.own()})
+	}
+	v.excusePause(now)
+	v.markWanted(now)
+	for _, k := range v.all() {
+		if v.silent(now, k) {
+			suspicion := k.record
+			suspicion.Counter++
+			suspicion.State = Suspect
+			k.record, k.doubted = suspicion, now
+			actions = append(actions, Doubt{Record: suspicion})
+		}
+	}
+	v.assess(now)
+	return actions
+}
+
+// silent reports whether a host is to be suspected: it is connected or a chosen peer, and has not been heard of in time.
+func (v *View) silent(now time.Time, k *knowledge) bool {
+	if !k.recorded || k.record.State != Alive || !k.connected && k.wantedSince.IsZero() {
+		return false
+	}
+	since := k.heard
+	if k.wantedSince.After(since) {
+		since = k.wantedSince
+	}
+	return now.Sub(since) > v.Timing.Silence
+}
+
+// excusePause discounts a time in which this daemon itself did not run, as it then heard of nobody.
+func (v *View) excusePause(now time.Time) {
+	paused := !v.ticked.IsZero() && now.Sub(v.ticked) > v.Timing.Silence
+	v.ticked = now
+	if !paused {
+		return
+	}
+	for _, k := range v.all() {
+		if k.connected {
+			k.heard = now
+		}
+		if !k.wantedSince.IsZero() {
+			k.wantedSince = now
+		}
+	}
+}
+
+// markWanted notes since when each chosen peer has been one, so that a new peer has time to connect.
+func (v *View) markWanted(now time.Time) {
+	chosen := make(map[fleet.HostID]bool)
+	for _, host := range v.Peers() {
+		chosen[host.ID] = true
+	}
+	for id, k := range v.all() {
+		switch {
+		case !chosen[id]:
+			k.wantedSince = time.Time{}
+		case k.wantedSince.IsZero():
+			k.wantedSince = now
+		}
+	}
+}
+
+// assess decides for each host whether it is a member.
+func (v *View) assess(now time.Time) {
+	for _, k := range v.all() {
+		v.assessOne(now, k)
+	}
+}
+
+func (v *View) assessOne(now time.Time, k *knowledge) {
+	if member := v.alive(now, k); member != k.member {
+		k.member, v.rings = member, nil
+	}
+}
+
+func (v *View) alive(now time.Time, k *knowledge) bool {
+	if k.recorded {
+		switch k.record.State {
+		case Alive:
+			return true
+		case Suspect:
+			return now.Sub(k.doubted) <= v.Timing.Confirm
+		case Left:
+			return false
+		}
+	}
+	if k.connected || !k.heard.IsZero() && now.Sub(k.heard) <= v.Timing.Claim {
+		return k.host.Peer.IsValid()
+	}
+	return k.listed && now.Sub(k.listedSince) <= v.Timing.Claim
+}
+
+func (v *View) get(id fleet.HostID) *knowledge {
+	known := v.all()
+	if known[id] == nil {
+		known[id] = &knowledge{host: fleet.Host{ID: id}}
+	}
+	return known[id]
+}
+
+func (v *View) all() map[fleet.HostID]*knowledge {
+	if v.known == nil {
+		v.known = map[fleet.HostID]*knowledge{v.Self.ID: {host: v.Self, record: v.own(), recorded: true, member: true}}
+	}
+	return v.known
+}
--- /dev/null
+++ b/internal/peer/mesh/dial.go
@@ -0,0 +1,152 @@
+package mesh
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/core/timer"
+)
+
+// protocol is the application protocol that both sides negotiate.
+const protocol = "rosemarywick-peer/1"
+
+// attempt is a dial in progress, which all callers that need the host wait for.
+type attempt struct {
+	done chan struct{}
+	// link and err are set before done is closed.
+	link *link
+	err  error
+}
+
+// keep holds a host connected as a peer until ctx ends.
+func (m *Mesh) keep(ctx context.Context, run *running, host fleet.Host) {
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		link, err := m.connectTo(ctx, host.ID, host.Peer)
+		if err == nil {
+			backoff = firstBackoff
+			m.want(run, link, true)
+			select {
+			case <-link.done:
+			case <-ctx.Done():
+				m.want(run, link, false)
+				return
+			}
+		} else {
+			m.Log.Debug().Err(err).Str("host", string(host.ID)).Msg("peer not connected")
+		}
+		// The random part keeps hosts from dialing a returning host all at once.
+		pause := backoff/2 + rand.N(backoff/2)
+		if timer.Wait(ctx, m.Clock, pause) != nil {
+			return
+		}
+		backoff = min(2*backoff, lastBackoff)
+	}
+}
+
+// connect returns the connection to a host and dials it if there is none.
+func (m *Mesh) connect(ctx context.Context, id fleet.HostID) (*link, error) {
+	m.mu.Lock()
+	existing := m.links[id]
+	m.mu.Unlock()
+	if existing != nil {
+		return existing, nil
+	}
+	if m.Resolve == nil || id == m.Host.ID {
+		return nil, errors.Wrapf(ErrUnreachable, "no address of %s", id)
+	}
+	address, found := m.Resolve(id)
+	if !found {
+		return nil, errors.Wrapf(ErrUnreachable, "no address of %s", id)
+	}
+	return m.connectTo(ctx, id, address)
+}
+
+func (m *Mesh) connectTo(ctx context.Context, id fleet.HostID, address netip.AddrPort) (*link, error) {
+	m.mu.Lock()
+	run := m.run
+	if run == nil {
+		m.mu.Unlock()
+		return nil, ErrNotRunning
+	}
+	if existing := m.links[id]; existing != nil {
+		m.mu.Unlock()
+		return existing, nil
+	}
+	pending := m.dialing[id]
+	if pending == nil {
+		pending = &attempt{done: make(chan struct{})}
+		m.dialing[id] = pending
+		run.tasks.Go(func() { m.dial(run, id, address, pending) })
+	}
+	m.mu.Unlock()
+	select {
+	case <-pending.done:
+		return pending.link, pending.err
+	case <-ctx.Done():
+		return nil, errors.Wrapf(ErrUnreachable, "dial %s: %v", id, context.Cause(ctx))
+	}
+}
+
+// dial makes one connection, tells all who wait for it, and reads it until it ends.
+func (m *Mesh) dial(run *running, id fleet.HostID, address netip.AddrPort, pending *attempt) {
+	link, err := m.handshake(run, id, address)
+	m.mu.Lock()
+	delete(m.dialing, id)
+	if err != nil && m.links[id] != nil {
+		// The other side's connection was established first and is the one to use.
+		pending.link = m.links[id]
+	} else {
+		pending.link, pending.err = link, err
+	}
+	m.mu.Unlock()
+	close(pending.done)
+	if err == nil {
+		m.read(run, link)
+	}
+}
+
+func (m *Mesh) handshake(run *running, id fleet.HostID, address netip.AddrPort) (*link, error) {
+	ctx, cancel := context.WithTimeout(run.ctx, m.DialTimeout)
+	defer cancel()
+	conn, err := run.transport.Dial(ctx, net.UDPAddrFromAddrPort(address), m.clientTLS(id), m.quicConfig())
+	if err != nil {
+		return nil, errors.Wrapf(ErrUnreachable, "dial %s: %v", id, err)
+	}
+	link, err := m.greet(ctx, run, id, conn)
+	if err != nil {
+		_ = conn.CloseWithError(0, "refused")
+	}
+	return link, err
+}
+
+func (m *Mesh) clientTLS(id fleet.HostID) *tls.Config {
+	config := m.TLS.Clone()
+	config.ServerName = string(id)
+	config.NextProtos = []string{protocol}
+	config.MinVersion = tls.VersionTLS13
+	return config
+}
+
+func (m *Mesh) serverTLS() *tls.Config {
+	config := m.TLS.Clone()
+	config.NextProtos = []string{protocol}
+	config.MinVersion = tls.VersionTLS13
+	config.ClientAuth = tls.RequireAndVerifyClientCert
+	if config.ClientCAs == nil {
+		config.ClientCAs = config.RootCAs
+	}
+	return config
+}
+
+// deadline returns the wall-clock time at which a read or write of the network is given up.
+func (m *Mesh) deadline(timeout time.Duration) time.Time {
+	return m.Clock.Now().Add(timeout)
+}
--- /dev/null
+++ b/internal/peer/mesh/link.go
@@ -0,0 +1,267 @@
+package mesh
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/peer/wire"
+)
+
+// batchBytes bounds the messages that are written at once, so that several small ones share a packet.
+const batchBytes = 16 << 10
+
+// link is one connection to a host.
+type link struct {
+	host        fleet.HostID
+	incarnation uint64
+	// dialed is set when this daemon made the connection.
+	dialed bool
+	conn   *quic.Conn
+	stream *quic.Stream
+	reader *bufio.Reader
+	out    chan *wire.Envelope
+	// done is closed when the link is no longer used.
+	done  chan struct{}
+	close func(reason string)
+
+	// wanted and wantedThere are guarded by the mesh's mu and say which side wants the link as a peer's.
+	wanted, wantedThere bool
+	// up is guarded by the mesh's mu and set while the host counts as a peer through this link.
+	up bool
+}
+
+func newLink(conn *quic.Conn, stream *quic.Stream) *link {
+	l := &link{
+		conn: conn, stream: stream, reader: bufio.NewReaderSize(stream, 2048),
+		out: make(chan *wire.Envelope, queueLength), done: make(chan struct{}),
+	}
+	var once sync.Once
+	l.close = func(reason string) {
+		once.Do(func() {
+			close(l.done)
+			_ = conn.CloseWithError(0, reason)
+		})
+	}
+	return l
+}
+
+// greet introduces this daemon on a connection that it has made.
+func (m *Mesh) greet(ctx context.Context, run *running, id fleet.HostID, conn *quic.Conn) (*link, error) {
+	stream, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, errors.Wrapf(ErrUnreachable, "greet %s: %v", id, err)
+	}
+	l := newLink(conn, stream)
+	l.dialed = true
+	if err := m.sendHello(l, false); err != nil {
+		return nil, err
+	}
+	if err := m.receiveHello(l); err != nil {
+		return nil, err
+	}
+	if l.host != id {
+		return nil, errors.Wrapf(ErrIdentity, "dialed %s, found %s", id, l.host)
+	}
+	return l, m.register(run, l)
+}
+
+// welcome introduces this daemon on a connection that another host has made.
+func (m *Mesh) welcome(run *running, conn *quic.Conn) (*link, error) {
+	ctx, cancel := context.WithTimeout(run.ctx, m.DialTimeout)
+	defer cancel()
+	stream, err := conn.AcceptStream(ctx)
+	if err != nil {
+		return nil, errors.Wrapf(ErrUnreachable, "welcome: %v", err)
+	}
+	l := newLink(conn, stream)
+	if err := m.receiveHello(l); err != nil {
+		return nil, err
+	}
+	if err := m.sendHello(l, false); err != nil {
+		return nil, err
+	}
+	return l, m.register(run, l)
+}
+
+func (m *Mesh) hello(peer bool) *wire.Envelope {
+	return &wire.Envelope{Hello: &wire.Hello{Host: string(m.Host.ID), Incarnation: m.Incarnation, Peer: peer}}
+}
+
+func (m *Mesh) sendHello(l *link, peer bool) error {
+	_ = l.stream.SetWriteDeadline(m.deadline(m.DialTimeout))
+	return errors.Wrapf(wire.WriteEnvelope(l.stream, m.hello(peer)), "mesh: hello")
+}
+
+// receiveHello reads who the other side claims to be and checks it against its certificate.
+func (m *Mesh) receiveHello(l *link) error {
+	_ = l.stream.SetReadDeadline(m.deadline(m.DialTimeout))
+	envelope, err := wire.ReadEnvelope(l.reader)
+	if err != nil {
+		return errors.Wrapf(ErrUnreachable, "hello: %v", err)
+	}
+	_ = l.stream.SetReadDeadline(time.Time{})
+	l.host, l.incarnation = fleet.HostID(envelope.GetHello().GetHost()), envelope.GetHello().GetIncarnation()
+	l.wantedThere = envelope.GetHello().GetPeer()
+	certificates := l.conn.ConnectionState().TLS.PeerCertificates
+	if l.host == "" || len(certificates) == 0 || certificates[0].VerifyHostname(string(l.host)) != nil {
+		return errors.Wrapf(ErrIdentity, "%q at %s", l.host, l.conn.RemoteAddr())
+	}
+	return nil
+}
+
+// register makes l the connection to its host, unless there is a better one.
+func (m *Mesh) register(run *running, l *link) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.run != run {
+		return ErrNotRunning
+	}
+	if old := m.links[l.host]; old != nil {
+		if !m.prefer(l, old) {
+			return errors.Wrapf(ErrUnreachable, "%s is connected already", l.host)
+		}
+		m.dropLocked(run, old, "replaced")
+	}
+	m.links[l.host] = l
+	run.tasks.Go(func() { m.write(run, l) })
+	m.updateLocked(run, l)
+	return nil
+}
+
+// prefer reports whether a new connection replaces an old one to the same host. Both hosts come to the same result: a
+// later start of the host wins, then the later of two connections that the same host made, then the one made by the
+// host with the lower identifier.
+func (m *Mesh) prefer(fresh, old *link) bool {
+	switch {
+	case fresh.incarnation != old.incarnation:
+		return fresh.incarnation > old.incarnation
+	case fresh.dialed == old.dialed:
+		return true
+	default:
+		return fresh.dialed == (m.Host.ID < fresh.host)
+	}
+}
+
+// read passes the messages of a connection to their handlers until the connection ends.
+func (m *Mesh) read(run *running, l *link) {
+	defer m.drop(run, l)
+	ctx, cancel := context.WithCancel(run.ctx)
+	defer cancel()
+	for {
+		envelope, err := wire.ReadEnvelope(l.reader)
+		if err != nil {
+			m.Log.Debug().Err(err).Str("host", string(l.host)).Msg("peer connection ended")
+			return
+		}
+		if hello := envelope.GetHello(); hello != nil {
+			m.wantThere(run, l, hello.GetPeer())
+		}
+		if handler := m.handlers[envelope.GetTopic()]; handler != nil {
+			handler(ctx, l.host, envelope.GetPayload())
+		}
+	}
+}
+
+// write sends what is queued for a connection until the connection ends.
+func (m *Mesh) write(run *running, l *link) {
+	defer m.drop(run, l)
+	for {
+		select {
+		case envelope := <-l.out:
+			if err := m.writeBatch(l, envelope); err != nil {
+				m.Log.Debug().Err(err).Str("host", string(l.host)).Msg("peer accepts no data")
+				return
+			}
+		case <-l.done:
+			return
+		case <-run.ctx.Done():
+			return
+		}
+	}
+}
+
+// writeBatch writes a message together with those queued behind it.
+func (m *Mesh) writeBatch(l *link, envelope *wire.Envelope) error {
+	var batch bytes.Buffer
+	for {
+		if err := wire.WriteEnvelope(&batch, envelope); err != nil {
+			m.Log.Error().Err(err).Str("topic", envelope.GetTopic()).Msg("message not sent")
+		}
+		if batch.Len() >= batchBytes || len(l.out) == 0 {
+			break
+		}
+		envelope = <-l.out
+	}
+	_ = l.stream.SetWriteDeadline(m.deadline(m.WriteTimeout))
+	_, err := l.stream.Write(batch.Bytes())
+	return errors.Wrap(err, "mesh: write")
+}
+
+// queue waits for room in the queue of the link.
+func (l *link) queue(ctx context.Context, envelope *wire.Envelope) error {
+	select {
+	case l.out <- envelope:
+		return nil
+	case <-l.done:
+		return errors.Wrapf(ErrUnreachable, "connection to %s ended", l.host)
+	case <-ctx.Done():
+		return errors.Wrapf(ErrUnreachable, "queue of %s is full: %v", l.host, context.Cause(ctx))
+	}
+}
+
+// want states whether this daemon wants the link as a peer's, and tells the other side.
+func (m *Mesh) want(run *running, l *link, wanted bool) {
+	m.mu.Lock()
+	l.wanted = wanted
+	m.updateLocked(run, l)
+	m.mu.Unlock()
+	ctx, cancel := context.WithTimeout(run.ctx, m.WriteTimeout)
+	defer cancel()
+	_ = l.queue(ctx, m.hello(wanted))
+}
+
+func (m *Mesh) wantThere(run *running, l *link, wanted bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l.wantedThere = wanted
+	m.updateLocked(run, l)
+}
+
+// updateLocked emits an event when a host becomes or is no longer a peer. The caller holds mu.
+func (m *Mesh) updateLocked(run *running, l *link) {
+	up := m.links[l.host] == l && (l.wanted || l.wantedThere)
+	if up == l.up {
+		return
+	}
+	l.up = up
+	run.events = append(run.events, event{host: l.host, up: up})
+	select {
+	case run.signal <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Mesh) drop(run *running, l *link) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.dropLocked(run, l, "ended")
+}
+
+// dropLocked ends the use of a link. The caller holds mu.
+func (m *Mesh) dropLocked(run *running, l *link, reason string) {
+	if m.links[l.host] != l {
+		l.close(reason)
+		return
+	}
+	delete(m.links, l.host)
+	m.updateLocked(run, l)
+	m.ended.add(trafficOf(l))
+	l.close(reason)
+}
--- /dev/null
+++ b/internal/peer/spread/runner.go
@@ -0,0 +1,418 @@
+package spread
+
+import (
+	"context"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/peer/membership"
+	"rosemarywick.example/rosemarywick/internal/platform/hosts"
+)
+
+// Topic is the topic of the mesh on which peers exchange items.
+const Topic = "spread"
+
+// MaxValue bounds the value of an item.
+const MaxValue = 4 << 20
+
+// Defaults of the intervals that may be left out.
+const (
+	DefaultRoundInterval = time.Second
+	// DefaultReportInterval is the time for which adoptions are gathered before they are passed on.
+	DefaultReportInterval = 200 * time.Millisecond
+	DefaultListInterval   = 10 * time.Second
+)
+
+const (
+	// maxReplies bounds the responses that wait for a slow peer. What is dropped beyond it is repaired by a later
+	// exchange of digests.
+	maxReplies = 64
+	// listReaders is the number of daemons that read the host list on behalf of all. The others read it only until
+	// they have peers, as 2,200 hosts make a list of 300 KB.
+	listReaders = 3
+	// probeTime is how long a host that is taken for dead is tried.
+	probeTime = 3 * time.Second
+)
+
+// ErrReserved means that an item has the name of a member record.
+var ErrReserved = errors.New("spread: name is reserved for member records")
+
+// ErrTooLarge means that a value exceeds MaxValue.
+var ErrTooLarge = errors.New("spread: value too large")
+
+// Transport is what the runner needs of the mesh.
+type Transport interface {
+	Send(ctx context.Context, to fleet.HostID, topic string, payload []byte) error
+	SetPeers(hosts []fleet.Host)
+}
+
+// Runner connects State and membership.View to a mesh. The exported fields are set before Run. PeerUp, PeerDown and
+// Receive are to be set as the mesh's callbacks and handler.
+type Runner struct {
+	Transport Transport
+	View      *membership.View
+	List      hosts.List
+	Clock     timer.Service
+	Log       zerolog.Logger
+
+	RoundInterval, ReportInterval, ListInterval time.Duration
+
+	mu sync.Mutex
+	// The fields below, State and View are guarded by mu.
+	state    *State
+	links    map[fleet.HostID]*peerLink
+	watchers map[*Watcher]struct{}
+	adopted  uint64
+	probing  fleet.Host
+	probeEnd time.Time
+	// run is nil unless Run is under way.
+	run *runnerTasks
+}
+
+type runnerTasks struct {
+	//nolint:containedctx // The context of Run is that of the goroutines for peers, which start later.
+	ctx   context.Context
+	tasks sync.WaitGroup
+}
+
+// peerLink is the goroutine of one peer. Its fields but signal are guarded by the runner's mu.
+type peerLink struct {
+	signal  chan struct{}
+	cancel  context.CancelFunc
+	replies []Message
+	// report is set when the adoptions that are due may be sent.
+	report bool
+}
+
+// Run disseminates items until ctx ends.
+func (r *Runner) Run(ctx context.Context) error {
+	r.setDefaults()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	run := &runnerTasks{ctx: ctx}
+	r.mu.Lock()
+	r.open()
+	r.run = run
+	for id, link := range r.links {
+		r.startLocked(id, link)
+	}
+	r.mu.Unlock()
+	run.tasks.Go(func() { r.readList(ctx) })
+	r.rounds(ctx)
+	r.mu.Lock()
+	r.run = nil
+	r.mu.Unlock()
+	cancel()
+	run.tasks.Wait()
+	return nil
+}
+
+func (r *Runner) setDefaults() {
+	for _, setting := range []struct {
+		value    *time.Duration
+		standard time.Duration
+	}{
+		{&r.RoundInterval, DefaultRoundInterval},
+		{&r.ReportInterval, DefaultReportInterval},
+		{&r.ListInterval, DefaultListInterval},
+	} {
+		if *setting.value <= 0 {
+			*setting.value = setting.standard
+		}
+	}
+}
+
+// open makes the state. The caller holds mu.
+func (r *Runner) open() {
+	if r.state == nil {
+		r.state = NewState()
+		r.links = make(map[fleet.HostID]*peerLink)
+		r.watchers = make(map[*Watcher]struct{})
+	}
+}
+
+// rounds exchanges digests and passes reports on at their intervals.
+func (r *Runner) rounds(ctx context.Context) {
+	round := r.Clock.Every(r.RoundInterval)
+	defer round.Stop()
+	report := r.Clock.Every(r.ReportInterval)
+	defer report.Stop()
+	r.round()
+	for {
+		select {
+		case <-round.C:
+			r.round()
+		case <-report.C:
+			r.report()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// round lets the membership decide, and sends the digest to the peers with a higher identifier: those with a lower one
+// send theirs, and each responds with its own.
+func (r *Runner) round() {
+	r.mu.Lock()
+	now := r.Clock.Now()
+	r.act(r.View.Tick(now))
+	r.state.Round()
+	r.retainAdoptions()
+	root := r.state.Root()
+	for id, link := range r.links {
+		if r.View.Self.ID < id {
+			link.reply(root)
+		}
+	}
+	peers := r.View.Peers()
+	if host, due := r.View.Probe(now); due {
+		r.probing, r.probeEnd = host, now.Add(probeTime)
+	}
+	if now.Before(r.probeEnd) {
+		peers = append(peers, r.probing)
+	}
+	r.mu.Unlock()
+	r.Transport.SetPeers(peers)
+}
+
+func (r *Runner) retainAdoptions() {
+	keys := make(map[AdoptionKey]bool)
+	for _, member := range r.View.Members() {
+		keys[r.key(member.ID)] = true
+	}
+	r.state.RetainAdoptions(keys)
+	r.state.Adopt(r.key(r.View.Self.ID), r.adopted)
+}
+
+func (r *Runner) key(id fleet.HostID) AdoptionKey {
+	return NewAdoptionKey(id, r.View.MemberIncarnation(id))
+}
+
+// report lets the goroutines of peers send the adoptions that have been gathered.
+func (r *Runner) report() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, link := range r.links {
+		if r.state.AdoptionsDue(id) {
+			link.report = true
+			link.wake()
+		}
+	}
+}
+
+// PeerUp starts the goroutine of a peer, or leaves that to Run.
+func (r *Runner) PeerUp(id fleet.HostID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.open()
+	link := &peerLink{signal: make(chan struct{}, 1), cancel: func() {}}
+	r.links[id] = link
+	r.View.Connected(r.Clock.Now(), id, true)
+	link.reply(r.state.Connect(id))
+	r.startLocked(id, link)
+}
+
+// startLocked starts the goroutine of a peer if Run is under way. The caller holds mu.
+func (r *Runner) startLocked(id fleet.HostID, link *peerLink) {
+	if r.run == nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(r.run.ctx)
+	link.cancel = cancel
+	r.run.tasks.Go(func() { r.serve(ctx, id, link) })
+}
+
+// PeerDown ends the goroutine of a peer.
+func (r *Runner) PeerDown(id fleet.HostID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if link := r.links[id]; link != nil {
+		link.cancel()
+		delete(r.links, id)
+		r.state.Disconnect(id)
+		r.View.Connected(r.Clock.Now(), id, false)
+	}
+}
+
+// serve sends to one peer what is due for it. It alone waits when the peer is slow; meanwhile newer versions replace
+// those that are due.
+func (r *Runner) serve(ctx context.Context, id fleet.HostID, link *peerLink) {
+	for {
+		select {
+		case <-link.signal:
+		case <-ctx.Done():
+			return
+		}
+		for messages := r.take(id, link); len(messages) > 0; messages = r.take(id, link) {
+			for _, message := range messages {
+				if err := r.send(ctx, id, message); err != nil {
+					r.Log.Debug().Err(err).Str("host", string(id)).Msg("items not sent")
+					break
+				}
+			}
+			if ctx.Err() != nil {
+				return
+			}
+		}
+	}
+}
+
+func (r *Runner) take(id fleet.HostID, link *peerLink) []Message {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.links[id] != link {
+		return nil
+	}
+	messages := link.replies
+	link.replies = nil
+	if link.report {
+		link.report = false
+		if adoptions, due := r.state.TakeAdoptions(id); due {
+			messages = append(messages, adoptions)
+		}
+	}
+	return append(messages, r.state.Take(id)...)
+}
+
+func (r *Runner) send(ctx context.Context, to fleet.HostID, message Message) error {
+	payload, err := encode(message)
+	if err != nil {
+		return err
+	}
+	return r.Transport.Send(ctx, to, Topic, payload)
+}
+
+// Receive is the mesh's handler of Topic. Responses are left to the goroutine of the peer, so that two peers with full
+// queues do not wait for each other.
+func (r *Runner) Receive(_ context.Context, from fleet.HostID, payload []byte) {
+	message, err := decode(payload)
+	if err != nil {
+		r.Log.Warn().Err(err).Str("host", string(from)).Msg("message of a peer ignored")
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.links[from] == nil {
+		return
+	}
+	r.View.Heard(r.Clock.Now(), from)
+	if message == nil {
+		return
+	}
+	replies, changed := r.state.Receive(from, message)
+	for _, reply := range replies {
+		r.links[from].reply(reply)
+	}
+	for _, item := range changed {
+		r.changed(item)
+	}
+}
+
+// changed passes a new item on to the membership, the watchers and the goroutines of peers. The caller holds mu.
+func (r *Runner) changed(item Item) {
+	if strings.HasPrefix(item.Name, memberPrefix) {
+		record, err := decodeMember(item)
+		if err != nil {
+			r.Log.Warn().Err(err).Str("item", item.Name).Msg("member record ignored")
+		} else {
+			r.act(r.View.Learn(r.Clock.Now(), record))
+		}
+	}
+	for watcher := range r.watchers {
+		watcher.offer(item)
+	}
+	for id, link := range r.links {
+		if r.state.Due(id) {
+			link.wake()
+		}
+	}
+}
+
+// act runs the actions of the membership. The caller holds mu.
+func (r *Runner) act(actions []membership.Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case membership.Publish:
+			r.publishMember(action.Record)
+		case membership.Doubt:
+			r.Log.Info().Str("host", string(action.Record.Host.ID)).Msg("silent host suspected")
+			r.publishMember(action.Record)
+		}
+	}
+}
+
+func (r *Runner) publishMember(record membership.Record) {
+	item, err := encodeMember(record)
+	if err != nil {
+		r.Log.Error().Err(err).Msg("member record not published")
+		return
+	}
+	if r.state.Publish(item) {
+		r.changed(item)
+	}
+}
+
+// readList reads the host list at intervals.
+func (r *Runner) readList(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := r.ListInterval
+		if r.needsList() {
+			entries, err := r.List.Hosts(ctx)
+			if err != nil {
+				r.Log.Warn().Err(err).Msg("host list not read")
+				pause = min(pause, time.Second)
+			} else {
+				r.mu.Lock()
+				r.View.Listed(r.Clock.Now(), entries)
+				r.mu.Unlock()
+			}
+		}
+		if timer.Wait(ctx, r.Clock, pause) != nil {
+			return
+		}
+	}
+}
+
+// needsList reports whether this daemon is to read the host list: it is one of the readers, or it has no peers.
+func (r *Runner) needsList() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.links) == 0 {
+		return true
+	}
+	for _, reader := range r.View.Rank("host-list", listReaders) {
+		if reader.ID == r.View.Self.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// Resolve returns the address of a member; it is to be set as the mesh's callback.
+func (r *Runner) Resolve(id fleet.HostID) (netip.AddrPort, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	host, found := r.View.Member(id)
+	return host.Peer, found
+}
+
+func (l *peerLink) reply(message Message) {
+	if len(l.replies) < maxReplies {
+		l.replies = append(l.replies, message)
+	}
+	l.wake()
+}
+
+func (l *peerLink) wake() {
+	select {
+	case l.signal <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/peer/spread/runner_test.go
@@ -0,0 +1,142 @@
+package spread_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/peer/membership"
+	"rosemarywick.example/rosemarywick/internal/peer/mesh"
+	"rosemarywick.example/rosemarywick/internal/peer/spread"
+	peerstandin "rosemarywick.example/rosemarywick/internal/peer/standin"
+	"rosemarywick.example/rosemarywick/internal/platform/hosts"
+	"rosemarywick.example/rosemarywick/internal/platform/standin"
+)
+
+// daemons is a small fleet on loopback.
+type daemons struct {
+	list      *standin.Hosts
+	authority *peerstandin.Authority
+	runners   []*spread.Runner
+	meshes    []*mesh.Mesh
+	stops     []func()
+}
+
+func startFleet(t *testing.T, count int) *daemons {
+	t.Helper()
+	authority, err := peerstandin.NewAuthority(time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &daemons{list: standin.NewHosts(timer.System{}), authority: authority}
+	for i := range count {
+		d.start(t, fleet.HostID(fmt.Sprintf("entry-%d", i)), fleet.FailureDomain(fmt.Sprint("domain-", i%3)))
+	}
+	t.Cleanup(func() {
+		for _, stop := range d.stops {
+			stop()
+		}
+	})
+	return d
+}
+
+func (d *daemons) start(t *testing.T, id fleet.HostID, domain fleet.FailureDomain) {
+	t.Helper()
+	config, err := d.authority.Config(id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	host := fleet.Host{
+		ID: id, Place: fleet.Place{Region: "r", Domain: domain}, Peer: socket.LocalAddr().(*net.UDPAddr).AddrPort(),
+	}
+	d.list.Set(host, hosts.Live)
+	incarnation := uint64(time.Now().UnixNano())
+	runner := &spread.Runner{
+		View: &membership.View{Self: host, Incarnation: incarnation, PeerCount: 6, Timing: membership.DefaultTiming},
+		List: d.list, Clock: timer.System{}, Log: zerolog.Nop(), ListInterval: 200 * time.Millisecond,
+	}
+	m := &mesh.Mesh{
+		Host: host, Incarnation: incarnation, TLS: config, Clock: timer.System{}, Log: zerolog.Nop(), Packets: socket,
+		Resolve: runner.Resolve, PeerUp: runner.PeerUp, PeerDown: runner.PeerDown,
+	}
+	m.Handle(spread.Topic, runner.Receive)
+	runner.Transport = m
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	tasks.Go(func() { _ = m.Run(ctx) })
+	tasks.Go(func() { _ = runner.Run(ctx) })
+	d.runners = append(d.runners, runner)
+	d.meshes = append(d.meshes, m)
+	d.stops = append(d.stops, func() { cancel(); tasks.Wait() })
+}
+
+// eventually waits for a condition that the fleet reaches on its own.
+func eventually(t *testing.T, within time.Duration, what string, condition func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), within)
+	defer cancel()
+	for !condition() {
+		if timer.Wait(ctx, timer.System{}, 10*time.Millisecond) != nil {
+			t.Fatalf("not within %s: %s", within, what)
+		}
+	}
+}
+
+// Guards against a fleet that does not find itself, an item that does not reach all, and a count of adoptions that is
+// never complete; and against goroutines that outlive Run.
+func TestFleetOnLoopback(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	t.Run("fleet", func(t *testing.T) {
+		is := is.New(t)
+		const count = 8
+		d := startFleet(t, count)
+		eventually(t, 10*time.Second, "all see all", func() bool {
+			for _, runner := range d.runners {
+				if len(runner.Members()) != count {
+					return false
+				}
+			}
+			return true
+		})
+		watcher := d.runners[count-1].Watch("config")
+		defer watcher.Stop()
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		for version := uint64(1); version <= 3; version++ {
+			_, err := d.runners[0].Publish(spread.Item{
+				Name: "config", Version: spread.Version{Major: version}, Value: make([]byte, 100_000*(version-1)),
+			})
+			is.NoErr(err)
+			item, err := watcher.Next(ctx)
+			is.NoErr(err)
+			is.Equal(item.Version.Major, version)
+		}
+		for _, runner := range d.runners {
+			eventually(t, 10*time.Second, "item everywhere", func() bool {
+				item, found := runner.Get("config")
+				return found && item.Version.Major == 3
+			})
+			runner.Adopt(3)
+		}
+		eventually(t, 10*time.Second, "in force", func() bool {
+			at, total := d.runners[0].InForce(3)
+			return at == count && total == count
+		})
+		at, _ := d.runners[0].InForce(4)
+		is.Equal(at, 0) // nobody has adopted what was not published
+	})
+}
--- /dev/null
+++ b/internal/peer/wire/codec.go
@@ -0,0 +1,82 @@
+// Package wire holds the messages that daemons exchange, and reads and writes them within bounds. Unknown fields are
+// ignored, so that a daemon understands the peers of the previous and the next release.
+package wire
+
+import (
+	"bufio"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+)
+
+// Bounds of what a daemon accepts from its peers.
+const (
+	// MaxEnvelope bounds one message. The largest item is the map of a service with 65,536 partitions, about 2 MB.
+	MaxEnvelope = 8 << 20
+	// MaxName bounds the length of an item's name.
+	MaxName = 256
+	// MaxBuckets bounds the number of buckets of a digest.
+	MaxBuckets = 1024
+)
+
+// ErrMalformed means that a message could not be decoded or exceeds its bounds.
+var ErrMalformed = errors.New("wire: malformed message")
+
+// ReadEnvelope reads the next message of a connection. It returns io.EOF only at the end of the stream between two
+// messages.
+func ReadEnvelope(reader *bufio.Reader) (*Envelope, error) {
+	envelope := &Envelope{}
+	options := protodelim.UnmarshalOptions{
+		MaxSize:          MaxEnvelope,
+		UnmarshalOptions: proto.UnmarshalOptions{DiscardUnknown: true},
+	}
+	if err := options.UnmarshalFrom(reader, envelope); err != nil {
+		if errors.Is(err, io.EOF) {
+			return nil, io.EOF
+		}
+		return nil, errors.Wrapf(ErrMalformed, "%v", err)
+	}
+	return envelope, nil
+}
+
+// WriteEnvelope writes one message with its length before it.
+func WriteEnvelope(writer io.Writer, envelope *Envelope) error {
+	if size := proto.Size(envelope); size > MaxEnvelope {
+		return errors.Wrapf(ErrMalformed, "%d bytes exceed %d", size, MaxEnvelope)
+	}
+	_, err := protodelim.MarshalTo(writer, envelope)
+	return errors.Wrap(err, "wire: write message")
+}
+
+// DecodeSpread decodes a dissemination message and checks its bounds. A message of a kind that this release does not
+// know has no body and is no error.
+func DecodeSpread(payload []byte) (*Spread, error) {
+	message := &Spread{}
+	if err := (proto.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(payload, message); err != nil {
+		return nil, errors.Wrapf(ErrMalformed, "%v", err)
+	}
+	if len(message.GetBuckets().GetDigests()) > MaxBuckets || len(message.GetSummary().GetBuckets()) > MaxBuckets {
+		return nil, errors.Wrap(ErrMalformed, "too many buckets")
+	}
+	for _, items := range [][]*Item{
+		message.GetSummary().GetEntries(), message.GetOffer().GetEntries(), message.GetItems().GetItems(),
+	} {
+		for _, item := range items {
+			if item.GetName() == "" || len(item.GetName()) > MaxName {
+				return nil, errors.Wrap(ErrMalformed, "name empty or too long")
+			}
+		}
+	}
+	return message, nil
+}
+
+// DecodeMember decodes the value of a member item.
+func DecodeMember(value []byte) (*Member, error) {
+	member := &Member{}
+	if err := (proto.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(value, member); err != nil {
+		return nil, errors.Wrapf(ErrMalformed, "%v", err)
+	}
+	return member, nil
+}
