config: versions in the table, edits and the adoption rule

Cause: an accepted configuration must be in force everywhere and never revert, and operators change it concurrently while the table loses responses.

--- /dev/null
+++ b/internal/operator/config/keeper_test.go
@@ -0,0 +1,139 @@
+package config_test
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	core "rosemarywick.example/rosemarywick/internal/core/document"
+	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/operator/config"
+)
+
+func revision(version uint64, valid bool) *config.Revision {
+	text := document
+	if !valid {
+		text = "colour = 1"
+	}
+	return &config.Revision{Version: version, Author: "a", Token: fmt.Sprint("token-", version), Text: text}
+}
+
+// Guards against a daemon that goes back to an older configuration, that takes over one that cannot be applied, or whose
+// report differs from what is in force, for any order of revisions from the table, from peers and after restarts.
+func TestKeeperNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		applied := uint64(0)
+		keeper := &config.Keeper{}
+		keeper.Apply = func(doc *core.Document) error {
+			if doc.Version <= applied {
+				t.Fatalf("version %d applied after %d", doc.Version, applied)
+			}
+			if doc.Version%5 == 0 {
+				return errors.New("cannot be applied")
+			}
+			applied = doc.Version
+			return nil
+		}
+		highest := uint64(0)
+		for range rapid.IntRange(1, 40).Draw(t, "offers") {
+			version := rapid.Uint64Range(1, 30).Draw(t, "version")
+			offered := revision(version, version%3 != 0)
+			content, err := offered.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			highest = max(highest, version)
+			var verdict config.Verdict
+			if rapid.Bool().Draw(t, "from a peer") {
+				verdict = keeper.OfferBytes(content)
+			} else {
+				verdict = keeper.Offer(offered)
+			}
+			before := applied
+			state := keeper.State()
+			switch verdict := verdict.(type) {
+			case config.Adopted:
+				if verdict.Document.Version != version || version%3 == 0 || version%5 == 0 {
+					t.Fatalf("adopted %d at version %d", verdict.Document.Version, version)
+				}
+			case config.Outdated:
+				if version > before {
+					t.Fatalf("version %d outdated at %d", version, before)
+				}
+			case config.Rejected:
+				if version%3 != 0 && version%5 != 0 || version <= before || state.Rejected == nil {
+					t.Fatalf("version %d rejected at %d: %v", version, before, verdict.Reason)
+				}
+			}
+			if state.Version() != applied || applied != 0 && state.Document.Version != applied {
+				t.Fatalf("reports %d, in force %d", state.Version(), applied)
+			}
+			if (state.Rejected != nil) != (highest > applied) {
+				t.Fatalf("highest offered %d, in force %d, rejected %v", highest, applied, state.Rejected)
+			}
+		}
+	})
+}
+
+// Guards against bytes of a peer that are taken for a configuration.
+func TestKeeperRefusesDamagedBytes(t *testing.T) {
+	for _, content := range []string{"", "{", "[]", `{"version":0,"token":"t"}`, `{"version":3}`, `{"version":-1,"token":"t"}`} {
+		is := is.New(t)
+		keeper := &config.Keeper{}
+		_, rejected := keeper.OfferBytes([]byte(content)).(config.Rejected)
+		is.True(rejected)
+		state := keeper.State()
+		is.Equal(state.Version(), uint64(0))
+	}
+}
+
+// Guards against a table that was set back and whose second revision of a version is taken for the first.
+func TestKeeperReportsDivergence(t *testing.T) {
+	is := is.New(t)
+	keeper := &config.Keeper{}
+	_, adopted := keeper.Offer(revision(4, true)).(config.Adopted)
+	is.True(adopted)
+	other := revision(4, true)
+	other.Token = "other"
+	rejected, _ := keeper.Offer(other).(config.Rejected)
+	is.True(errors.Is(rejected.Reason, config.ErrDivergent))
+	is.Equal(keeper.State().Revision.Token, "token-4")
+}
+
+// Guards against a daemon that misses a change in the table, reads although others do, or stops when the table fails.
+func TestFollower(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		memory := newMemory()
+		store := store(memory)
+		var reads atomic.Bool
+		var adopted []uint64
+		follower := config.Follower{
+			Store: store, Keeper: &config.Keeper{}, Timer: timer.System{}, Log: zerolog.Nop(),
+			Reads: reads.Load, Adopted: func(r *config.Revision) { adopted = append(adopted, r.Version) },
+		}
+		go func() { _ = follower.Run(t.Context()) }()
+		pause := func() {
+			is.NoErr(timer.Wait(t.Context(), timer.System{}, 10*time.Second))
+			synctest.Wait()
+		}
+		stored(t, store, 1)
+		pause()
+		is.Equal(len(adopted), 0) // others read
+		reads.Store(true)
+		pause()
+		memory.fail(nil, []fault{down, down})
+		pause()
+		_, err := store.Apply(t.Context(), change(1, "second"))
+		is.NoErr(err)
+		pause()
+		is.Equal(adopted, []uint64{1, 2})
+	})
+}
