daemon/host: wire one daemon

Cause: the parts exist and have to become one process. Change: a daemon that connects mesh, dissemination, maps, assigners, configuration, requests, metrics and readiness, and stops them in stages.

--- a/internal/daemon/certificates/store.go
+++ b/internal/daemon/certificates/store.go
@@ -135,3 +135,13 @@
 		NextProtos: protocols,
 	}
 }
+
+// Peer returns a configuration for connections between daemons, which are both client and server of each other.
+func (s *Store) Peer() *tls.Config {
+	config := s.Client()
+	config.ClientCAs = config.RootCAs
+	config.GetCertificate = func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+		return s.get().certificate, nil
+	}
+	return config
+}
--- /dev/null
+++ b/internal/daemon/host/assigners.go
@@ -0,0 +1,163 @@
+package host
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"rosemarywick.example/rosemarywick/internal/core/document"
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/ownership/assigner"
+	"rosemarywick.example/rosemarywick/internal/upstream/grants"
+)
+
+const (
+	// membersInterval is how often the assigners learn which daemons are alive.
+	membersInterval = 500 * time.Millisecond
+	// ordersPerServer bounds the connections for orders; one order at a time is under way, the second connection
+	// replaces one that is being closed.
+	ordersPerServer = 2
+)
+
+// assigners runs one assigner for each keyed service of the configuration in force.
+type assigners struct {
+	daemon *Daemon
+	client *grants.Client
+
+	mu sync.Mutex
+	// running is guarded by mu.
+	running map[fleet.ServiceName]*running
+	// ctx is guarded by mu and nil while no assigner may run.
+	ctx     context.Context
+	current *document.Document
+	tasks   sync.WaitGroup
+}
+
+// running is one assigner and the way to end it.
+type running struct {
+	runner *grants.Runner
+	cancel context.CancelFunc
+}
+
+func newAssigners(d *Daemon) *assigners {
+	transport := &http.Transport{MaxConnsPerHost: ordersPerServer, DisableCompression: true}
+	return &assigners{
+		daemon: d, client: &grants.Client{Transport: transport}, running: make(map[fleet.ServiceName]*running),
+	}
+}
+
+// run keeps the assigners informed of the members until ctx ends, and then waits until they have handed over.
+func (a *assigners) run(ctx context.Context) error {
+	a.begin(ctx)
+	ticks := a.daemon.Timer.Every(membersInterval)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ticks.C:
+			a.setHosts(a.daemon.peers.spread.Members())
+		case <-ctx.Done():
+			a.tasks.Wait()
+			return nil
+		}
+	}
+}
+
+func (a *assigners) begin(ctx context.Context) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ctx = ctx
+	a.adjust()
+}
+
+// configure starts and ends assigners as the document says.
+func (a *assigners) configure(doc *document.Document) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.current = doc
+	a.adjust()
+}
+
+// adjust makes running follow the document. The caller holds mu.
+func (a *assigners) adjust() {
+	if a.ctx == nil || a.ctx.Err() != nil || a.current == nil {
+		return
+	}
+	wanted := make(map[fleet.ServiceName]bool)
+	for i := range a.current.Services {
+		service := &a.current.Services[i]
+		if !service.Keyed() {
+			continue
+		}
+		wanted[service.Name] = true
+		if a.running[service.Name] == nil {
+			a.running[service.Name] = a.start(service)
+		}
+		a.running[service.Name].runner.SetUpstreams(upstreamsOf(service))
+	}
+	for name, one := range a.running {
+		if !wanted[name] {
+			one.cancel()
+			delete(a.running, name)
+		}
+	}
+}
+
+// start begins the assigner of a service. The caller holds mu.
+func (a *assigners) start(service *document.Service) *running {
+	d := a.daemon
+	runner := &grants.Runner{
+		Assigner: &assigner.Assigner{
+			Host: d.Settings.Host.ID, Run: strconv.FormatUint(d.incarnation, 36), Service: service.Name,
+			Partitions: service.Partitions, Timing: assigner.DefaultTiming(),
+			Placer: &placer{partitions: service.Partitions, pins: a.pins(service)},
+		},
+		Table: d.table, Peers: d.peers, Publisher: d.maps, Client: a.client, Timer: d.Timer,
+		Log: d.Log.With().Str("part", "assigner").Logger(),
+	}
+	ctx, cancel := context.WithCancel(a.ctx)
+	runner.SetHosts(d.peers.spread.Members())
+	a.tasks.Go(func() {
+		if err := runner.Run(ctx); ctx.Err() == nil {
+			d.Log.Error().Err(err).Str("service", string(service.Name)).Msg("assigner ended")
+		}
+	})
+	return &running{runner: runner, cancel: cancel}
+}
+
+// pins returns a function that gives the pins in force at the time of the call.
+func (a *assigners) pins(service *document.Service) func() []document.Pin {
+	name := service.Name
+	return func() []document.Pin {
+		doc := a.daemon.configuration.Current()
+		var pins []document.Pin
+		for _, pin := range doc.Pins {
+			if pin.Service == name {
+				pins = append(pins, pin)
+			}
+		}
+		return pins
+	}
+}
+
+func (a *assigners) setHosts(members []fleet.Host) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, one := range a.running {
+		one.runner.SetHosts(members)
+	}
+}
+
+// upstreamsOf returns the upstreams of a service that may own keys.
+func upstreamsOf(service *document.Service) []fleet.Upstream {
+	upstreams := make([]fleet.Upstream, 0, len(service.Upstreams))
+	for _, one := range service.Upstreams {
+		if !one.Drained {
+			upstreams = append(upstreams, fleet.Upstream{
+				ID: one.ID, Service: service.Name, Place: one.Place, Address: one.Address, Guard: service.Guard,
+			})
+		}
+	}
+	return upstreams
+}
--- /dev/null
+++ b/internal/daemon/host/maps.go
@@ -0,0 +1,210 @@
+package host
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+
+	"github.com/rs/zerolog"
+
+	"rosemarywick.example/rosemarywick/internal/core/document"
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/observe/metrics"
+	"rosemarywick.example/rosemarywick/internal/ownership/keymap"
+	"rosemarywick.example/rosemarywick/internal/peer/spread"
+)
+
+// mapPrefix begins the names of the items that carry the maps: "map/SERVICE/CHUNK".
+const mapPrefix = "map/"
+
+// chunkName names one chunk of a service's map.
+type chunkName struct {
+	service fleet.ServiceName
+	index   int
+}
+
+// maps holds the maps of all keyed services, merges what this daemon's assigners and its peers publish, and passes on
+// what its own assigners changed.
+type maps struct {
+	daemon  *Daemon
+	log     zerolog.Logger
+	metrics *metrics.Metrics
+
+	mu sync.RWMutex
+	// current is guarded by mu; its maps are immutable.
+	current map[fleet.ServiceName]*keymap.Map
+	// changed is guarded by mu; it is closed and replaced when a map changes.
+	changed chan struct{}
+	// dirty is guarded by mu and lists the chunks that publish has still to pass on.
+	dirty map[chunkName]struct{}
+	// wake tells publish that dirty is not empty.
+	wake chan struct{}
+}
+
+func newMaps(d *Daemon) *maps {
+	return &maps{
+		daemon: d, log: d.Log, metrics: metrics.New(d.Timer),
+		current: make(map[fleet.ServiceName]*keymap.Map), changed: make(chan struct{}),
+		dirty: make(map[chunkName]struct{}), wake: make(chan struct{}, 1),
+	}
+}
+
+// configure prepares an empty map for each keyed service that has none.
+func (m *maps) configure(doc *document.Document) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i := range doc.Services {
+		service := &doc.Services[i]
+		if service.Keyed() && m.current[service.Name] == nil {
+			m.current[service.Name] = keymap.New(service.Partitions)
+		}
+	}
+}
+
+// Locate returns the assignment of a key.
+func (m *maps) Locate(service fleet.ServiceName, key fleet.KeyHash) (fleet.Assignment, bool) {
+	current := m.get(service)
+	if current == nil {
+		return fleet.Assignment{}, false
+	}
+	return current.Locate(key), true
+}
+
+func (m *maps) get(service fleet.ServiceName) *keymap.Map {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.current[service]
+}
+
+// Changed returns a channel that is closed at the next change of any map.
+func (m *maps) Changed() <-chan struct{} {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.changed
+}
+
+// Publish takes the assignments that an assigner of this daemon decided.
+func (m *maps) Publish(service fleet.ServiceName, assignments []fleet.Assignment) {
+	applied := m.merge(service, assignments)
+	if len(applied) == 0 {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, assignment := range applied {
+		m.dirty[chunkName{service: service, index: m.chunkOf(service, assignment)}] = struct{}{}
+	}
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// chunkOf returns the chunk of an assignment; the hot keys stand in the one after the hash ranges. The caller holds mu.
+func (m *maps) chunkOf(service fleet.ServiceName, assignment fleet.Assignment) int {
+	if assignment.Key != 0 {
+		return m.current[service].Chunks()
+	}
+	return int(assignment.Partition) / keymap.ChunkSize
+}
+
+// merge applies newer assignments to a map and returns those that were applied.
+func (m *maps) merge(service fleet.ServiceName, assignments []fleet.Assignment) []fleet.Assignment {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	next, applied := m.current[service].Merge(assignments)
+	if len(applied) == 0 {
+		return nil
+	}
+	m.current[service] = next
+	close(m.changed)
+	m.changed = make(chan struct{})
+	for _, assignment := range applied {
+		m.metrics.ObserveAssignment(service, assignment)
+	}
+	return applied
+}
+
+// publish passes on the chunks that this daemon's assigners changed, until ctx ends.
+func (m *maps) publish(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-m.wake:
+		}
+		for name, assignments := range m.takeDirty() {
+			m.publishChunk(name, assignments)
+		}
+	}
+}
+
+func (m *maps) takeDirty() map[chunkName][]fleet.Assignment {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	chunks := make(map[chunkName][]fleet.Assignment, len(m.dirty))
+	for name := range m.dirty {
+		current := m.current[name.service]
+		if name.index < current.Chunks() {
+			chunks[name] = current.Chunk(name.index)
+		} else {
+			chunks[name] = current.Entries()
+		}
+	}
+	clear(m.dirty)
+	return chunks
+}
+
+func (m *maps) publishChunk(name chunkName, assignments []fleet.Assignment) {
+	value, version, err := keymap.EncodeChunk(name.index, assignments)
+	if err != nil {
+		m.log.Error().Err(err).Str("service", string(name.service)).Msg("map not encoded")
+		return
+	}
+	item := spread.Item{
+		Name:    fmt.Sprintf("%s%s/%d", mapPrefix, name.service, name.index),
+		Version: spread.Version{Major: uint64(version.Epoch), Minor: version.Counter}, Value: value,
+	}
+	if _, err := m.daemon.peers.spread.Publish(item); err != nil {
+		m.log.Error().Err(err).Str("item", item.Name).Msg("map not published")
+	}
+}
+
+// follow merges the maps that peers pass on, until ctx ends.
+func (m *maps) follow(ctx context.Context) error {
+	watch := m.daemon.peers.spread.Watch(mapPrefix)
+	defer watch.Stop()
+	for {
+		item, err := watch.Next(ctx)
+		if err != nil {
+			return err
+		}
+		m.take(item)
+	}
+}
+
+func (m *maps) take(item spread.Item) {
+	service, _, _ := strings.Cut(strings.TrimPrefix(item.Name, mapPrefix), "/")
+	_, assignments, err := keymap.DecodeChunk(item.Value)
+	if err != nil {
+		m.log.Warn().Err(err).Str("item", item.Name).Msg("map not understood")
+		return
+	}
+	m.merge(fleet.ServiceName(service), assignments)
+}
+
+// replay merges the maps that arrived before their service was configured.
+func (m *maps) replay(doc *document.Document) {
+	for i := range doc.Services {
+		service := &doc.Services[i]
+		if !service.Keyed() {
+			continue
+		}
+		for index := range m.get(service.Name).Chunks() + 1 {
+			if item, found := m.daemon.peers.spread.Get(fmt.Sprintf("%s%s/%d", mapPrefix, service.Name, index)); found {
+				m.take(item)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/host/peers.go
@@ -0,0 +1,70 @@
+package host
+
+import (
+	"bytes"
+	"context"
+	"sync"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/peer/membership"
+	"rosemarywick.example/rosemarywick/internal/peer/mesh"
+	"rosemarywick.example/rosemarywick/internal/peer/spread"
+)
+
+// assignerTopic carries the messages between the assigners of all services. Services come and go while the mesh runs,
+// and the mesh takes handlers only before it runs, so each message begins with its own topic.
+const assignerTopic = "assigner"
+
+// peers is the daemon's connection to the others.
+type peers struct {
+	mesh   *mesh.Mesh
+	spread *spread.Runner
+
+	mu sync.Mutex
+	// receivers is guarded by mu.
+	receivers map[string]func(from fleet.HostID, payload []byte)
+}
+
+func newPeers(d *Daemon) *peers {
+	p := &peers{receivers: make(map[string]func(fleet.HostID, []byte))}
+	view := &membership.View{
+		Self: d.Settings.Host, Incarnation: d.incarnation, PeerCount: d.Settings.PeerCount, Timing: membership.DefaultTiming,
+	}
+	p.mesh = &mesh.Mesh{
+		Host: d.Settings.Host, Incarnation: d.incarnation, TLS: d.certificates.Peer(), Clock: d.Timer, Log: d.Log,
+	}
+	p.spread = &spread.Runner{Transport: p.mesh, View: view, List: d.hosts, Clock: d.Timer, Log: d.Log}
+	p.mesh.Resolve = p.spread.Resolve
+	p.mesh.PeerUp, p.mesh.PeerDown = p.spread.PeerUp, p.spread.PeerDown
+	p.mesh.Handle(spread.Topic, p.spread.Receive)
+	p.mesh.Handle(assignerTopic, p.receive)
+	return p
+}
+
+// Send sends a message of a topic that was registered with Handle on the other host.
+func (p *peers) Send(ctx context.Context, to fleet.HostID, topic string, payload []byte) error {
+	message := make([]byte, 0, len(topic)+1+len(payload))
+	message = append(message, topic...)
+	message = append(message, 0)
+	return p.mesh.Send(ctx, to, assignerTopic, append(message, payload...))
+}
+
+// Handle registers the receiver of a topic, in place of an earlier one.
+func (p *peers) Handle(topic string, receive func(from fleet.HostID, payload []byte)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.receivers[topic] = receive
+}
+
+func (p *peers) receive(_ context.Context, from fleet.HostID, message []byte) {
+	topic, payload, found := bytes.Cut(message, []byte{0})
+	if !found {
+		return
+	}
+	p.mu.Lock()
+	receive := p.receivers[string(topic)]
+	p.mu.Unlock()
+	if receive != nil {
+		receive(from, payload)
+	}
+}
--- /dev/null
+++ b/internal/daemon/host/requests.go
@@ -0,0 +1,44 @@
+package host
+
+import (
+	"rosemarywick.example/rosemarywick/internal/caller/front"
+	"rosemarywick.example/rosemarywick/internal/core/cause"
+	"rosemarywick.example/rosemarywick/internal/observe/metrics"
+	"rosemarywick.example/rosemarywick/internal/observe/records"
+	"rosemarywick.example/rosemarywick/internal/routing/once"
+	"rosemarywick.example/rosemarywick/internal/routing/router"
+)
+
+// requests holds the parts on the path of a request.
+type requests struct {
+	ring    *records.Ring
+	archive *records.Archive
+	claims  *once.Table
+	router  *router.Router
+	front   *front.Front
+	metrics *metrics.Metrics
+}
+
+func newRequests(d *Daemon) *requests {
+	r := &requests{
+		ring:    &records.Ring{Capacity: records.DefaultCapacity},
+		archive: &records.Archive{Host: d.Settings.Host.ID, Store: d.objects, Timer: d.Timer, Log: d.Log},
+		claims:  &once.Table{Store: d.table, Clock: d.Timer, Host: d.Settings.Host.ID},
+		metrics: d.maps.metrics,
+	}
+	r.router = &router.Router{
+		Host: d.Settings.Host, Clock: d.Timer, Config: d.configuration, Owners: d.maps, Claims: r.claims, Recorder: r,
+		Hosts: d.configuration.fleetSize,
+	}
+	r.front = &front.Front{
+		Address: d.Settings.Callers, Router: r.router, Config: d.configuration, Clock: d.Timer, Log: d.Log,
+		StopTimeout: d.Settings.StopTimeout, Listening: d.Listening,
+	}
+	return r
+}
+
+// Record keeps the record of a request on this host and for the object store.
+func (r *requests) Record(record cause.Record) {
+	r.ring.Add(record)
+	r.archive.Add(record)
+}
