--- a/internal/caller/front/front.go
+++ b/internal/caller/front/front.go
@@ -35,6 +35,7 @@
 	headerTimeout      = 10 * time.Second
 	idleTimeout        = 2 * time.Minute
 	maxTimeout         = 10 * time.Minute
+	lastAnswers        = time.Second
 )
 
 // Front serves callers. The exported fields are set before Run or Handler.
@@ -81,6 +82,12 @@
 	case <-ctx.Done():
 	}
 	f.stop()
+	// The last answers are still being written when their handlers have returned.
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastAnswers)
+	defer cancel()
+	if server.Shutdown(last) == nil {
+		return nil
+	}
 	return errors.Wrap(server.Close(), "front: close")
 }
 
--- /dev/null
+++ b/internal/caller/front/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package front_test
+
+func init() { raceEnabled = true }
--- a/internal/caller/front/rig_test.go
+++ b/internal/caller/front/rig_test.go
@@ -33,7 +33,7 @@
 	doc     *document.Document
 	owners  *owners
 	store   *memory
-	fronts  []*httptest.Server
+	fronts  []string
 	records records
 }
 
@@ -67,7 +67,7 @@
 	is.NoErr(err)
 	result.owners.set("stock-0", 1)
 	for i := range fronts {
-		result.fronts = append(result.fronts, result.daemon(t, fleet.HostID(fmt.Sprintf("host-%d", i))))
+		result.fronts = append(result.fronts, result.daemon(t, fleet.HostID(fmt.Sprintf("host-%d", i))).URL)
 	}
 	return result
 }
@@ -87,6 +87,19 @@
 	return server
 }
 
+// at makes calls go to one address.
+func (r *rig) at(url string) { r.fronts = []string{url} }
+
+// worker returns a worker by its id.
+func (r *rig) worker(id fleet.UpstreamID) *standin.Worker {
+	for _, worker := range r.workers {
+		if worker.ID == id {
+			return worker
+		}
+	}
+	return nil
+}
+
 // ran sums what all workers did with a request.
 func (r *rig) ran(id string) standin.Run {
 	var sum standin.Run
@@ -97,6 +110,9 @@
 	return sum
 }
 
+// client keeps enough idle connections for all callers of a test.
+var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200}}
+
 // reply is what a caller got.
 type reply struct {
 	status  int
@@ -112,14 +128,14 @@
 func (r *rig) call(front int, method, path, id string, headers ...string) reply {
 	var body io.Reader
 	if method == http.MethodPost {
-		body = strings.NewReader(strings.Repeat("x", 3000))
+		body = io.NopCloser(strings.NewReader(strings.Repeat("x", 3000))) // net/http cannot repeat it by itself
 	}
-	request, _ := http.NewRequestWithContext(context.Background(), method, r.fronts[front].URL+path, body)
+	request, _ := http.NewRequestWithContext(context.Background(), method, r.fronts[front]+path, body)
 	request.Header.Set("Rosemarywick-Request-Id", id)
 	for i := 0; i+1 < len(headers); i += 2 {
 		request.Header.Set(headers[i], headers[i+1])
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return reply{err: err, outcome: cause.Unknown}
 	}
--- a/internal/routing/balance/pool.go
+++ b/internal/routing/balance/pool.go
@@ -72,8 +72,13 @@
 	silenceLeast    = 250 * time.Millisecond
 	silenceUnknown  = time.Second
 	silenceMultiple = 8
-	// refusalWeight multiplies the rate of rejections in the score.
-	refusalWeight = 4
+	// refusalWeight multiplies the rate of rejections in the score. It must outweigh the few requests in flight of an
+	// upstream that rejects at once.
+	refusalWeight = 10
+	// refusalRise and refusalFall are the parts of a sample that enter the rate. An upstream that rejects everything
+	// is then left alone after three requests; with 1/16 for both it used up the retry budget first.
+	refusalRise = 0.25
+	refusalFall = 1.0 / 16
 	// refusedMost is the rate of rejections above which an upstream counts as bad.
 	refusedMost = 0.5
 )
@@ -214,8 +219,11 @@
 
 // refusals takes in whether the last request was rejected (1) or not (0).
 func (m *member) refusals(now time.Time, sample float64) {
-	before := m.refusedRate(now)
-	m.refused, m.refusedAt = before+(sample-before)/16, now
+	before, part := m.refusedRate(now), refusalFall
+	if sample > before {
+		part = refusalRise
+	}
+	m.refused, m.refusedAt = before+(sample-before)*part, now
 }
 
 // refusedRate returns the share of rejected requests. It halves in each second, so that an upstream that is no longer
--- a/internal/upstream/standin/handler.go
+++ b/internal/upstream/standin/handler.go
@@ -119,7 +119,7 @@
 	w.count(id, Run{Started: 1})
 	if w.Work != nil {
 		work := w.Work(r)
-		if w.Clock.Now().Sub(w.started) < w.ColdStart {
+		if w.Clock.Now().Sub(w.started.Load().(time.Time)) < w.ColdStart {
 			work *= 4
 		}
 		if timer.Wait(r.Context(), w.Clock, work) != nil {
@@ -187,7 +187,11 @@
 	rw.Header().Set("Content-Type", "application/octet-stream")
 	content := Content(name, size)
 	if fault == FaultTruncate {
-		rw = &cutter{ResponseWriter: rw, left: size / 2}
+		left := size / 2
+		if r.Header.Get("Range") != "" {
+			left = 1 // a rest never comes whole
+		}
+		rw = &cutter{ResponseWriter: rw, left: left}
 	}
 	http.ServeContent(rw, r, "", time.Time{}, strings.NewReader(string(content)))
 }
--- a/internal/upstream/standin/worker.go
+++ b/internal/upstream/standin/worker.go
@@ -59,7 +59,8 @@
 	server  *http.Server
 	address netip.AddrPort
 	slots   chan struct{}
-	started time.Time
+	started atomic.Value // of time.Time
+	setup   sync.Once
 	open    atomic.Int64
 	waiting atomic.Int64
 	running atomic.Int64
@@ -73,7 +74,7 @@
 	frozen chan struct{}
 }
 
-// Start listens and serves until Stop.
+// Start listens and serves until Stop. A stopped worker may be started again on the same address.
 func (w *Worker) Start(ctx context.Context) error {
 	listen := w.Listen
 	if !listen.IsValid() {
@@ -83,20 +84,18 @@
 	if err != nil {
 		return errors.Wrap(err, "standin: listen")
 	}
-	w.address = listener.Addr().(*net.TCPAddr).AddrPort()
-	w.Listen = w.address
-	if w.Clock == nil {
-		w.Clock = timer.System{}
-	}
-	w.started = w.Clock.Now()
-	if w.Slots > 0 {
-		w.slots = make(chan struct{}, w.Slots)
-	}
-	w.mu.Lock()
-	if w.runs == nil {
+	w.setup.Do(func() {
+		w.address = listener.Addr().(*net.TCPAddr).AddrPort()
+		w.Listen = w.address
+		if w.Clock == nil {
+			w.Clock = timer.System{}
+		}
+		if w.Slots > 0 {
+			w.slots = make(chan struct{}, w.Slots)
+		}
 		w.runs = make(map[fleet.RequestID]Run)
-	}
-	w.mu.Unlock()
+	})
+	w.started.Store(w.Clock.Now())
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Minute}
 	go func() { _ = w.server.Serve(&acceptor{Listener: listener, worker: w}) }()
 	return nil
