--- a/internal/peer/spread/receive.go
+++ b/internal/peer/spread/receive.go
@@ -69,8 +69,8 @@
 	return []Message{s.summarize(differing)}
 }
 
-// summarize lists the items of some buckets. When they are too many it covers as many buckets as fit, beginning at
-// another one each time.
+// summarize lists the items of some buckets, or of as many of these as fit. The others are repaired by later exchanges,
+// as the first ones no longer differ then.
 func (s *State) summarize(buckets map[uint32]bool) Summary {
 	entries := make(map[uint32][]Entry)
 	for name, item := range s.items {
@@ -79,13 +79,11 @@
 		}
 	}
 	var summary Summary
-	for i := range bucketCount {
-		bucket := uint32((s.start + i) % bucketCount)
+	for bucket := range uint32(bucketCount) {
 		if !buckets[bucket] {
 			continue
 		}
 		if len(summary.Buckets) > 0 && len(summary.Entries)+len(entries[bucket]) > summaryEntries {
-			s.start = int(bucket)
 			break
 		}
 		summary.Buckets = append(summary.Buckets, bucket)
--- a/internal/peer/spread/state.go
+++ b/internal/peer/spread/state.go
@@ -34,8 +34,6 @@
 	peers   map[fleet.HostID]*peer
 	// wanted holds what has been asked for and has not arrived.
 	wanted map[string]want
-	// start rotates the bucket with which a bounded summary begins.
-	start int
 
 	adopted adoption
 }
