--- a/internal/operator/cli/exit.go
+++ b/internal/operator/cli/exit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
@@ -52,14 +51,23 @@
 
 // report prints the error without the prefix that connect adds.
 func (r *Root) report(err error) {
-	text := err.Error()
+	r.progress("rosemarywick: %s", message(err))
+}
+
+func message(err error) string {
 	var rejected *connect.Error
 	if errors.As(err, &rejected) {
-		text = rejected.Message()
+		return rejected.Message()
 	}
-	_, _ = fmt.Fprintln(r.Err, "rosemarywick: "+text) // a closed standard error leaves nowhere to report to
+	return err.Error()
 }
 
+// unreachableError means that no connection to a daemon could be established.
+type unreachableError struct{ err error }
+
+// Error says why the last daemon could not be reached.
+func (u *unreachableError) Error() string { return "no daemon can be reached: " + message(u.err) }
+
 var exitCodes = map[connect.Code]ExitCode{
 	connect.CodeInvalidArgument:  ExitUsage,
 	connect.CodeAborted:          ExitConflict,
@@ -75,7 +83,8 @@
 	if errors.As(err, &usage) {
 		return ExitUsage
 	}
-	if errors.Is(err, context.DeadlineExceeded) {
+	var unreachable *unreachableError
+	if errors.As(err, &unreachable) || errors.Is(err, context.DeadlineExceeded) {
 		return ExitUnreachable
 	}
 	if code, known := exitCodes[connect.CodeOf(err)]; known {
--- a/internal/operator/cli/root.go
+++ b/internal/operator/cli/root.go
@@ -5,8 +5,8 @@
 import (
 	"context"
 	"io"
+	"sync"
 
-	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
 	"rosemarywick.example/rosemarywick/internal/core/settings"
@@ -44,8 +44,11 @@
 	Out io.Writer
 	// Err receives errors, progress and logs.
 	Err io.Writer
-	// Timer tells the time for ages in tables.
+	// Timer wakes the command that shows its progress.
 	Timer timer.Service
+
+	// errMu guards writes to Err, which come from the command and from the goroutine that calls a daemon.
+	errMu sync.Mutex
 }
 
 // Run executes the command that args name and returns its exit code. It returns soon after ctx ends.
@@ -74,7 +77,12 @@
 		SilenceUsage:  true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{err: err} })
-	root.AddCommand(r.serveCommand(), r.devCommand())
+	root.AddCommand(
+		r.serveCommand(), r.devCommand(), r.configCommand(),
+		r.hostsCommand(), r.upstreamsCommand(), r.partitionsCommand(), r.ownerCommand(),
+		r.drainCommand(), r.undrainCommand(), r.pinCommand(), r.unpinCommand(),
+		r.explainCommand(), r.recordsCommand(),
+	)
 	return root
 }
 
@@ -86,7 +94,7 @@
 		Args:  usageArgs(cobra.NoArgs),
 		RunE: func(command *cobra.Command, _ []string) error {
 			if path == "" {
-				return &usageError{err: errors.New("serve: the flag --settings is required")}
+				return usage("serve: the flag --settings is required")
 			}
 			loaded, err := settings.Load(path)
 			if err != nil {
--- a/internal/operator/config/edit_test.go
+++ b/internal/operator/config/edit_test.go
@@ -1,6 +1,7 @@
 package config_test
 
 import (
+	"reflect"
 	"strings"
 	"testing"
 
@@ -100,8 +101,7 @@
 	}
 }
 
-// Guards against documents that make the parser or an edit fail in an uncontrolled way, and against an edit that changes
-// anything but the element that it names.
+// Guards against documents that make the parser or an edit panic, and against an edit that changes more than its element.
 func FuzzDocument(f *testing.F) {
 	f.Add(document)
 	f.Add(document + pinned)
@@ -114,15 +114,17 @@
 			return
 		}
 		for i := range before.Services {
-			for _, upstream := range before.Services[i].Upstreams {
-				rewritten, err := config.Rewrite(text, config.Drain{Upstream: upstream.ID, Drained: !upstream.Drained})
-				if err != nil {
-					continue // the form of the document does not allow the edit
-				}
-				after, err := config.Check("fuzz", rewritten)
-				if err != nil || len(after.Services) != len(before.Services) || len(after.Pins) != len(before.Pins) {
-					t.Fatalf("draining %s damaged the document: %v\n%s", upstream.ID, err, rewritten)
+			for j := range before.Services[i].Upstreams {
+				upstream := &before.Services[i].Upstreams[j]
+				upstream.Drained = !upstream.Drained // the document that the edit is to give
+				rewritten, err := config.Rewrite(text, config.Drain{Upstream: upstream.ID, Drained: upstream.Drained})
+				if err == nil {
+					after, err := config.Check("fuzz", rewritten)
+					if err != nil || !reflect.DeepEqual(after, before) {
+						t.Fatalf("draining %s changed more than that: %v\n%s", upstream.ID, err, rewritten)
+					}
 				}
+				upstream.Drained = !upstream.Drained
 			}
 		}
 	})
--- a/internal/operator/config/keeper_test.go
+++ b/internal/operator/config/keeper_test.go
@@ -15,6 +15,7 @@
 	core "rosemarywick.example/rosemarywick/internal/core/document"
 	"rosemarywick.example/rosemarywick/internal/core/timer"
 	"rosemarywick.example/rosemarywick/internal/operator/config"
+	"rosemarywick.example/rosemarywick/internal/operator/standin"
 )
 
 func revision(version uint64, valid bool) *config.Revision {
@@ -111,7 +112,7 @@
 func TestFollower(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		memory := newMemory()
+		memory := &standin.Table{}
 		store := store(memory)
 		var reads atomic.Bool
 		var adopted []uint64
@@ -129,7 +130,7 @@
 		is.Equal(len(adopted), 0) // others read
 		reads.Store(true)
 		pause()
-		memory.fail(nil, []fault{down, down})
+		memory.Fail(nil, []standin.Fault{standin.Down, standin.Hangs})
 		pause()
 		_, err := store.Apply(t.Context(), change(1, "second"))
 		is.NoErr(err)
--- /dev/null
+++ b/internal/operator/config/progress.go
@@ -0,0 +1,39 @@
+package config
+
+import "rosemarywick.example/rosemarywick/internal/core/fleet"
+
+// HostVersion is what one live daemon reports about its configuration.
+type HostVersion struct {
+	Host fleet.HostID
+	// Version is in force on the host.
+	Version uint64
+	// Rejection says why the host could not apply a newer version. It is empty if there is none.
+	Rejection string
+}
+
+// Progress says on how many live daemons a version, or a higher one, is in force.
+type Progress struct {
+	Version uint64
+	Live    int
+	InForce int
+	// Behind are the live hosts that do not have the version in force.
+	Behind []HostVersion
+}
+
+// Measure counts the live hosts that have the version in force.
+func Measure(version uint64, live []HostVersion) Progress {
+	progress := Progress{Version: version, Live: len(live)}
+	for _, host := range live {
+		if host.Version >= version {
+			progress.InForce++
+		} else {
+			progress.Behind = append(progress.Behind, host)
+		}
+	}
+	return progress
+}
+
+// Everywhere reports whether the version is in force on every live daemon. Without any daemon it is in force nowhere.
+func (p *Progress) Everywhere() bool {
+	return p.Live > 0 && p.InForce == p.Live
+}
--- a/internal/operator/config/store_test.go
+++ b/internal/operator/config/store_test.go
@@ -15,32 +15,12 @@
 
 	"rosemarywick.example/rosemarywick/internal/core/timer"
 	"rosemarywick.example/rosemarywick/internal/operator/config"
+	"rosemarywick.example/rosemarywick/internal/operator/standin"
 )
 
-const document = `# The catalogue of the fleet.
-[[services]]
-name = "catalogue"
-key = "path:2"
+const document = standin.Document
 
-[[services.upstreams]]
-id = "catalogue-01" # the oldest
-address = "127.0.0.1:9101"
-region = "montevideo"
-domain = "centro"
-
-[[services.upstreams]]
-id = "catalogue-02"
-address = "127.0.0.1:9102"
-region = "montevideo"
-domain = "cerro"
-drained = true # since the fire
-
-[[tenants]]
-name = "technicians"
-share = 3
-`
-
-func store(memory *memory) *config.Store {
+func store(memory *standin.Table) *config.Store {
 	return &config.Store{Table: memory, Timer: timer.System{}}
 }
 
@@ -62,30 +42,30 @@
 	for _, test := range []struct {
 		name     string
 		expected uint64
-		commits  []fault
-		reads    []fault
+		commits  []standin.Fault
+		reads    []standin.Fault
 		want     error
 		version  uint64
 	}{
 		{"table works", 1, nil, nil, nil, 2},
 		{"expected version is old", 0, nil, nil, &config.ConflictError{}, 1},
 		{"expected version does not exist", 5, nil, nil, &config.ConflictError{}, 1},
-		{"table down before the read", 1, nil, []fault{down}, config.ErrUnavailable, 1},
-		{"table down before the write", 1, []fault{down}, nil, config.ErrUnavailable, 1},
-		{"response lost", 1, []fault{lost}, nil, nil, 2},
-		{"response lost, then down", 1, []fault{lost}, []fault{works, down, down}, nil, 2},
-		{"write lost", 1, []fault{dropped}, nil, nil, 2},
-		{"write late", 1, []fault{late}, nil, nil, 2},
-		{"write late, sent again", 1, []fault{late, late}, []fault{works, down}, nil, 2},
-		{"write lost, then down", 1, []fault{dropped, down, down}, nil, nil, 2},
+		{"table down before the read", 1, nil, []standin.Fault{standin.Down}, config.ErrUnavailable, 1},
+		{"table down before the write", 1, []standin.Fault{standin.Down}, nil, config.ErrUnavailable, 1},
+		{"response lost", 1, []standin.Fault{standin.Lost}, nil, nil, 2},
+		{"response standin.Lost, then down", 1, []standin.Fault{standin.Lost}, []standin.Fault{standin.Works, standin.Down, standin.Down}, nil, 2},
+		{"write lost", 1, []standin.Fault{standin.Dropped}, nil, nil, 2},
+		{"write late", 1, []standin.Fault{standin.Late}, nil, nil, 2},
+		{"write standin.Late, sent again", 1, []standin.Fault{standin.Late, standin.Late}, []standin.Fault{standin.Works, standin.Down}, nil, 2},
+		{"write standin.Lost, then down", 1, []standin.Fault{standin.Dropped, standin.Down, standin.Down}, nil, nil, 2},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				memory := newMemory()
+				memory := &standin.Table{}
 				store := store(memory)
 				stored(t, store, 1)
-				memory.fail(test.commits, test.reads)
+				memory.Fail(test.commits, test.reads)
 				_, err := store.Apply(t.Context(), change(test.expected, "second"))
 				if want, conflict := test.want.(*config.ConflictError); conflict { //nolint:errorlint // the type itself is wanted
 					is.True(errors.As(err, &want))
@@ -94,7 +74,7 @@
 				} else {
 					is.True(errors.Is(err, test.want))
 				}
-				memory.fail(nil, nil)
+				memory.Fail(nil, nil)
 				latest, err := store.Latest(t.Context())
 				is.NoErr(err)
 				is.Equal(latest.Version, test.version)
@@ -107,12 +87,13 @@
 func TestApplyUndecided(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		memory := newMemory()
+		memory := &standin.Table{}
 		store := store(memory)
-		memory.commits, memory.reads = []fault{lost}, []fault{works}
+		commits, reads := []standin.Fault{standin.Lost}, []standin.Fault{standin.Works}
 		for range 1000 {
-			memory.commits, memory.reads = append(memory.commits, down), append(memory.reads, down)
+			commits, reads = append(commits, standin.Down), append(reads, standin.Down)
 		}
+		memory.Fail(commits, reads)
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
 		_, err := store.Apply(ctx, change(0, "first"))
@@ -129,9 +110,9 @@
 		t.Run(fmt.Sprint(test.followers), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				memory := newMemory()
+				memory := &standin.Table{}
 				store := store(memory)
-				memory.fail([]fault{lost}, []fault{works, down})
+				memory.Fail([]standin.Fault{standin.Lost}, []standin.Fault{standin.Works, standin.Down})
 				go func() {
 					is.NoErr(timer.Wait(t.Context(), timer.System{}, 50*time.Millisecond))
 					for i := range test.followers {
@@ -150,10 +131,10 @@
 // Guards against history that grows without bound or loses a version that is to be kept.
 func TestHistory(t *testing.T) {
 	is := is.New(t)
-	memory := newMemory()
+	memory := &standin.Table{}
 	store := store(memory)
 	stored(t, store, 30)
-	is.Equal(len(memory.rows), 21) // the latest row and 20 versions
+	is.Equal(memory.Len(), 21) // the latest row and 20 versions
 	for version, found := range map[uint64]bool{1: false, 10: false, 11: true, 30: true, 31: false} {
 		revision, err := store.Version(t.Context(), version)
 		is.Equal(err == nil, found)
@@ -169,11 +150,11 @@
 		"too long":    "#" + strings.Repeat("x", config.MaxText),
 	} {
 		t.Run(name, func(t *testing.T) {
-			memory := newMemory()
+			memory := &standin.Table{}
 			_, err := store(memory).Apply(t.Context(), &config.Change{Text: text})
 			var invalid *config.InvalidError
 			is.New(t).True(errors.As(err, &invalid))
-			is.New(t).Equal(len(memory.rows), 0)
+			is.New(t).Equal(memory.Len(), 0)
 		})
 	}
 }
@@ -181,10 +162,11 @@
 // Guards against two of several racing changes that are both told to have won, or against none that wins.
 func TestRacingApplies(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		memory := newMemory()
+		memory := &standin.Table{}
 		store := store(memory)
 		writers := rapid.IntRange(2, 4).Draw(t, "writers")
-		memory.commits = rapid.SliceOfN(rapid.SampledFrom([]fault{works, lost, late, dropped}), 0, 3).Draw(t, "faults")
+		faults := []standin.Fault{standin.Works, standin.Lost, standin.Late, standin.Dropped}
+		memory.Fail(rapid.SliceOfN(rapid.SampledFrom(faults), 0, 3).Draw(t, "faults"), nil)
 		results := make([]error, writers)
 		var done sync.WaitGroup
 		for i := range writers {
@@ -210,7 +192,7 @@
 // Guards against edits that lose each other's effect when they race.
 func TestRacingEdits(t *testing.T) {
 	is := is.New(t)
-	store := store(newMemory())
+	store := store(&standin.Table{})
 	stored(t, store, 1)
 	var done sync.WaitGroup
 	for _, edit := range []config.Edit{
