--- a/cmd/rosemarywick/main.go
+++ b/cmd/rosemarywick/main.go
@@ -5,10 +5,10 @@
 	"context"
 	"os"
 
-	"github.com/cockroachdb/errors"
-
 	"rosemarywick.example/rosemarywick/internal/core/settings"
 	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/daemon/dev"
+	"rosemarywick.example/rosemarywick/internal/daemon/host"
 	"rosemarywick.example/rosemarywick/internal/operator/cli"
 )
 
@@ -20,8 +20,8 @@
 	ctx, stop := cli.Interruptible(context.Background())
 	defer stop()
 	root := &cli.Root{
-		Serve: func(context.Context, *settings.Settings) error { return errNotWired },
-		Dev:   func(context.Context, cli.DevOptions) error { return errNotWired },
+		Serve: serve,
+		Dev:   runFleet,
 		In:    os.Stdin,
 		Out:   os.Stdout,
 		Err:   os.Stderr,
@@ -30,4 +30,16 @@
 	return root.Run(ctx, os.Args[1:])
 }
 
-var errNotWired = errors.New("this build contains the operator commands only, not the daemon")
+func serve(ctx context.Context, loaded *settings.Settings) error {
+	log := cli.Logger(os.Stderr, loaded.LogLevel)
+	daemon := &host.Daemon{Settings: loaded, Timer: timer.System{}, Log: log}
+	return daemon.Run(ctx)
+}
+
+func runFleet(ctx context.Context, options cli.DevOptions) error {
+	log := cli.Logger(os.Stderr, options.LogLevel)
+	fleet := &dev.Fleet{
+		Shape: dev.Shape(options.Shape), Daemons: dev.DefaultDaemons, Timer: timer.System{}, Log: log, Out: options.Out,
+	}
+	return fleet.Run(ctx)
+}
--- a/internal/caller/front/mixed_test.go
+++ b/internal/caller/front/mixed_test.go
@@ -16,6 +16,7 @@
 	"rosemarywick.example/rosemarywick/internal/core/cause"
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/ownership/lease"
 	"rosemarywick.example/rosemarywick/internal/upstream/standin"
 )
 
@@ -30,9 +31,11 @@
 	id     fleet.UpstreamID
 }
 
-func (g guard) Admit(fleet.PartitionID) bool { return g.Held(0) }
-func (g guard) Done(fleet.PartitionID)       {}
-func (g guard) Held(fleet.PartitionID) bool {
+func (g guard) Admit(fleet.KeyHash) (lease.Ticket, bool) {
+	return lease.Ticket{}, g.MayApply(lease.Ticket{})
+}
+func (g guard) Done(lease.Ticket) {}
+func (g guard) MayApply(lease.Ticket) bool {
 	now, _ := g.owners.Locate("", 0)
 	return now.Owner == g.id
 }
--- a/internal/daemon/host/assigners.go
+++ b/internal/daemon/host/assigners.go
@@ -141,6 +141,18 @@
 	}
 }
 
+// epoch returns the epoch in which this daemon acted last for a service.
+func (a *assigners) epoch(service fleet.ServiceName) fleet.Epoch {
+	a.mu.Lock()
+	one := a.running[service]
+	a.mu.Unlock()
+	if one == nil {
+		return 0
+	}
+	_, epoch := one.runner.Role()
+	return epoch
+}
+
 func (a *assigners) setHosts(members []fleet.Host) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/daemon/host/host.go
+++ b/internal/daemon/host/host.go
@@ -36,6 +36,10 @@
 	objects      *objects.Client
 	hosts        *hosts.Client
 
+	begin sync.Once
+	// running is closed when the daemon has started its tasks.
+	running chan struct{}
+
 	// incarnation rises with each start of a daemon on the same host.
 	incarnation   uint64
 	peers         *peers
@@ -57,6 +61,7 @@
 		Str("callers", d.Settings.Callers.String()).Msg("daemon starting")
 	stages := newStages(ctx)
 	d.start(stages)
+	close(d.started())
 	err := stages.wait(ctx)
 	d.stop(stages)
 	failed := stages.finish()
@@ -194,3 +199,20 @@
 	}
 	return nil
 }
+
+// started returns the channel that is closed when the tasks of the daemon run.
+func (d *Daemon) started() chan struct{} {
+	d.begin.Do(func() { d.running = make(chan struct{}) })
+	return d.running
+}
+
+// Served reports whether the daemon knows an owner of every partition of every keyed service. It may be called while Run
+// runs.
+func (d *Daemon) Served() bool {
+	select {
+	case <-d.started():
+		return d.configuration.Current() != nil && d.maps.served()
+	default:
+		return false
+	}
+}
--- a/internal/daemon/host/maps.go
+++ b/internal/daemon/host/maps.go
@@ -40,6 +40,8 @@
 	dirty map[chunkName]struct{}
 	// wake tells publish that dirty is not empty.
 	wake chan struct{}
+	// published counts the chunks that were passed on and belongs to publish.
+	published uint64
 }
 
 func newMaps(d *Daemon) *maps {
@@ -156,15 +158,18 @@
 	return chunks
 }
 
+// publishChunk passes on one chunk. Its version is the epoch in which this daemon acted last and a counter: grants are
+// confirmed in another order than that of their fences, so the highest fence of a chunk does not order its states.
 func (m *maps) publishChunk(name chunkName, assignments []fleet.Assignment) {
-	value, version, err := keymap.EncodeChunk(name.index, assignments)
+	value, _, err := keymap.EncodeChunk(name.index, assignments)
 	if err != nil {
 		m.log.Error().Err(err).Str("service", string(name.service)).Msg("map not encoded")
 		return
 	}
+	m.published++
 	item := spread.Item{
 		Name:    fmt.Sprintf("%s%s/%d", mapPrefix, name.service, name.index),
-		Version: spread.Version{Major: uint64(version.Epoch), Minor: version.Counter}, Value: value,
+		Version: spread.Version{Major: uint64(m.daemon.assigners.epoch(name.service)), Minor: m.published}, Value: value,
 	}
 	if _, err := m.daemon.peers.spread.Publish(item); err != nil {
 		m.log.Error().Err(err).Str("item", item.Name).Msg("map not published")
@@ -208,3 +213,19 @@
 		}
 	}
 }
+
+// served reports whether every partition of every keyed service has an owner.
+func (m *maps) served() bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	for _, current := range m.current {
+		for index := range current.Chunks() {
+			for _, assignment := range current.Chunk(index) {
+				if assignment.Owner == "" {
+					return false
+				}
+			}
+		}
+	}
+	return len(m.current) > 0
+}
--- a/internal/routing/router/flight.go
+++ b/internal/routing/router/flight.go
@@ -146,7 +146,8 @@
 	}
 	ctx, cancel := f.ctx, context.CancelFunc(nil)
 	if f.service.Keyed() {
-		outgoing.Keyed, outgoing.Partition, outgoing.Fence = true, visit.assignment.Partition, visit.assignment.Fence
+		outgoing.Keyed, outgoing.Key = true, f.key
+		outgoing.Partition, outgoing.Fence = visit.assignment.Partition, visit.assignment.Fence
 		ctx, cancel = f.router.flights.add(f, visit.assignment, false)
 		defer f.router.flights.drop(f)
 	}
--- a/internal/upstream/forward/client.go
+++ b/internal/upstream/forward/client.go
@@ -44,8 +44,9 @@
 	Body   []byte
 	// Deadline is the moment by which the caller wants its answer.
 	Deadline time.Time
-	// Keyed is set when Partition and Fence are to be sent.
+	// Keyed is set when Key, Partition and Fence are to be sent.
 	Keyed     bool
+	Key       fleet.KeyHash
 	Partition fleet.PartitionID
 	Fence     fleet.Fence
 }
@@ -106,9 +107,11 @@
 	header := Strip(request.Header)
 	header.Set("Rosemarywick-Request-Id", string(request.ID))
 	header.Set("Rosemarywick-Timeout", request.Deadline.Sub(now).String())
+	header.Del("Rosemarywick-Key-Hash")
 	header.Del("Rosemarywick-Partition")
 	header.Del("Rosemarywick-Fence")
 	if request.Keyed {
+		header.Set("Rosemarywick-Key-Hash", strconv.FormatUint(uint64(request.Key), 16))
 		header.Set("Rosemarywick-Partition", strconv.FormatUint(uint64(request.Partition), 10))
 		header.Set("Rosemarywick-Fence", request.Fence.String())
 	}
--- a/internal/upstream/standin/handler.go
+++ b/internal/upstream/standin/handler.go
@@ -12,6 +12,7 @@
 
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/upstream/grants"
 )
 
 // Fault is what goes wrong with one request.
@@ -62,6 +63,10 @@
 		}
 		_ = json.NewEncoder(rw).Encode(load)
 	default:
+		if w.Orders != nil && r.URL.Path == grants.Path {
+			w.Orders.ServeHTTP(rw, r)
+			return
+		}
 		w.serve(rw, r)
 	}
 }
@@ -96,21 +101,28 @@
 		w.reject(rw)
 		return
 	}
-	partition, err := strconv.ParseUint(r.Header.Get("Rosemarywick-Partition"), 10, 32)
-	keyed := err == nil && w.Ownership != nil
-	if fault == FaultNotOwner || keyed && !w.Ownership.Admit(fleet.PartitionID(partition)) {
+	held, done, owned := w.admit(r)
+	if fault == FaultNotOwner || !owned {
 		disown(rw)
 		return
 	}
-	if keyed {
-		defer w.Ownership.Done(fleet.PartitionID(partition))
-	}
+	defer done()
 	if !w.slot(r) {
 		w.reject(rw)
 		return
 	}
 	defer w.free()
-	w.run(rw, r, fault, func() bool { return !keyed || w.Ownership.Held(fleet.PartitionID(partition)) })
+	w.run(rw, r, fault, held)
+}
+
+// admit asks the guard about a keyed request. A request without a key, or a worker without a guard, needs no answer.
+func (w *Worker) admit(r *http.Request) (held func() bool, done func(), owned bool) {
+	key, err := strconv.ParseUint(r.Header.Get("Rosemarywick-Key-Hash"), 16, 64)
+	if err != nil || w.Ownership == nil {
+		return func() bool { return true }, func() {}, true
+	}
+	ticket, owned := w.Ownership.Admit(fleet.KeyHash(key))
+	return func() bool { return w.Ownership.MayApply(ticket) }, func() { w.Ownership.Done(ticket) }, owned
 }
 
 // run occupies a slot for the time of the work, applies the effect and answers.
--- a/internal/upstream/standin/worker.go
+++ b/internal/upstream/standin/worker.go
@@ -15,16 +15,17 @@
 
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/ownership/lease"
 )
 
-// Ownership decides which partitions a worker may serve. It is nil for a worker that checks nothing.
+// Ownership decides which keys a worker may serve, as the guard of a fenced server does.
 type Ownership interface {
-	// Admit reports whether a request for the partition may begin. Done follows each admitted request.
-	Admit(partition fleet.PartitionID) bool
-	// Held reports whether the partition is still held at the moment when the effect is applied.
-	Held(partition fleet.PartitionID) bool
+	// Admit reports whether a request for the key may begin. Done follows each admitted request.
+	Admit(key fleet.KeyHash) (lease.Ticket, bool)
+	// MayApply reports whether the effect of an admitted request may still be applied.
+	MayApply(ticket lease.Ticket) bool
 	// Done says that an admitted request has ended.
-	Done(partition fleet.PartitionID)
+	Done(ticket lease.Ticket)
 }
 
 // Run counts what a worker did with one request.
@@ -46,7 +47,10 @@
 	Work func(r *http.Request) time.Duration
 	// ColdStart is the period after Start in which each request takes four times as long.
 	ColdStart time.Duration
+	// Ownership is nil for a worker that checks nothing.
 	Ownership Ownership
+	// Orders takes the orders of an assigner. It is nil for a worker that takes none.
+	Orders http.Handler
 	// Inject returns the fault of a request. Nil means none.
 	Inject func(r *http.Request) Fault
 	// Report changes the load that the worker reports. Nil reports it as it is.
