--- a/internal/operator/rpc/configuration.go
+++ b/internal/operator/rpc/configuration.go
@@ -166,7 +166,9 @@
 	default:
 		return nil, invalid("expected a text or a version to compare with")
 	}
-	return connect.NewResponse(&api.DiffConfigResponse{
-		Version: before.Version, Diff: config.Diff(fmt.Sprintf("version %d", before.Version), name, before.Text, text),
-	}), nil
+	diff, err := config.Diff(fmt.Sprintf("version %d", before.Version), name, before.Text, text)
+	if err != nil {
+		return nil, translate(err)
+	}
+	return connect.NewResponse(&api.DiffConfigResponse{Version: before.Version, Diff: diff}), nil
 }
--- a/internal/operator/standin/fleet.go
+++ b/internal/operator/standin/fleet.go
@@ -18,7 +18,7 @@
 	"rosemarywick.example/rosemarywick/internal/operator/rpc"
 )
 
-// Now is the time at which the fake fleet stands.
+// Now is the time of the fake records.
 var Now = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
 
 // Document is a valid configuration with the upstreams of the fake fleet.
@@ -76,13 +76,13 @@
 				ID: id, Place: fleet.Place{Region: "montevideo", Domain: domain},
 				Peer: netip.MustParseAddrPort("127.0.0.1:" + port),
 			},
-			State: state, LastSeen: Now.Add(-age), ConfigVersion: f.versions[id],
+			State: state, LastSeen: time.Now().Add(-age), ConfigVersion: f.versions[id],
 		}
 	}
 	hosts := []rpc.Host{
-		host("entry-2", "cerro", "7002", rpc.HostLive, 400*time.Millisecond),
-		host("entry-1", "centro", "7001", rpc.HostLive, 0),
-		host("entry-3", "pocitos", "7003", rpc.HostLost, time.Minute),
+		host("entry-2", "cerro", "7002", rpc.HostLive, time.Minute),
+		host("entry-1", "centro", "7001", rpc.HostLive, time.Minute),
+		host("entry-3", "pocitos", "7003", rpc.HostLost, time.Hour),
 	}
 	hosts[1].AssignerOf = []fleet.ServiceName{"catalogue"}
 	return hosts
