explain: search by host and time; further proofs

Cause: at 2,200 hosts one search of the batches covers less than a minute, because the number of batches that it reads is bounded to spare the platform. Change: explain takes the host and about the time of the request, and searches from that time on. Metrics end the series of services and tenants that are no longer declared. A random test lets operators race, the table fail and daemons pass revisions on and restart. The commands that change one element share one builder.

--- a/internal/observe/metrics/metrics.go
+++ b/internal/observe/metrics/metrics.go
@@ -24,7 +24,10 @@
 // Other is the label value of services and tenants that are not declared or exceed the limit.
 const Other = "other"
 
-const labelService = "service"
+const (
+	labelService = "service"
+	labelTenant  = "tenant"
+)
 
 // bounds are the upper bounds of the histograms in seconds. They include the target of 19 ms for 99 in 100 requests,
 // and the added latency targets of 1 ms and 3 ms.
@@ -68,10 +71,10 @@
 		phases: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "rosemarywick_request_seconds", Buckets: bounds,
 			Help: "Time that requests took in each phase: queue, connect, upstream and total.",
-		}, []string{labelService, "tenant", "phase"}),
+		}, []string{labelService, labelTenant, "phase"}),
 		outcomes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "rosemarywick_requests_total", Help: "Requests by outcome.",
-		}, []string{labelService, "tenant", "outcome"}),
+		}, []string{labelService, labelTenant, "outcome"}),
 		causes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "rosemarywick_causes_total", Help: "Requests by the cause of their outcome.",
 		}, []string{labelService, "cause"}),
@@ -93,7 +96,8 @@
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
-// Configure sets which services and tenants have label values of their own.
+// Configure sets which services and tenants have label values of their own. The series of those that are no longer
+// declared end, so that their number stays bounded however often the configuration changes.
 func (m *Metrics) Configure(doc *document.Document) {
 	services := make(map[fleet.ServiceName]bool, len(doc.Services))
 	for i := range doc.Services {
@@ -105,12 +109,29 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	for service := range m.services {
+		if !services[service] {
+			m.end(prometheus.Labels{labelService: string(service)})
+		}
+	}
+	for tenant := range m.tenants {
+		if !tenants[tenant] {
+			m.end(prometheus.Labels{labelTenant: string(tenant)})
+		}
+	}
 	m.services, m.tenants = services, tenants
+	m.ownership.retain(services)
 }
 
+func (m *Metrics) end(labels prometheus.Labels) {
+	m.phases.DeletePartialMatch(labels)
+	m.outcomes.DeletePartialMatch(labels)
+	m.causes.DeletePartialMatch(labels)
+	m.imbalance.DeletePartialMatch(labels)
+}
+
+// labels returns the label values. The caller holds mu until it has used them, so that Configure ends their series.
 func (m *Metrics) labels(service fleet.ServiceName, tenant fleet.TenantName) (string, string) {
-	m.mu.RLock()
-	defer m.mu.RUnlock()
 	serviceLabel, tenantLabel := Other, Other
 	if m.services[service] {
 		serviceLabel = string(service)
@@ -123,6 +144,8 @@
 
 // Observe measures a request that has ended.
 func (m *Metrics) Observe(request *Request) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
 	service, tenant := m.labels(request.Service, request.Tenant)
 	m.phases.WithLabelValues(service, tenant, "queue").Observe(request.Queue.Seconds())
 	m.phases.WithLabelValues(service, tenant, "total").Observe(request.Total.Seconds())
@@ -138,6 +161,8 @@
 
 // ObserveLoad sets the load imbalance of a service from the load of each of its owners, those without load included.
 func (m *Metrics) ObserveLoad(service fleet.ServiceName, loads map[fleet.UpstreamID]float64) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
 	label, _ := m.labels(service, "")
 	m.imbalance.WithLabelValues(label).Set(Imbalance(loads))
 }
--- a/internal/observe/metrics/metrics_test.go
+++ b/internal/observe/metrics/metrics_test.go
@@ -34,6 +34,13 @@
 	count, err := testutil.GatherAndCount(m.Registry(), "rosemarywick_requests_total")
 	is.NoErr(err)
 	is.Equal(count, metrics.MaxTenants+2) // the tenants, the others of the service, the other services
+	m.ObserveAssignment("catalogue", fleet.Assignment{})
+	m.Configure(&document.Document{})
+	for name, want := range map[string]int{"rosemarywick_requests_total": 1, "rosemarywick_partitions_moved_total": 0} {
+		count, err = testutil.GatherAndCount(m.Registry(), name)
+		is.NoErr(err)
+		is.Equal(count, want) // series of what is no longer declared end
+	}
 }
 
 // Guards against a phase that is counted although it did not happen, or not counted although it did.
--- a/internal/observe/metrics/ownership.go
+++ b/internal/observe/metrics/ownership.go
@@ -1,6 +1,7 @@
 package metrics
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -111,6 +112,13 @@
 	delete(state.partitions, id)
 }
 
+// retain ends the measurement of services that are no longer declared.
+func (o *ownership) retain(services map[fleet.ServiceName]bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	maps.DeleteFunc(o.services, func(name fleet.ServiceName, _ *serviceOwnership) bool { return !services[name] })
+}
+
 // Describe sends the descriptions of the metrics.
 func (o *ownership) Describe(descriptions chan<- *prometheus.Desc) {
 	descriptions <- movedDesc
--- a/internal/observe/records/batch.go
+++ b/internal/observe/records/batch.go
@@ -139,6 +139,7 @@
 const (
 	namePrefix = "records/"
 	hourLayout = "2006-01-02T15"
+	// timeLayout has a fixed length, so that the host can be told from the time.
 	timeLayout = "04-05.000000000"
 	nameSuffix = ".jsonl.gz"
 )
@@ -153,3 +154,9 @@
 func objectName(written time.Time, host fleet.HostID) string {
 	return hourPrefix(written) + written.UTC().Format(timeLayout) + "-" + string(host) + nameSuffix
 }
+
+// writtenBy reports whether the name is that of a batch of the host.
+func writtenBy(name string, host fleet.HostID) bool {
+	hour := len(namePrefix) + len(hourLayout) + len("/")
+	return len(name) > hour+len(timeLayout) && name[hour+len(timeLayout):] == "-"+string(host)+nameSuffix
+}
--- a/internal/observe/records/explain.go
+++ b/internal/observe/records/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,10 +21,26 @@
 	askedAtOnce = 64
 	// askTimeout bounds the question to one host; a host that is lost does not answer at all.
 	askTimeout = time.Second
-	// maxBatches bounds the batches that one search reads. At about 5 ms each, 1,000 batches take 5 s.
+	// maxBatches bounds the batches that one search reads. At about 5 ms each, 1,000 batches take 5 s. They are read one
+	// after the other, which is a tenth of the 2,000 reads a second that the platform takes.
 	maxBatches = 1000
+	// clockMargin is how far the clocks of hosts and of those who ask may differ.
+	clockMargin = 5 * time.Minute
+	// delayMargin is how long after the request its record is looked for. A record waits for the next batch, and longer
+	// while the object store is down.
+	delayMargin = time.Hour
 )
 
+// Query says what to search for.
+type Query struct {
+	Request fleet.RequestID
+	// Host limits the search to one host. Empty stands for all.
+	Host fleet.HostID
+	// At is about when the request was received. The zero time stands for an unknown time. In a large fleet, host or
+	// time are needed to find a request in the batches, of which one search reads a bounded number.
+	At time.Time
+}
+
 // Peers asks the other daemons of the fleet for records.
 type Peers interface {
 	// Others returns the hosts that are believed to be alive, without this one.
@@ -78,17 +95,18 @@
 	Lookback time.Duration
 }
 
-// Explain searches the ring of this host, then those of the other hosts, then the batches from the newest to the oldest.
-// It ends with the first place that has records of the request. It stops early when ctx ends and says so.
-func (f *Finder) Explain(ctx context.Context, request fleet.RequestID) *Explanation {
-	result := &Explanation{Request: request, Source: SourceNone}
-	if result.found(SourceRing, f.Ring.Find(request)) {
+// Explain searches the ring of this host, then those of the other hosts, then the batches from the newest to the oldest,
+// or from the time of the query on. It ends with the first place that has records of the request. It stops early when
+// ctx ends and says so.
+func (f *Finder) Explain(ctx context.Context, query Query) *Explanation {
+	result := &Explanation{Request: query.Request, Source: SourceNone}
+	if result.found(SourceRing, f.Ring.Find(query.Request)) {
 		return result
 	}
-	records, unreachable := f.askPeers(ctx, request)
+	records, unreachable := f.askPeers(ctx, query)
 	result.Unreachable = unreachable
 	if !result.found(SourcePeer, records) {
-		f.searchBatches(ctx, result)
+		f.searchBatches(ctx, query, result)
 	}
 	return result
 }
@@ -110,12 +128,14 @@
 
 // askPeers asks the hosts concurrently and ends with the first that has the request. Only hosts that were asked and
 // failed count as unreachable.
-func (f *Finder) askPeers(ctx context.Context, request fleet.RequestID) ([]cause.Record, []fleet.HostID) {
-	hosts := f.Peers.Others()
+func (f *Finder) askPeers(ctx context.Context, query Query) ([]cause.Record, []fleet.HostID) {
+	hosts := slices.DeleteFunc(f.Peers.Others(), func(host fleet.HostID) bool {
+		return query.Host != "" && host != query.Host
+	})
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan answer, len(hosts))
-	go f.ask(ctx, hosts, request, answers)
+	go f.ask(ctx, hosts, query.Request, answers)
 	var unreachable []fleet.HostID
 	for range hosts {
 		switch got := <-answers; {
@@ -144,26 +164,60 @@
 	}
 }
 
-func (f *Finder) searchBatches(ctx context.Context, result *Explanation) {
-	now := f.Timer.Now()
-	oldest := now.Add(-orDuration(f.Lookback, DefaultRetention)).Truncate(time.Hour)
-	for hour := now.Truncate(time.Hour); !hour.Before(oldest); hour = hour.Add(-time.Hour) {
+// span returns the time over which batches are searched, and whether from its start on.
+func (f *Finder) span(query Query) (first, last time.Time, forward bool) {
+	now := f.Timer.Now().Add(clockMargin)
+	if query.At.IsZero() {
+		return now.Add(-orDuration(f.Lookback, DefaultRetention)).Truncate(time.Hour), now, false
+	}
+	last = query.At.Add(delayMargin)
+	if last.After(now) {
+		last = now
+	}
+	return query.At.Add(-clockMargin), last, true
+}
+
+func (f *Finder) searchBatches(ctx context.Context, query Query, result *Explanation) {
+	first, last, forward := f.span(query)
+	from, to := objectName(first, ""), objectName(last, "~")
+	hour, step, left := last.Truncate(time.Hour), -time.Hour, last.Truncate(time.Hour).Sub(first.Truncate(time.Hour))
+	if forward {
+		hour, step = first.Truncate(time.Hour), time.Hour
+	}
+	for ; left >= 0; left -= time.Hour {
 		names, err := f.Store.List(ctx, hourPrefix(hour))
 		if err != nil {
 			result.StoreError = err
 			return
 		}
-		result.Oldest = hour
-		for i := len(names) - 1; i >= 0; i-- {
-			if result.Batches == maxBatches {
-				result.Truncated = true
-				return
-			}
-			if f.searchBatch(ctx, names[i], result) || result.StoreError != nil {
-				return
-			}
+		if result.Oldest.IsZero() || hour.Before(result.Oldest) {
+			result.Oldest = hour
+		}
+		names = slices.DeleteFunc(names, func(name string) bool {
+			return name < from || name > to || query.Host != "" && !writtenBy(name, query.Host)
+		})
+		if !forward {
+			slices.Reverse(names)
+		}
+		if f.searchNames(ctx, names, result) {
+			return
+		}
+		hour = hour.Add(step)
+	}
+}
+
+// searchNames reports whether the search is over.
+func (f *Finder) searchNames(ctx context.Context, names []string, result *Explanation) bool {
+	for _, name := range names {
+		if result.Batches == maxBatches {
+			result.Truncated = true
+			return true
+		}
+		if f.searchBatch(ctx, name, result) || result.StoreError != nil {
+			return true
 		}
 	}
+	return false
 }
 
 // searchBatch reports whether the batch has records of the request. A batch that a sweep has deleted meanwhile has none.
--- a/internal/observe/records/records_test.go
+++ b/internal/observe/records/records_test.go
@@ -263,29 +263,41 @@
 	return slices.DeleteFunc(slices.Clone(known), func(r cause.Record) bool { return r.Request != request }), nil
 }
 
-// Guards against a search that misses a place, ends too late, or hides that it could not look somewhere.
+// Guards against a search that misses a place, reads more than it has to, or hides that it could not look somewhere.
 func TestExplain(t *testing.T) {
 	now := time.Date(2026, 12, 4, 9, 30, 0, 0, time.UTC)
+	third := peers{"entry-2": nil}
 	for _, test := range []struct {
-		name, request string
-		peers         peers
-		down          bool
-		source        records.Source
-		unreachable   string
-		batches       int
+		name        string
+		query       records.Query
+		peers       peers
+		down        bool
+		source      records.Source
+		unreachable string
+		batches     int
 	}{
-		{"own ring", "r1", peers{}, true, records.SourceRing, "[]", 0},
-		{"other host", "r2", peers{"entry-2": nil, "entry-3": {record(2)}}, true, records.SourcePeer, "[]", 0},
-		{"host lost, newest batch", "r4", peers{"entry-2": nil}, false, records.SourceBatch, "[entry-3]", 1},
-		{"host lost, older batch", "r3", peers{"entry-2": nil}, false, records.SourceBatch, "[entry-3]", 2},
-		{"unknown request", "r9", peers{"entry-2": nil, "entry-3": nil}, false, records.SourceNone, "[]", 2},
-		{"store down", "r3", peers{"entry-2": nil}, true, records.SourceNone, "[entry-3]", 0},
+		{"own ring", records.Query{Request: "r1"}, peers{}, true, records.SourceRing, "[]", 0},
+		{"other host", records.Query{Request: "r2"}, peers{"entry-2": nil, "entry-3": {record(2)}}, true, records.SourcePeer, "[]", 0},
+		{"host lost, newest batch", records.Query{Request: "r5"}, third, false, records.SourceBatch, "[entry-3]", 1},
+		{"host lost, oldest batch", records.Query{Request: "r3"}, third, false, records.SourceBatch, "[entry-3]", 3},
+		{
+			"by time",
+			records.Query{Request: "r3", At: now.Add(-151 * time.Minute)},
+			third, false,
+			records.SourceBatch, "[entry-3]", 1,
+		},
+		{"another time", records.Query{Request: "r3", At: now.Add(-9 * time.Minute)}, third, false, records.SourceNone, "[entry-3]", 1},
+		{"by host", records.Query{Request: "r3", Host: "entry-1"}, third, false, records.SourceBatch, "[]", 3},
+		{"another host", records.Query{Request: "r3", Host: "entry-2"}, third, false, records.SourceNone, "[]", 0},
+		{"host with a longer name", records.Query{Request: "r3", Host: "1"}, third, false, records.SourceNone, "[]", 0},
+		{"unknown request", records.Query{Request: "r9"}, peers{"entry-2": nil, "entry-3": nil}, false, records.SourceNone, "[]", 3},
+		{"store down", records.Query{Request: "r3"}, third, true, records.SourceNone, "[entry-3]", 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			ring, store := &records.Ring{}, &store{objects: map[string][]byte{}}
 			ring.Add(record(1))
-			for i, age := range []time.Duration{150 * time.Minute, time.Minute} {
+			for i, age := range []time.Duration{150 * time.Minute, 70 * time.Minute, time.Minute} {
 				archive := archive(store)
 				archive.Timer = timer.NewManual(now.Add(-age))
 				archive.Add(record(3 + i))
@@ -295,7 +307,7 @@
 			}
 			store.set(test.down, false)
 			finder := records.Finder{Ring: ring, Peers: test.peers, Store: store, Timer: timer.NewManual(now)}
-			got := finder.Explain(t.Context(), fleet.RequestID(test.request))
+			got := finder.Explain(t.Context(), test.query)
 			is.Equal(got.Source, test.source)
 			is.Equal(len(got.Records) > 0, test.source != records.SourceNone)
 			is.Equal(fmt.Sprint(got.Unreachable), test.unreachable)
--- a/internal/operator/cli/change.go
+++ b/internal/operator/cli/change.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strings"
 
 	"connectrpc.com/connect"
 	"github.com/spf13/cobra"
@@ -52,98 +53,74 @@
 	return c.wait(ctx, result.revision.GetVersion())
 }
 
-func (r *Root) drainCommand() *cobra.Command {
-	request := &api.DrainUpstreamRequest{}
-	command := &cobra.Command{
-		Use:   "drain UPSTREAM",
-		Short: "Give an upstream no new work",
-		Args:  usageArgs(cobra.ExactArgs(1)),
-	}
-	wait := changeFlags(command, &request.ExpectedVersion, &request.Author)
-	remote := r.withRemote(command)
-	command.RunE = func(command *cobra.Command, args []string) error {
-		request.Upstream = args[0]
-		return remote.change(command.Context(), *wait, func(
-			ctx context.Context, client apiconnect.OperatorServiceClient,
-		) (changed, error) {
-			response, err := client.DrainUpstream(ctx, connect.NewRequest(request))
-			if err != nil {
-				return changed{}, err
-			}
-			return changed{response.Msg, response.Msg.GetRevision(), response.Msg.GetChanged()}, nil
-		})
-	}
-	return command
+// changeArgs are the arguments of a command that changes one element of the configuration.
+type changeArgs struct {
+	args     []string
+	expected uint64
+	author   string
 }
 
-func (r *Root) undrainCommand() *cobra.Command {
-	request := &api.UndrainUpstreamRequest{}
+// changeCall makes a change by one call.
+type changeCall func(ctx context.Context, client apiconnect.OperatorServiceClient, args *changeArgs) (changed, error)
+
+// changeCommand returns a command whose arguments, named in use after the command's own name, are passed to do.
+func (r *Root) changeCommand(use, short string, do changeCall) *cobra.Command {
 	command := &cobra.Command{
-		Use:   "undrain UPSTREAM",
-		Short: "Give an upstream new work again",
-		Args:  usageArgs(cobra.ExactArgs(1)),
+		Use:   use,
+		Short: short,
+		Args:  usageArgs(cobra.ExactArgs(strings.Count(use, " "))),
 	}
-	wait := changeFlags(command, &request.ExpectedVersion, &request.Author)
+	args := &changeArgs{}
+	wait := changeFlags(command, &args.expected, &args.author)
 	remote := r.withRemote(command)
-	command.RunE = func(command *cobra.Command, args []string) error {
-		request.Upstream = args[0]
+	command.RunE = func(command *cobra.Command, words []string) error {
+		args.args = words
 		return remote.change(command.Context(), *wait, func(
 			ctx context.Context, client apiconnect.OperatorServiceClient,
 		) (changed, error) {
-			response, err := client.UndrainUpstream(ctx, connect.NewRequest(request))
-			if err != nil {
-				return changed{}, err
-			}
-			return changed{response.Msg, response.Msg.GetRevision(), response.Msg.GetChanged()}, nil
+			return do(ctx, client, args)
 		})
 	}
 	return command
 }
 
-func (r *Root) pinCommand() *cobra.Command {
-	request := &api.PinKeyRequest{}
-	command := &cobra.Command{
-		Use:   "pin SERVICE KEY UPSTREAM",
-		Short: "Keep a key on one server",
-		Args:  usageArgs(cobra.ExactArgs(3)),
+func drain(ctx context.Context, client apiconnect.OperatorServiceClient, args *changeArgs) (changed, error) {
+	response, err := client.DrainUpstream(ctx, connect.NewRequest(&api.DrainUpstreamRequest{
+		Upstream: args.args[0], ExpectedVersion: args.expected, Author: args.author,
+	}))
+	if err != nil {
+		return changed{}, err
 	}
-	wait := changeFlags(command, &request.ExpectedVersion, &request.Author)
-	remote := r.withRemote(command)
-	command.RunE = func(command *cobra.Command, args []string) error {
-		request.Service, request.Key, request.Upstream = args[0], args[1], args[2]
-		return remote.change(command.Context(), *wait, func(
-			ctx context.Context, client apiconnect.OperatorServiceClient,
-		) (changed, error) {
-			response, err := client.PinKey(ctx, connect.NewRequest(request))
-			if err != nil {
-				return changed{}, err
-			}
-			return changed{response.Msg, response.Msg.GetRevision(), response.Msg.GetChanged()}, nil
-		})
+	return changed{response.Msg, response.Msg.GetRevision(), response.Msg.GetChanged()}, nil
+}
+
+func undrain(ctx context.Context, client apiconnect.OperatorServiceClient, args *changeArgs) (changed, error) {
+	response, err := client.UndrainUpstream(ctx, connect.NewRequest(&api.UndrainUpstreamRequest{
+		Upstream: args.args[0], ExpectedVersion: args.expected, Author: args.author,
+	}))
+	if err != nil {
+		return changed{}, err
 	}
-	return command
+	return changed{response.Msg, response.Msg.GetRevision(), response.Msg.GetChanged()}, nil
 }
 
-func (r *Root) unpinCommand() *cobra.Command {
-	request := &api.UnpinKeyRequest{}
-	command := &cobra.Command{
-		Use:   "unpin SERVICE KEY",
-		Short: "End the pin of a key",
-		Args:  usageArgs(cobra.ExactArgs(2)),
+func pin(ctx context.Context, client apiconnect.OperatorServiceClient, args *changeArgs) (changed, error) {
+	response, err := client.PinKey(ctx, connect.NewRequest(&api.PinKeyRequest{
+		Service: args.args[0], Key: args.args[1], Upstream: args.args[2],
+		ExpectedVersion: args.expected, Author: args.author,
+	}))
+	if err != nil {
+		return changed{}, err
 	}
-	wait := changeFlags(command, &request.ExpectedVersion, &request.Author)
-	remote := r.withRemote(command)
-	command.RunE = func(command *cobra.Command, args []string) error {
-		request.Service, request.Key = args[0], args[1]
-		return remote.change(command.Context(), *wait, func(
-			ctx context.Context, client apiconnect.OperatorServiceClient,
-		) (changed, error) {
-			response, err := client.UnpinKey(ctx, connect.NewRequest(request))
-			if err != nil {
-				return changed{}, err
-			}
-			return changed{response.Msg, response.Msg.GetRevision(), response.Msg.GetChanged()}, nil
-		})
+	return changed{response.Msg, response.Msg.GetRevision(), response.Msg.GetChanged()}, nil
+}
+
+func unpin(ctx context.Context, client apiconnect.OperatorServiceClient, args *changeArgs) (changed, error) {
+	response, err := client.UnpinKey(ctx, connect.NewRequest(&api.UnpinKeyRequest{
+		Service: args.args[0], Key: args.args[1], ExpectedVersion: args.expected, Author: args.author,
+	}))
+	if err != nil {
+		return changed{}, err
 	}
-	return command
+	return changed{response.Msg, response.Msg.GetRevision(), response.Msg.GetChanged()}, nil
 }
--- a/internal/operator/cli/client.go
+++ b/internal/operator/cli/client.go
@@ -134,6 +134,9 @@
 	if len(c.servers) == 0 {
 		return nil, usage("the flag --server is required")
 	}
+	if c.timeout <= 0 {
+		return nil, usage("--timeout: expected a duration above 0s, not %s", c.timeout)
+	}
 	for _, server := range c.servers {
 		if _, _, err := net.SplitHostPort(server); err != nil {
 			return nil, usage("--server: expected host:port, not %q", server)
--- a/internal/operator/cli/config.go
+++ b/internal/operator/cli/config.go
@@ -76,13 +76,11 @@
 	if err != nil {
 		return c.checked(name, &api.CheckConfigResponse{Problem: err.Error()})
 	}
-	response := &api.CheckConfigResponse{
-		Valid: true, Services: uint32(len(doc.Services)), Tenants: uint32(len(doc.Tenants)), Pins: uint32(len(doc.Pins)),
-	}
-	for i := range doc.Services {
-		response.Upstreams += uint32(len(doc.Services[i].Upstreams))
-	}
-	return c.checked(name, response)
+	size := config.SizeOf(doc)
+	return c.checked(name, &api.CheckConfigResponse{
+		Valid: true, Services: uint32(size.Services), Upstreams: uint32(size.Upstreams), Tenants: uint32(size.Tenants),
+		Pins: uint32(size.Pins),
+	})
 }
 
 func (c *caller) checked(name string, response *api.CheckConfigResponse) error {
--- a/internal/operator/cli/log.go
+++ b/internal/operator/cli/log.go
@@ -4,9 +4,10 @@
 	"fmt"
 	"io"
 	"strconv"
-	"time"
 
 	"github.com/rs/zerolog"
+
+	"rosemarywick.example/rosemarywick/internal/core/timer"
 )
 
 // Logger returns a logger that writes one line of key=value pairs for each event. An unknown level counts as "info".
@@ -18,13 +19,20 @@
 	writer := zerolog.ConsoleWriter{
 		Out:             out,
 		NoColor:         true,
-		TimeFormat:      time.RFC3339Nano,
 		FormatTimestamp: func(value any) string { return fmt.Sprintf("time=%v", value) },
 		FormatLevel:     func(value any) string { return fmt.Sprintf("level=%v", value) },
 		FormatMessage:   formatMessage,
 		FormatFieldName: func(name any) string { return fmt.Sprintf("%v=", name) },
 	}
-	return zerolog.New(writer).Level(lowest).With().Timestamp().Logger()
+	return zerolog.New(writer).Level(lowest).Hook(timestamp{})
+}
+
+// timestamp adds the time to each event. The library's own has a precision of seconds unless a global is changed.
+type timestamp struct{}
+
+// Run adds the time to an event.
+func (timestamp) Run(event *zerolog.Event, _ zerolog.Level, _ string) {
+	event.Str(zerolog.TimestampFieldName, timer.System{}.Now().UTC().Format("2006-01-02T15:04:05.000Z"))
 }
 
 func formatMessage(value any) string {
--- a/internal/operator/cli/records.go
+++ b/internal/operator/cli/records.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"io"
 	"strings"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 	"google.golang.org/protobuf/types/known/durationpb"
+	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"rosemarywick.example/rosemarywick/internal/observe/records"
 	"rosemarywick.example/rosemarywick/internal/operator/api"
@@ -34,9 +36,21 @@
 		Short: "Say what became of a request and why; the id is in the header Rosemarywick-Request-Id",
 		Args:  usageArgs(cobra.ExactArgs(1)),
 	}
+	request := &api.ExplainRequest{}
+	var at string
+	command.Flags().StringVar(&request.Host, "host", "", "search only the records of this host")
+	command.Flags().StringVar(&at, "at", "",
+		"about when the request was received, as `TIME` such as 2026-12-04T08:00:00Z; speeds the search of stored records up")
 	remote := r.withRemote(command)
 	command.RunE = func(command *cobra.Command, args []string) error {
-		request := &api.ExplainRequest{RequestId: args[0]}
+		request.RequestId = args[0]
+		if at != "" {
+			received, err := time.Parse(time.RFC3339, at)
+			if err != nil {
+				return usage("--at: expected a time such as 2026-12-04T08:00:00Z, not %q", at)
+			}
+			request.At = timestamppb.New(received)
+		}
 		return remote.call(command.Context(), func(ctx context.Context, client apiconnect.OperatorServiceClient) error {
 			response, err := client.Explain(ctx, connect.NewRequest(request))
 			if err != nil {
@@ -117,7 +131,7 @@
 // printGaps says where the search could not look, since a record may be there.
 func printGaps(out io.Writer, explanation *api.ExplainResponse) {
 	if explanation.GetOldest() != nil {
-		writef(out, "searched:  all hosts and %d batches back to %s\n", explanation.GetBatches(),
+		writef(out, "searched:  hosts, and %d batches back to %s\n", explanation.GetBatches(),
 			showTime(explanation.GetOldest()))
 	}
 	if hosts := explanation.GetUnreachable(); len(hosts) > 0 {
@@ -130,7 +144,7 @@
 		writef(out, "damaged:   %s\n", someOf(names))
 	}
 	if explanation.GetTruncated() {
-		writef(out, "truncated: older batches were not read\n")
+		writef(out, "truncated: there are more batches; search by --at and --host\n")
 	}
 	if explanation.GetDropped() > 0 {
 		writef(out, "dropped:   hosts dropped %d records while the object store was unavailable\n", explanation.GetDropped())
--- a/internal/operator/cli/remote_test.go
+++ b/internal/operator/cli/remote_test.go
@@ -200,6 +200,8 @@
 		{"read", "owner orders k1", cli.ExitNotFound, "no service with partitions orders"},
 		{"read", "records --cause bad-luck", cli.ExitUsage, "bad-luck"},
 		{"read", "explain r-9", cli.ExitNotFound, "no record of the request"},
+		{"read", "explain r-9 --at yesterday", cli.ExitUsage, "expected a time such as"},
+		{"read", "hosts --timeout 0s", cli.ExitUsage, "expected a duration above 0s"},
 		{"operate", "unpin catalogue k9", cli.ExitNotFound, "no pin of key \"k9\" of catalogue"},
 		{"", "hosts", cli.ExitUsage, "--server is required"},
 		{"", "hosts --server 127.0.0.1", cli.ExitUsage, "expected host:port"},
@@ -224,7 +226,7 @@
 	is := is.New(t)
 	_, out, _ := newSession(t).run(t.Context(), "read", "explain r-9")
 	is.Equal(out, `no record of request r-9
-searched:  all hosts and 12 batches back to TIME
+searched:  hosts, and 12 batches back to TIME
 not asked: entry-3
 not read:  the object store: context deadline exceeded
 dropped:   hosts dropped 5 records while the object store was unavailable
--- a/internal/operator/cli/root.go
+++ b/internal/operator/cli/root.go
@@ -80,7 +80,10 @@
 	root.AddCommand(
 		r.serveCommand(), r.devCommand(), r.configCommand(),
 		r.hostsCommand(), r.upstreamsCommand(), r.partitionsCommand(), r.ownerCommand(),
-		r.drainCommand(), r.undrainCommand(), r.pinCommand(), r.unpinCommand(),
+		r.changeCommand("drain UPSTREAM", "Give an upstream no new work", drain),
+		r.changeCommand("undrain UPSTREAM", "Give an upstream new work again", undrain),
+		r.changeCommand("pin SERVICE KEY UPSTREAM", "Keep a key on one server", pin),
+		r.changeCommand("unpin SERVICE KEY", "End the pin of a key", unpin),
 		r.explainCommand(), r.recordsCommand(),
 	)
 	return root
--- a/internal/operator/cli/root_test.go
+++ b/internal/operator/cli/root_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -47,6 +49,7 @@
 		{"unknown shape", "dev --shape x", "", "expected ceibal or nadif", cli.ExitUsage},
 		{"unknown flag", "serve --setings x", "", "unknown flag", cli.ExitUsage},
 		{"unknown command", "sreve", "", "unknown command", cli.ExitUsage},
+		{"completion", "completion bash", "", "bash completion V2 for rosemarywick", cli.ExitOK},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
@@ -83,6 +86,15 @@
 	logger.Warn().Str("cause", "row\nhas another version").Int("version", 7).Msg("change refused")
 	line := out.String()
 	is.Equal(strings.Count(line, "\n"), 1)
-	is.True(strings.HasPrefix(line, "time="))
-	is.True(strings.HasSuffix(line, ` level=warn event="change refused" cause="row\nhas another version" version=7`+"\n"))
+	is.True(regexp.MustCompile(`^time=\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z ` +
+		`level=warn event="change refused" cause="row\\nhas another version" version=7\n$`).MatchString(line))
+}
+
+// Guards against a program that a signal does not end.
+func TestInterruptible(t *testing.T) {
+	is := is.New(t)
+	ctx, stop := cli.Interruptible(t.Context())
+	defer stop()
+	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	<-ctx.Done()
 }
--- a/internal/operator/config/keeper_test.go
+++ b/internal/operator/config/keeper_test.go
@@ -1,6 +1,7 @@
 package config_test
 
 import (
+	"context"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -83,6 +84,71 @@
 	})
 }
 
+// Guards against a daemon that goes back, or a fleet that does not agree in the end, while operators race, the table is
+// down or loses responses, daemons pass revisions on in any order and restart with nothing but what a peer gives them.
+func TestFleetConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var table standin.Table
+		store := store(&table)
+		daemons := []*config.Keeper{{}, {}, {}}
+		highest := make([]uint64, len(daemons))
+		accepted := uint64(0)
+		pass := func(from, to int) {
+			if state := daemons[from].State(); state.Revision != nil {
+				content, err := state.Revision.Encode()
+				if err != nil {
+					t.Fatal(err)
+				}
+				daemons[to].OfferBytes(content)
+			}
+		}
+		draw := rapid.IntRange(0, len(daemons)-1)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			daemon := draw.Draw(t, "daemon")
+			switch rapid.SampledFrom([]string{"apply", "read", "read while down", "pass", "restart"}).Draw(t, "step") {
+			case "apply":
+				faults := []standin.Fault{standin.Works, standin.Lost, standin.Late}
+				table.Fail([]standin.Fault{rapid.SampledFrom(faults).Draw(t, "fault")}, nil)
+				expected := rapid.Uint64Range(max(accepted, 1)-1, accepted).Draw(t, "expected")
+				if _, err := store.Apply(context.Background(), change(expected, "a")); (err == nil) != (expected == accepted) {
+					t.Fatalf("expected %d, accepted %d: %v", expected, accepted, err)
+				} else if err == nil {
+					accepted++
+				}
+			case "read":
+				if latest, err := store.Latest(context.Background()); err == nil {
+					daemons[daemon].Offer(latest)
+				}
+			case "read while down":
+				table.Fail(nil, []standin.Fault{standin.Down})
+				if _, err := store.Latest(context.Background()); !errors.Is(err, config.ErrUnavailable) {
+					t.Fatalf("read while down: %v", err)
+				}
+			case "pass":
+				pass(daemon, draw.Draw(t, "to"))
+			case "restart":
+				daemons[daemon], highest[daemon] = &config.Keeper{}, 0
+			}
+			for i := range daemons {
+				state := daemons[i].State()
+				if version := state.Version(); version < highest[i] || version > accepted {
+					t.Fatalf("daemon %d has %d after %d, accepted %d", i, version, highest[i], accepted)
+				}
+				highest[i] = state.Version()
+			}
+		}
+		if latest, err := store.Latest(context.Background()); err == nil {
+			daemons[0].Offer(latest)
+		}
+		for i := range daemons {
+			pass(0, i)
+			if state := daemons[i].State(); state.Version() != accepted {
+				t.Fatalf("daemon %d has %d, accepted %d", i, state.Version(), accepted)
+			}
+		}
+	})
+}
+
 // Guards against bytes of a peer that are taken for a configuration.
 func TestKeeperRefusesDamagedBytes(t *testing.T) {
 	for _, content := range []string{"", "{", "[]", `{"version":0,"token":"t"}`, `{"version":3}`, `{"version":-1,"token":"t"}`} {
--- a/internal/operator/config/revision.go
+++ b/internal/operator/config/revision.go
@@ -72,3 +72,17 @@
 	}
 	return doc, nil
 }
+
+// Size counts the elements of a document.
+type Size struct {
+	Services, Upstreams, Tenants, Pins int
+}
+
+// SizeOf counts the elements of a document.
+func SizeOf(doc *document.Document) Size {
+	size := Size{Services: len(doc.Services), Tenants: len(doc.Tenants), Pins: len(doc.Pins)}
+	for i := range doc.Services {
+		size.Upstreams += len(doc.Services[i].Upstreams)
+	}
+	return size
+}
--- a/internal/operator/rpc/configuration.go
+++ b/internal/operator/rpc/configuration.go
@@ -74,13 +74,11 @@
 	if problem != nil {
 		return &api.CheckConfigResponse{Problem: problem.Error()}
 	}
-	response := &api.CheckConfigResponse{
-		Valid: true, Services: uint32(len(doc.Services)), Tenants: uint32(len(doc.Tenants)), Pins: uint32(len(doc.Pins)),
+	size := config.SizeOf(doc)
+	return &api.CheckConfigResponse{
+		Valid: true, Services: uint32(size.Services), Upstreams: uint32(size.Upstreams), Tenants: uint32(size.Tenants),
+		Pins: uint32(size.Pins),
 	}
-	for i := range doc.Services {
-		response.Upstreams += uint32(len(doc.Services[i].Upstreams))
-	}
-	return response
 }
 
 // ApplyConfig stores a document as the next version.
--- a/internal/operator/rpc/records.go
+++ b/internal/operator/rpc/records.go
@@ -37,7 +37,11 @@
 	}
 	ctx, cancel := s.bounded(ctx)
 	defer cancel()
-	return connect.NewResponse(explanationOf(s.Explainer.Explain(ctx, id))), nil
+	query := records.Query{Request: id, Host: fleet.HostID(request.Msg.GetHost())}
+	if request.Msg.GetAt() != nil {
+		query.At = request.Msg.GetAt().AsTime()
+	}
+	return connect.NewResponse(explanationOf(s.Explainer.Explain(ctx, query))), nil
 }
 
 func explanationOf(explanation *records.Explanation) *api.ExplainResponse {
--- a/internal/operator/rpc/server_test.go
+++ b/internal/operator/rpc/server_test.go
@@ -234,6 +234,7 @@
 		{"table down", apply(1, standin.Document), down, nil, connect.CodeUnavailable, "nothing was changed"},
 		{"table hangs", apply(1, standin.Document), nil, []standin.Fault{standin.Hangs}, connect.CodeUnavailable, "nothing"},
 		{"response lost", apply(1, standin.Document), lost, append([]standin.Fault{standin.Works}, reads...), connect.CodeUnknown, "may or may not"},
+		{"write hangs", apply(1, standin.Document), []standin.Fault{standin.Hangs}, nil, connect.CodeUnknown, "may or may not"},
 		{"no request", explain, nil, nil, connect.CodeInvalidArgument, "request_id"},
 		{"unknown cause", recent(&api.RecentRecordsRequest{Cause: "bad-luck"}), nil, nil, connect.CodeInvalidArgument, "bad-luck"},
 		{"too many records", recent(&api.RecentRecordsRequest{Limit: 1001}), nil, nil, connect.CodeInvalidArgument, "at most 1000"},
--- a/internal/operator/rpc/views.go
+++ b/internal/operator/rpc/views.go
@@ -110,5 +110,5 @@
 
 // Explainer searches all hosts and the stored batches. *records.Finder implements it.
 type Explainer interface {
-	Explain(ctx context.Context, request fleet.RequestID) *records.Explanation
+	Explain(ctx context.Context, query records.Query) *records.Explanation
 }
--- a/internal/operator/standin/fleet.go
+++ b/internal/operator/standin/fleet.go
@@ -136,13 +136,13 @@
 }
 
 // Explain searches the ring and claims that one host did not answer and that the store is down.
-func (f *Fleet) Explain(_ context.Context, request fleet.RequestID) *records.Explanation {
-	found := f.Ring.Find(request)
+func (f *Fleet) Explain(_ context.Context, query records.Query) *records.Explanation {
+	found := f.Ring.Find(query.Request)
 	if len(found) > 0 {
-		return &records.Explanation{Request: request, Records: found, Source: records.SourcePeer}
+		return &records.Explanation{Request: query.Request, Records: found, Source: records.SourcePeer}
 	}
 	return &records.Explanation{
-		Request: request, Source: records.SourceNone, Unreachable: []fleet.HostID{"entry-3"}, Batches: 12,
+		Request: query.Request, Source: records.SourceNone, Unreachable: []fleet.HostID{"entry-3"}, Batches: 12,
 		Oldest: Now.Add(-7 * 24 * time.Hour), Dropped: 5, StoreError: context.DeadlineExceeded,
 	}
 }
