--- /dev/null
+++ b/internal/peer/membership/view_test.go
@@ -0,0 +1,217 @@
+package membership
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/platform/hosts"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func host(id string, region, domain int) fleet.Host {
+	return fleet.Host{
+		ID:   fleet.HostID(id),
+		Peer: netip.MustParseAddrPort("127.0.0.1:7001"),
+		Place: fleet.Place{
+			Region: fleet.Region(fmt.Sprint("region-", region)), Domain: fleet.FailureDomain(fmt.Sprint("domain-", domain)),
+		},
+	}
+}
+
+func newView(self fleet.Host) *View {
+	return &View{Self: self, Incarnation: 1, PeerCount: 6, Timing: DefaultTiming}
+}
+
+// views returns the view of each of count hosts in 3 regions and 11 failure domains, all of which know all.
+func views(count int, prefix string) []*View {
+	var all []*View
+	for i := range count {
+		all = append(all, newView(host(fmt.Sprint(prefix, i), i%11%3, i%11)))
+	}
+	for _, view := range all {
+		for _, other := range all {
+			view.Learn(epoch, Record{Host: other.Self, Incarnation: 1, State: Alive})
+		}
+	}
+	return all
+}
+
+func reachable(all []*View) int {
+	edges := make(map[fleet.HostID][]fleet.HostID)
+	for _, view := range all {
+		for _, peer := range view.Peers() {
+			edges[view.Self.ID] = append(edges[view.Self.ID], peer.ID)
+			edges[peer.ID] = append(edges[peer.ID], view.Self.ID)
+		}
+	}
+	seen := map[fleet.HostID]bool{all[0].Self.ID: true}
+	for queue := []fleet.HostID{all[0].Self.ID}; len(queue) > 0; queue = queue[1:] {
+		for _, next := range edges[queue[0]] {
+			if !seen[next] {
+				seen[next] = true
+				queue = append(queue, next)
+			}
+		}
+	}
+	return len(seen)
+}
+
+// Guards against a fleet whose graph of peers falls apart, a daemon without a peer in two other failure domains, and a
+// member that comes or goes and moves the peers of others.
+func TestPeers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 80).Draw(t, "hosts")
+		all := views(count, rapid.StringMatching("[a-z]{1,8}").Draw(t, "prefix"))
+		if got := reachable(all); got != count {
+			t.Fatalf("%d of %d hosts are connected", got, count)
+		}
+		gone := all[rapid.IntRange(0, count-1).Draw(t, "gone")].Self
+		for _, view := range all {
+			before := view.Peers()
+			domains := map[fleet.Place]bool{view.Self.Place: true}
+			for _, peer := range before {
+				domains[peer.Place] = true
+			}
+			if len(before) > 3 || len(domains) < min(count, 3) {
+				t.Fatalf("%s has %d peers in %d failure domains", view.Self.ID, len(before), len(domains))
+			}
+			if gone == view.Self {
+				continue
+			}
+			view.Learn(epoch, Record{Host: gone, Incarnation: 1, Counter: 1, State: Left})
+			if after := view.Peers(); !slices.Contains(before, gone) && !slices.Equal(before, after) {
+				t.Fatalf("peers of %s moved from %v to %v as %s left", view.Self.ID, before, after, gone.ID)
+			}
+		}
+	})
+}
+
+// Guards against a role that moves between two members as a third one leaves.
+func TestRankIsStable(t *testing.T) {
+	is := is.New(t)
+	view := views(20, "entry-")[0]
+	before := view.Rank("assigner/stock", 20)
+	is.Equal(len(before), 20)
+	is.True(before[0] != view.Rank("assigner/prices", 1)[0] || before[1] != view.Rank("assigner/prices", 2)[1])
+	gone := slices.IndexFunc(before, func(h fleet.Host) bool { return h != view.Self })
+	view.Learn(epoch, Record{Host: before[gone], Incarnation: 1, Counter: 1, State: Left})
+	is.Equal(view.Rank("assigner/stock", 20), slices.Delete(before, gone, gone+1))
+}
+
+// Guards against a membership that follows the list where observation contradicts it, and one that ignores the list
+// where nothing else is known. Each case states what happens to host x and whether it is a member afterwards.
+func TestListAndObservation(t *testing.T) {
+	self, x := host("self", 0, 0), host("x", 0, 1)
+	listed := []hosts.Entry{{Host: x, State: hosts.Live}}
+	alive := Record{Host: x, Incarnation: 1, State: Alive}
+	suspect := Record{Host: x, Incarnation: 1, Counter: 1, State: Suspect}
+	timing := DefaultTiming
+	cases := []struct {
+		name string
+		run  func(v *View)
+		want bool
+	}{
+		{"listed only, before the timeout", func(v *View) { v.Listed(epoch, listed); v.Tick(epoch.Add(timing.Claim)) }, true},
+		{"list wrong: nobody sees the host", func(v *View) { v.Listed(epoch, listed); v.Tick(epoch.Add(timing.Claim + 1)) }, false},
+		{"list wrong: host omitted, record known", func(v *View) { v.Learn(epoch, alive); v.Listed(epoch, nil) }, true},
+		{"list lags: host left, list shows it", func(v *View) {
+			v.Learn(epoch, Record{Host: x, Incarnation: 1, Counter: 1, State: Left})
+			v.Listed(epoch, listed)
+		}, false},
+		{"list lags: dead host listed again", func(v *View) {
+			v.Learn(epoch, suspect)
+			v.Listed(epoch, listed)
+			v.Tick(epoch.Add(timing.Confirm + 1))
+		}, false},
+		{"suspect, before the timeout", func(v *View) { v.Learn(epoch, suspect); v.Tick(epoch.Add(timing.Confirm)) }, true},
+		{"suspicion refuted", func(v *View) {
+			v.Learn(epoch, suspect)
+			v.Learn(epoch, Record{Host: x, Incarnation: 1, Counter: 2, State: Alive})
+			v.Tick(epoch.Add(time.Hour))
+		}, true},
+		{"older record repeated after a suspicion", func(v *View) {
+			v.Learn(epoch, suspect)
+			v.Learn(epoch, alive)
+			v.Tick(epoch.Add(time.Hour))
+		}, false},
+		{"restarted after its death", func(v *View) {
+			v.Learn(epoch, suspect)
+			v.Tick(epoch.Add(time.Hour))
+			v.Learn(epoch.Add(time.Hour), Record{Host: x, Incarnation: 2, State: Alive})
+		}, true},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			view := newView(self)
+			test.run(view)
+			if _, member := view.Member(x.ID); member != test.want {
+				t.Fatalf("member: %v, want %v", member, test.want)
+			}
+		})
+	}
+}
+
+// Guards against a silent peer that is not suspected, a suspicion of hosts that are none of this daemon's peers, and a
+// daemon that suspects all others after a pause of its own.
+func TestSuspicion(t *testing.T) {
+	is := is.New(t)
+	all := views(12, "entry-")
+	view := all[0]
+	silence := DefaultTiming.Silence
+	is.Equal(len(view.Tick(epoch)), 1) // its own first record
+	is.Equal(len(view.Tick(epoch.Add(silence))), 0)
+	heard := view.Peers()[0].ID
+	view.Heard(epoch.Add(silence), heard)
+	doubts := view.Tick(epoch.Add(silence + time.Second))
+	is.Equal(len(doubts), 2) // the two peers that have not been heard of, and none of the other hosts
+	for _, action := range doubts {
+		doubt, ok := action.(Doubt)
+		is.True(ok && doubt.Record.Host.ID != heard && doubt.Record.State == Suspect)
+	}
+	is.Equal(len(view.Tick(epoch.Add(time.Hour))), 0) // after a pause of an hour nobody is suspected at once
+}
+
+// Guards against a daemon that does not refute a suspicion, and one whose record is outdone by that of an earlier run.
+func TestRefutation(t *testing.T) {
+	is := is.New(t)
+	view := newView(host("self", 0, 0))
+	view.Tick(epoch)
+	actions := view.Learn(epoch, Record{Host: view.Self, Incarnation: 1, Counter: 1, State: Suspect})
+	is.Equal(actions, []Action{Publish{Record: Record{Host: view.Self, Incarnation: 1, Counter: 2, State: Alive}}})
+	actions = view.Learn(epoch, Record{Host: view.Self, Incarnation: 9, Counter: 4, State: Alive})
+	is.Equal(len(actions), 1)
+	is.Equal(actions[0].(Publish).Record.Incarnation, uint64(10))
+}
+
+// Guards against two sides of a partition that never try each other again.
+func TestProbe(t *testing.T) {
+	is := is.New(t)
+	view := newView(host("self", 0, 0))
+	dead := map[fleet.HostID]bool{}
+	for i := range 4 {
+		x := host(fmt.Sprint("x", i), 0, 1)
+		dead[x.ID] = true
+		view.Learn(epoch, Record{Host: x, Incarnation: 1, Counter: 1, State: Suspect})
+	}
+	now := epoch
+	for range len(dead) {
+		now = now.Add(DefaultTiming.Probe)
+		view.Tick(now)
+		probed, due := view.Probe(now)
+		is.True(due)
+		delete(dead, probed.ID)
+		_, again := view.Probe(now.Add(DefaultTiming.Probe - 1))
+		is.True(!again) // one at each interval
+	}
+	is.Equal(len(dead), 0) // all take their turn
+	_, due := view.Probe(now.Add(DefaultTiming.Forget))
+	is.True(!due) // hosts that have been dead for long are left alone
+}
--- a/internal/peer/wire/codec.go
+++ b/internal/peer/wire/codec.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"io"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
@@ -19,6 +20,8 @@
 	MaxName = 256
 	// MaxBuckets bounds the number of buckets of a digest.
 	MaxBuckets = 1024
+	// MaxEntries bounds the number of items, entries or names in one message.
+	MaxEntries = 65536
 )
 
 // ErrMalformed means that a message could not be decoded or exceeds its bounds.
@@ -63,15 +66,26 @@
 	for _, items := range [][]*Item{
 		message.GetSummary().GetEntries(), message.GetOffer().GetEntries(), message.GetItems().GetItems(),
 	} {
+		if len(items) > MaxEntries {
+			return nil, errors.Wrap(ErrMalformed, "too many items")
+		}
 		for _, item := range items {
-			if item.GetName() == "" || len(item.GetName()) > MaxName {
+			if !validName(item.GetName()) {
 				return nil, errors.Wrap(ErrMalformed, "name empty or too long")
 			}
 		}
 	}
+	names := message.GetWant().GetNames()
+	if len(names) > MaxEntries || slices.ContainsFunc(names, func(name string) bool { return !validName(name) }) {
+		return nil, errors.Wrap(ErrMalformed, "names empty, too long or too many")
+	}
 	return message, nil
 }
 
+func validName(name string) bool {
+	return name != "" && len(name) <= MaxName
+}
+
 // DecodeMember decodes the value of a member item.
 func DecodeMember(value []byte) (*Member, error) {
 	member := &Member{}
