--- a/internal/peer/mesh/dial.go
+++ b/internal/peer/mesh/dial.go
@@ -54,9 +54,12 @@
 // connect returns the connection to a host and dials it if there is none.
 func (m *Mesh) connect(ctx context.Context, id fleet.HostID) (*link, error) {
 	m.mu.Lock()
-	existing := m.links[id]
+	run, existing := m.run, m.links[id]
 	m.mu.Unlock()
-	if existing != nil {
+	switch {
+	case run == nil:
+		return nil, ErrNotRunning
+	case existing != nil:
 		return existing, nil
 	}
 	if m.Resolve == nil || id == m.Host.ID {
