daemon/host: operator API, record lookups between hosts, readiness for the balancer

Cause: operators could not reach a daemon, and explain saw only the asked host. Change: the operator service over the daemon's state, TLS material that is replaced at run time, questions for records over the mesh, announcements of acting assigners, /-/ready on the caller address.

--- a/internal/caller/front/front.go
+++ b/internal/caller/front/front.go
@@ -50,6 +50,8 @@
 	BodyLimit int64
 	// StopTimeout bounds how long Run waits for the requests in flight. Zero means 30 s.
 	StopTimeout time.Duration
+	// Ready says whether the platform's balancer should send callers here. Nil stands for always.
+	Ready func() bool
 	// Listening is called with the address that callers can connect to, if it is set.
 	Listening func(netip.AddrPort)
 
--- a/internal/caller/front/handler.go
+++ b/internal/caller/front/handler.go
@@ -28,12 +28,22 @@
 func (f *Front) routes() http.Handler {
 	// Paths are passed on as the caller wrote them.
 	result := mux.NewRouter().SkipClean(true).UseEncodedPath()
+	result.HandleFunc(readyPath, f.serveReady)
 	result.HandleFunc("/{service}", f.serve)
 	result.HandleFunc("/{service}/{rest:.*}", f.serve)
 	result.NotFoundHandler = http.HandlerFunc(f.serve)
 	return result
 }
 
+// readyPath is asked by the platform's balancer. The names of services do not begin with a hyphen.
+const readyPath = "/-/ready"
+
+func (f *Front) serveReady(rw http.ResponseWriter, _ *http.Request) {
+	if f.Ready != nil && !f.Ready() {
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 func (f *Front) serve(rw http.ResponseWriter, r *http.Request) {
 	id := requestID(r.Header.Get(headerID))
 	rw.Header().Set(headerID, string(id))
--- a/internal/daemon/certificates/store.go
+++ b/internal/daemon/certificates/store.go
@@ -106,6 +106,16 @@
 	return s.current
 }
 
+// Certificate returns the certificate in use.
+func (s *Store) Certificate() *tls.Certificate {
+	return s.get().certificate
+}
+
+// Authorities returns the authorities in use.
+func (s *Store) Authorities() *x509.CertPool {
+	return s.get().authorities
+}
+
 // Server returns a configuration that asks every client for a certificate signed by one of the authorities.
 func (s *Store) Server(protocols ...string) *tls.Config {
 	return &tls.Config{
--- /dev/null
+++ b/internal/daemon/host/announcements.go
@@ -0,0 +1,50 @@
+package host
+
+import (
+	"context"
+	"strings"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/peer/spread"
+)
+
+// assignerPrefix begins the names of the items that say which host acts as the assigner of a service.
+const assignerPrefix = "assigner/"
+
+// announce tells the other daemons for which services this one acts as assigner, until ctx ends.
+func (a *assigners) announce(ctx context.Context) error {
+	ticks := a.daemon.Timer.Every(announceInterval)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ticks.C:
+			for service, epoch := range a.acting() {
+				a.announceOne(service, epoch)
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (a *assigners) announceOne(service fleet.ServiceName, epoch fleet.Epoch) {
+	item := spread.Item{
+		Name: assignerPrefix + string(service), Version: spread.Version{Major: uint64(epoch)},
+		Value: []byte(a.daemon.Settings.Host.ID),
+	}
+	if _, err := a.daemon.peers.spread.Publish(item); err != nil {
+		a.daemon.Log.Error().Err(err).Str("service", string(service)).Msg("assigner not announced")
+	}
+}
+
+// known returns the services of which each host is the assigner, as far as this daemon was told.
+func (a *assigners) known() map[fleet.HostID][]fleet.ServiceName {
+	services := make(map[fleet.HostID][]fleet.ServiceName)
+	for _, service := range a.daemon.maps.services() {
+		if item, found := a.daemon.peers.spread.Get(assignerPrefix + string(service)); found {
+			id := fleet.HostID(strings.Clone(string(item.Value)))
+			services[id] = append(services[id], service)
+		}
+	}
+	return services
+}
--- a/internal/daemon/host/host.go
+++ b/internal/daemon/host/host.go
@@ -47,6 +47,7 @@
 	configuration *configuration
 	assigners     *assigners
 	requests      *requests
+	lookups       *lookups
 	operators     *operators
 }
 
@@ -86,7 +87,9 @@
 	d.assigners = newAssigners(d)
 	d.configuration = newConfiguration(d)
 	d.requests = newRequests(d)
+	d.lookups = newLookups(d)
 	d.operators = newOperators(d)
+	d.requests.front.Ready = d.operators.ready
 	return nil
 }
 
@@ -111,13 +114,14 @@
 	stages.run(stageFleet, d.requests.router.Run)
 	stages.run(stageFleet, d.operators.serve)
 	stages.run(stageRoles, d.assigners.run)
+	stages.run(stageRoles, d.assigners.announce)
 	stages.run(stageRequests, d.requests.front.Run)
 }
 
 // stop ends the stages in their order.
 func (d *Daemon) stop(stages *stages) {
 	d.Log.Info().Dur("timeout", d.Settings.StopTimeout).Msg("daemon stopping")
-	d.operators.setReady(false)
+	d.operators.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), d.Settings.StopTimeout)
 	defer cancel()
 	_ = timer.Wait(ctx, d.Timer, d.Settings.BalancerGrace)
--- a/internal/daemon/host/maps.go
+++ b/internal/daemon/host/maps.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	stdmaps "maps"
+	"slices"
 	"strings"
 	"sync"
 
@@ -79,6 +81,13 @@
 	return m.current[service]
 }
 
+// services returns the keyed services in the order of their names.
+func (m *maps) services() []fleet.ServiceName {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return slices.Sorted(stdmaps.Keys(m.current))
+}
+
 // Changed returns a channel that is closed at the next change of any map.
 func (m *maps) Changed() <-chan struct{} {
 	m.mu.RLock()
--- a/internal/daemon/host/operators.go
+++ b/internal/daemon/host/operators.go
@@ -3,58 +3,156 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/gorilla/mux"
-)
 
-// operatorHeaderTimeout bounds how long a client of the operator address may take to send a request's headers.
-const operatorHeaderTimeout = 5 * time.Second
+	"rosemarywick.example/rosemarywick/internal/core/document"
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/observe/records"
+	"rosemarywick.example/rosemarywick/internal/operator/config"
+	"rosemarywick.example/rosemarywick/internal/operator/rpc"
+	"rosemarywick.example/rosemarywick/internal/ownership/assigner"
+)
 
-// operators serves the operator API, the metrics and the readiness on the operator address.
+// operators serves the operator API and the metrics, and answers what they show from the parts of the daemon.
 type operators struct {
 	daemon *Daemon
-	ready  atomic.Bool
+	server *rpc.Server
+	// stopping is set when the daemon is about to stop.
+	stopping atomic.Bool
 }
 
 func newOperators(d *Daemon) *operators {
 	o := &operators{daemon: d}
-	o.ready.Store(true)
+	finder := &records.Finder{Ring: d.requests.ring, Peers: d.lookups, Store: d.objects, Timer: d.Timer}
+	o.server = &rpc.Server{
+		Config: d.configuration.store, Fleet: o, Ownership: o, Upstreams: o, Records: d.requests.ring, Explainer: finder,
+		Stored: o.stored, Metrics: d.requests.metrics.Handler(), Credentials: d.certificates, Timer: d.Timer, Log: d.Log,
+	}
 	return o
 }
 
-func (o *operators) setReady(ready bool) {
-	o.ready.Store(ready)
-}
-
 // serve accepts operators until ctx ends.
 func (o *operators) serve(ctx context.Context) error {
-	routes := mux.NewRouter()
-	routes.Handle("/metrics", o.daemon.requests.metrics.Handler()).Methods(http.MethodGet)
-	routes.HandleFunc("/ready", o.serveReady).Methods(http.MethodGet)
 	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", o.daemon.Settings.Operators.String())
 	if err != nil {
 		return errors.Wrap(err, "listen for operators")
 	}
-	server := &http.Server{
-		Handler: routes, TLSConfig: o.daemon.certificates.Server("h2", "http/1.1"), ReadHeaderTimeout: operatorHeaderTimeout,
+	return o.server.Serve(ctx, listener)
+}
+
+// ready reports whether the balancer should send callers to this daemon.
+func (o *operators) ready() bool {
+	return !o.stopping.Load() && o.daemon.configuration.Current() != nil
+}
+
+// stored puts a revision that this daemon has stored into force without waiting for the table to be read.
+func (o *operators) stored(revision *config.Revision) {
+	content, err := revision.Encode()
+	if err != nil {
+		o.daemon.Log.Error().Err(err).Uint64("version", revision.Version).Msg("configuration not encoded")
+		return
 	}
-	failed := make(chan error, 1)
-	go func() { failed <- server.ServeTLS(listener, "", "") }()
-	select {
-	case err := <-failed:
-		return errors.Wrap(err, "serve operators")
-	case <-ctx.Done():
-		return errors.Wrap(server.Close(), "stop serving operators")
+	o.daemon.configuration.offer(content)
+}
+
+// Hosts returns the daemons that are members of the fleet.
+func (o *operators) Hosts() []rpc.Host {
+	d := o.daemon
+	members := d.peers.spread.Members()
+	assigners := d.assigners.known()
+	list := make([]rpc.Host, 0, len(members))
+	for _, member := range members {
+		one := rpc.Host{
+			Host: member, State: rpc.HostLive, LastSeen: d.Timer.Now(), ConfigVersion: d.peers.spread.Adopted(member.ID),
+			AssignerOf: assigners[member.ID],
+		}
+		if member.ID == d.Settings.Host.ID {
+			state := d.configuration.keeper.State()
+			one.ConfigVersion = state.Version()
+			if state.Rejected != nil {
+				one.Rejection = state.Rejected.Reason.Error()
+			}
+			if o.stopping.Load() {
+				one.State = rpc.HostLeaving
+			}
+		}
+		list = append(list, one)
 	}
+	return list
 }
 
-// serveReady tells the platform's balancer whether the daemon takes new requests.
-func (o *operators) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !o.ready.Load() || o.daemon.configuration.Current() == nil {
-		w.WriteHeader(http.StatusServiceUnavailable)
+// Services returns the keyed services.
+func (o *operators) Services() []fleet.ServiceName {
+	return o.daemon.maps.services()
+}
+
+// Assignments returns the partitions of a service, those of hot keys included.
+func (o *operators) Assignments(service fleet.ServiceName) ([]fleet.Assignment, bool) {
+	current := o.daemon.maps.get(service)
+	if current == nil {
+		return nil, false
+	}
+	var list []fleet.Assignment
+	for index := range current.Chunks() {
+		list = append(list, current.Chunk(index)...)
+	}
+	return append(list, current.Entries()...), true
+}
+
+// Locate returns where a key belongs.
+func (o *operators) Locate(service fleet.ServiceName, key string) (rpc.Location, bool) {
+	hash := fleet.HashKey(key)
+	assignment, found := o.daemon.maps.Locate(service, hash)
+	return rpc.Location{Key: hash, Assignment: assignment, Dedicated: assignment.Key != 0}, found
+}
+
+// Upstreams returns the upstreams of the configuration in force with what this daemon observes of them.
+func (o *operators) Upstreams() []rpc.Upstream {
+	doc := o.daemon.configuration.Current()
+	if doc == nil {
+		return nil
+	}
+	var list []rpc.Upstream
+	for i := range doc.Services {
+		list = append(list, o.upstreamsOf(&doc.Services[i])...)
+	}
+	return list
+}
+
+func (o *operators) upstreamsOf(service *document.Service) []rpc.Upstream {
+	owned := make(map[fleet.UpstreamID]int)
+	assignments, _ := o.Assignments(service.Name)
+	for _, assignment := range assignments {
+		owned[assignment.Owner]++
+	}
+	var list []rpc.Upstream
+	for _, one := range service.Upstreams {
+		view := rpc.Upstream{
+			Upstream: one, Service: service.Name, Guard: service.Guard, State: rpc.UpstreamUnknown, Partitions: owned[one.ID],
+		}
+		if one.Drained {
+			view.State = rpc.UpstreamDraining
+		}
+		list = append(list, view)
+	}
+	return list
+}
+
+// announceInterval is how often a daemon looks whether it became an assigner and tells the others.
+const announceInterval = 500 * time.Millisecond
+
+// acting returns the services for which this daemon acts as assigner, with its epochs.
+func (a *assigners) acting() map[fleet.ServiceName]fleet.Epoch {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	roles := make(map[fleet.ServiceName]fleet.Epoch)
+	for name, one := range a.running {
+		if role, epoch := one.runner.Role(); role == assigner.RoleActing {
+			roles[name] = epoch
+		}
 	}
+	return roles
 }
--- a/internal/operator/rpc/server.go
+++ b/internal/operator/rpc/server.go
@@ -35,6 +35,14 @@
 	stopTimeout = 2 * time.Second
 )
 
+// Credentials are the TLS material of the daemon, which may be replaced while it runs.
+type Credentials interface {
+	// Certificate returns the daemon's own certificate.
+	Certificate() *tls.Certificate
+	// Authorities returns those that sign the certificates of operators.
+	Authorities() *x509.CertPool
+}
+
 // Server is the operator API of one daemon. Its exported fields are set before Handler or Serve is called.
 type Server struct {
 	Config    Config
@@ -49,10 +57,7 @@
 	// Metrics is served at /metrics to both roles. Nil leaves it out.
 	Metrics http.Handler
 
-	// Certificate is the daemon's own.
-	Certificate tls.Certificate
-	// Authorities sign the certificates of operators.
-	Authorities *x509.CertPool
+	Credentials Credentials
 	Timer       timer.Service
 	Log         zerolog.Logger
 }
@@ -120,8 +125,10 @@
 // subject and the call instead of ending in the handshake.
 func (s *Server) tlsConfig() *tls.Config {
 	return &tls.Config{
-		MinVersion:   tls.VersionTLS13,
-		Certificates: []tls.Certificate{s.Certificate},
-		ClientAuth:   tls.RequestClientCert,
+		MinVersion: tls.VersionTLS13,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return s.Credentials.Certificate(), nil
+		},
+		ClientAuth: tls.RequestClientCert,
 	}
 }
--- a/internal/operator/standin/fleet.go
+++ b/internal/operator/standin/fleet.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"net/netip"
 	"sync"
 	"testing"
@@ -170,7 +172,19 @@
 		Config: &config.Store{Table: &f.Table, Timer: timer.System{}}, Fleet: f, Ownership: f, Upstreams: f,
 		Records: &f.Ring, Explainer: f,
 		Stored:      func(revision *config.Revision) { f.SetVersion("entry-1", revision.Version) },
-		Certificate: authority.Issue(t, "entry-1", time.Now().Add(time.Hour)), Authorities: authority.Pool(),
-		Timer: timer.System{}, Log: log,
+		Credentials: credentials{certificate: authority.Issue(t, "entry-1", time.Now().Add(time.Hour)), pool: authority.Pool()},
+		Timer:       timer.System{}, Log: log,
 	}
 }
+
+// credentials are those of a daemon that keeps them.
+type credentials struct {
+	certificate tls.Certificate
+	pool        *x509.CertPool
+}
+
+// Certificate returns the daemon's certificate.
+func (c credentials) Certificate() *tls.Certificate { return &c.certificate }
+
+// Authorities returns the authority of operators.
+func (c credentials) Authorities() *x509.CertPool { return c.pool }
--- a/internal/peer/spread/items.go
+++ b/internal/peer/spread/items.go
@@ -47,6 +47,14 @@
 	r.state.Adopt(r.key(r.View.Self.ID), r.adopted)
 }
 
+// Adopted returns the highest configuration version that a member is known to have adopted; zero means none.
+func (r *Runner) Adopted(id fleet.HostID) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.open()
+	return r.state.Adopted(r.key(id))
+}
+
 // InForce returns how many of the members have adopted the version or a higher one, and how many members there are.
 func (r *Runner) InForce(version uint64) (at, total int) {
 	r.mu.Lock()
