observe: histograms of every request, with the time of new connections

Cause: the router passed on only unusual requests, so histograms lacked the ordinary ones. Change: the recorder learns of every request; records of notable ones are kept; attempts carry their connect time. Conclusion: queue, connect, upstream and total are measured for each service and tenant.

--- a/internal/core/cause/record.go
+++ b/internal/core/cause/record.go
@@ -10,6 +10,9 @@
 type Attempt struct {
 	Upstream fleet.UpstreamID
 	Started  time.Time
+	// Connect is the time that a new connection took; it is zero if an open one was used.
+	Connect time.Duration
+	// Duration is the time of the whole attempt.
 	Duration time.Duration
 	Cause    Cause
 }
@@ -37,3 +40,26 @@
 	// Detail is one plain sentence for the operator. It holds no data of the caller.
 	Detail string
 }
+
+// Notable reports whether the request was late, rejected, retried or misrouted, so that its record is kept.
+func (r *Record) Notable() bool {
+	return r.Cause != OK || len(r.Attempts) > 1
+}
+
+// Connect returns the time that new connections took.
+func (r *Record) Connect() time.Duration {
+	var sum time.Duration
+	for _, attempt := range r.Attempts {
+		sum += attempt.Connect
+	}
+	return sum
+}
+
+// Upstream returns the time that upstreams took.
+func (r *Record) Upstream() time.Duration {
+	var sum time.Duration
+	for _, attempt := range r.Attempts {
+		sum += attempt.Duration
+	}
+	return sum
+}
--- a/internal/daemon/host/requests.go
+++ b/internal/daemon/host/requests.go
@@ -37,8 +37,14 @@
 	return r
 }
 
-// Record keeps the record of a request on this host and for the object store.
+// Record measures a request that has ended and keeps its record if an operator may ask for it.
 func (r *requests) Record(record cause.Record) {
-	r.ring.Add(record)
-	r.archive.Add(record)
+	r.metrics.Observe(&metrics.Request{
+		Service: record.Service, Tenant: record.Tenant, Queue: record.Queued, Connect: record.Connect(), Upstream: record.Upstream(),
+		Total: record.Total, Outcome: record.Outcome, Cause: record.Cause,
+	})
+	if record.Notable() {
+		r.ring.Add(record)
+		r.archive.Add(record)
+	}
 }
--- a/internal/routing/router/flight.go
+++ b/internal/routing/router/flight.go
@@ -167,7 +167,7 @@
 		cancel()
 	}
 	f.record.Attempts = append(f.record.Attempts, cause.Attempt{
-		Upstream: visit.upstream.ID, Started: visit.began, Duration: f.router.Clock.Now().Sub(visit.began),
+		Upstream: visit.upstream.ID, Started: visit.began, Connect: outgoing.Connect, Duration: f.router.Clock.Now().Sub(visit.began),
 		Cause: retry.Cause(f.facts(), result),
 	})
 	return result
@@ -229,7 +229,7 @@
 	}
 	f.record.Total = f.router.Clock.Now().Sub(f.started)
 	f.record.Outcome, f.record.Cause = outcome, why
-	if f.router.Recorder != nil && (why != cause.OK || len(f.record.Attempts) > 1) {
+	if f.router.Recorder != nil {
 		f.router.Recorder.Record(f.record)
 	}
 }
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -45,7 +45,7 @@
 	Finish(key once.Key, ending once.Ending)
 }
 
-// Recorder keeps records for operators.
+// Recorder learns of each request that has ended.
 type Recorder interface {
 	Record(record cause.Record)
 }
--- a/internal/upstream/forward/client.go
+++ b/internal/upstream/forward/client.go
@@ -49,6 +49,8 @@
 	Key       fleet.KeyHash
 	Partition fleet.PartitionID
 	Fence     fleet.Fence
+	// Connect is set by Send to the time that a new connection took; it stays zero if an open one was used.
+	Connect time.Duration
 }
 
 // Client sends requests to one upstream. The exported fields are set before the first Send.
@@ -66,11 +68,12 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	c.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			began := c.Clock.Now()
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
-			return &connection{Conn: conn}, nil
+			return &connection{Conn: conn, dialed: c.Clock.Now().Sub(began)}, nil
 		},
 		MaxConnsPerHost:     c.Connections,
 		MaxIdleConnsPerHost: max(c.Connections, 16),
@@ -100,8 +103,13 @@
 
 func (c *Client) outgoing(ctx context.Context, request *Request, state *attempt, now time.Time) *http.Request {
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*connection); ok {
-			state.assign(conn)
+		conn, ok := info.Conn.(*connection)
+		if !ok {
+			return
+		}
+		state.assign(conn)
+		if !info.Reused {
+			request.Connect = conn.dialed
 		}
 	}}
 	header := Strip(request.Header)
--- a/internal/upstream/forward/connection.go
+++ b/internal/upstream/forward/connection.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -13,6 +14,8 @@
 // connection counts the bytes handed to the operating system, so that "no byte was sent" can be proved.
 type connection struct {
 	net.Conn
+	// dialed is how long it took to establish the connection.
+	dialed time.Duration
 
 	mu sync.Mutex
 	// written is guarded by mu and counts the bytes that the operating system accepted.
