operator, observe: tests that fail when a rule is taken out

Cause: a trial that took out single rules (34 mutations of keeper, store, edits, roles, error codes, archive, search and metrics) found four that no test missed: the retry of an edit that lost a race, the comparison of an edited document with the intended one, the repeated storing of a batch, and the order of batches in an hour. Change: a test for each of them.

--- a/internal/observe/records/records_test.go
+++ b/internal/observe/records/records_test.go
@@ -26,6 +26,7 @@
 type store struct {
 	mu      sync.Mutex
 	objects map[string][]byte
+	puts    int
 	down    bool
 	lost    bool // a Put takes effect and its response is lost
 }
@@ -44,6 +45,9 @@
 }
 
 func (s *store) Put(_ context.Context, name string, content []byte) error {
+	s.mu.Lock()
+	s.puts++
+	s.mu.Unlock()
 	return s.do(func() { s.objects[name] = content })
 }
 
@@ -185,11 +189,12 @@
 		add        int
 		want       string
 		dropped    uint64
+		puts       int
 	}{
-		{"store works", false, false, 3, "r0 r1 r2", 0},
-		{"store down", true, false, 2, "r0 r1", 0},
-		{"response lost", false, true, 2, "r0 r1", 0},
-		{"store down, buffer full", true, false, 8, "r0 r1 r2", 5},
+		{"store works", false, false, 3, "r0 r1 r2", 0, 1},
+		{"store down", true, false, 2, "r0 r1", 0, 3},
+		{"response lost", false, true, 2, "r0 r1", 0, 3},
+		{"store down, buffer full", true, false, 8, "r0 r1 r2", 5, 3},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -211,6 +216,7 @@
 				is.Equal(requests, test.want)
 				is.Equal(dropped, test.dropped)
 				is.Equal(archive.Dropped(), test.dropped)
+				is.Equal(store.puts, test.puts) // at 60 s and 120 s while the store fails, and once when it works
 			})
 		})
 	}
@@ -297,7 +303,7 @@
 			is := is.New(t)
 			ring, store := &records.Ring{}, &store{objects: map[string][]byte{}}
 			ring.Add(record(1))
-			for i, age := range []time.Duration{150 * time.Minute, 70 * time.Minute, time.Minute} {
+			for i, age := range []time.Duration{150 * time.Minute, 20 * time.Minute, time.Minute} {
 				archive := archive(store)
 				archive.Timer = timer.NewManual(now.Add(-age))
 				archive.Add(record(3 + i))
--- a/internal/operator/config/edit_test.go
+++ b/internal/operator/config/edit_test.go
@@ -83,6 +83,11 @@
 		{"pin in an unknown service", document, config.Pin{Pin: core.Pin{Service: "x", Key: "k"}}, "service x"},
 		{"unknown pin", document + pinned, config.Unpin{Service: "catalogue", Key: "k"}, "pin of key \"k\" of catalogue"},
 		{"inline table", inline, config.Drain{Upstream: "a", Drained: true}, ""},
+		{
+			"inline pin", "pins = [{service = \"catalogue\", key = \"k\", upstream = \"catalogue-01\"}]\n" + document,
+			config.Unpin{Service: "catalogue", Key: "k"},
+			"",
+		},
 		{"empty key", document, config.Pin{Pin: core.Pin{Service: "catalogue", Upstream: "catalogue-01"}}, ""},
 		{"invalid document", "x", config.Drain{}, ""},
 	} {
--- a/internal/operator/config/store_test.go
+++ b/internal/operator/config/store_test.go
@@ -16,6 +16,7 @@
 	"rosemarywick.example/rosemarywick/internal/core/timer"
 	"rosemarywick.example/rosemarywick/internal/operator/config"
 	"rosemarywick.example/rosemarywick/internal/operator/standin"
+	"rosemarywick.example/rosemarywick/internal/platform/table"
 )
 
 const document = standin.Document
@@ -189,22 +190,35 @@
 	})
 }
 
+// racing is a table in which another change comes just before the first commit.
+type racing struct {
+	*standin.Table
+
+	other func()
+}
+
+func (r *racing) Commit(ctx context.Context, changes ...table.Change) error {
+	if other := r.other; other != nil {
+		r.other = nil
+		other()
+	}
+	return r.Table.Commit(ctx, changes...)
+}
+
 // Guards against edits that lose each other's effect when they race.
 func TestRacingEdits(t *testing.T) {
 	is := is.New(t)
-	store := store(&standin.Table{})
+	memory := &standin.Table{}
+	store := store(memory)
 	stored(t, store, 1)
-	var done sync.WaitGroup
-	for _, edit := range []config.Edit{
-		config.Drain{Upstream: "catalogue-01", Drained: true}, config.Drain{Upstream: "catalogue-02"},
-	} {
-		done.Go(func() {
-			_, changed, err := store.Edit(context.Background(), "second", 0, edit)
-			is.NoErr(err)
-			is.True(changed)
-		})
+	edit := func(store *config.Store, edit config.Edit) {
+		_, changed, err := store.Edit(t.Context(), "second", 0, edit)
+		is.NoErr(err)
+		is.True(changed)
 	}
-	done.Wait()
+	edit(&config.Store{Timer: timer.System{}, Table: &racing{Table: memory, other: func() {
+		edit(store, config.Drain{Upstream: "catalogue-02"})
+	}}}, config.Drain{Upstream: "catalogue-01", Drained: true})
 	latest, err := store.Latest(t.Context())
 	is.NoErr(err)
 	doc, err := latest.Document()
