peer/mesh: a replaced connection loses no messages

Cause: the lossy socket of the tests was passed by, as quic-go uses the other methods of a UDP socket, so that the test of a restarted peer could not fail. With a socket that does lose packets, a message sent while two hosts dialed each other at once was lost in one of two runs: the worse of the two connections was closed with the message in it. Change: the worse connection is read for another second, and what is queued moves to the better one; the lossy socket hides the other methods; traffic is counted for all connections, not only the registered ones. Conclusion: Send to a host that is dialing this one at the same time is safe.

--- a/internal/peer/mesh/dial.go
+++ b/internal/peer/mesh/dial.go
@@ -100,19 +100,23 @@
 
 // dial makes one connection, tells all who wait for it, and reads it until it ends.
 func (m *Mesh) dial(run *running, id fleet.HostID, address netip.AddrPort, pending *attempt) {
-	link, err := m.handshake(run, id, address)
+	l, err := m.handshake(run, id, address)
+	if err == nil {
+		err = m.register(run, l)
+	}
 	m.mu.Lock()
 	delete(m.dialing, id)
-	if err != nil && m.links[id] != nil {
-		// The other side's connection was established first and is the one to use.
-		pending.link = m.links[id]
-	} else {
-		pending.link, pending.err = link, err
+	// The other host may have made a connection meanwhile, which is the one to use.
+	if pending.link = m.links[id]; pending.link == nil {
+		pending.err = errors.CombineErrors(err, errors.Wrapf(ErrUnreachable, "connection to %s ended", id))
 	}
 	m.mu.Unlock()
 	close(pending.done)
-	if err == nil {
-		m.read(run, link)
+	switch {
+	case err == nil:
+		m.read(run, l)
+	case l != nil:
+		l.close("stopping")
 	}
 }
 
@@ -123,7 +127,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(ErrUnreachable, "dial %s: %v", id, err)
 	}
-	link, err := m.greet(ctx, run, id, conn)
+	link, err := m.greet(ctx, id, conn)
 	if err != nil {
 		_ = conn.CloseWithError(0, "refused")
 	}
--- a/internal/peer/mesh/link.go
+++ b/internal/peer/mesh/link.go
@@ -11,6 +11,7 @@
 	"github.com/quic-go/quic-go"
 
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/core/timer"
 	"rosemarywick.example/rosemarywick/internal/peer/wire"
 )
 
@@ -27,9 +28,9 @@
 	stream *quic.Stream
 	reader *bufio.Reader
 	out    chan *wire.Envelope
-	// done is closed when the link is no longer used.
-	done  chan struct{}
-	close func(reason string)
+	// done is closed by retire, after which nothing more is written to the link.
+	done   chan struct{}
+	retire func()
 
 	// wanted and wantedThere are guarded by the mesh's mu and say which side wants the link as a peer's.
 	wanted, wantedThere bool
@@ -42,18 +43,17 @@
 		conn: conn, stream: stream, reader: bufio.NewReaderSize(stream, 2048),
 		out: make(chan *wire.Envelope, queueLength), done: make(chan struct{}),
 	}
-	var once sync.Once
-	l.close = func(reason string) {
-		once.Do(func() {
-			close(l.done)
-			_ = conn.CloseWithError(0, reason)
-		})
-	}
+	l.retire = sync.OnceFunc(func() { close(l.done) })
 	return l
 }
 
-// greet introduces this daemon on a connection that it has made.
-func (m *Mesh) greet(ctx context.Context, run *running, id fleet.HostID, conn *quic.Conn) (*link, error) {
+func (l *link) close(reason string) {
+	l.retire()
+	_ = l.conn.CloseWithError(0, reason)
+}
+
+// greet introduces this daemon on a connection that it has made. It does not register the link.
+func (m *Mesh) greet(ctx context.Context, id fleet.HostID, conn *quic.Conn) (*link, error) {
 	stream, err := conn.OpenStreamSync(ctx)
 	if err != nil {
 		return nil, errors.Wrapf(ErrUnreachable, "greet %s: %v", id, err)
@@ -69,7 +69,7 @@
 	if l.host != id {
 		return nil, errors.Wrapf(ErrIdentity, "dialed %s, found %s", id, l.host)
 	}
-	return l, m.register(run, l)
+	return l, nil
 }
 
 // welcome introduces this daemon on a connection that another host has made.
@@ -116,18 +116,25 @@
 	return nil
 }
 
-// register makes l the connection to its host, unless there is a better one.
+// register makes l the connection to its host, unless there is a better one. The worse one is still read for a while, as
+// the other host may have sent messages on it before it saw the better one.
 func (m *Mesh) register(run *running, l *link) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.run != run {
 		return ErrNotRunning
 	}
-	if old := m.links[l.host]; old != nil {
-		if !m.prefer(l, old) {
-			return errors.Wrapf(ErrUnreachable, "%s is connected already", l.host)
-		}
-		m.dropLocked(run, old, "replaced")
+	m.open[l] = struct{}{}
+	old := m.links[l.host]
+	if old != nil && !m.prefer(l, old) {
+		m.lingerLocked(run, l)
+		return nil
+	}
+	if old != nil {
+		delete(m.links, l.host)
+		m.updateLocked(run, old)
+		m.lingerLocked(run, old)
+		old.handOver(l)
 	}
 	m.links[l.host] = l
 	run.tasks.Go(func() { m.write(run, l) })
@@ -135,6 +142,31 @@
 	return nil
 }
 
+// lingerLocked ends a link that is no longer used after the time in which messages may still arrive. The caller holds mu.
+func (m *Mesh) lingerLocked(run *running, l *link) {
+	l.retire()
+	run.tasks.Go(func() {
+		_ = timer.Wait(run.ctx, m.Clock, lingerTime)
+		l.close("replaced")
+	})
+}
+
+// handOver moves what is queued to the link that replaces this one, as far as it has room.
+func (l *link) handOver(fresh *link) {
+	for {
+		select {
+		case envelope := <-l.out:
+			select {
+			case fresh.out <- envelope:
+			default:
+				return
+			}
+		default:
+			return
+		}
+	}
+}
+
 // prefer reports whether a new connection replaces an old one to the same host. Both hosts come to the same result: a
 // later start of the host wins, then the later of two connections that the same host made, then the one made by the
 // host with the lower identifier.
@@ -151,6 +183,7 @@
 
 // read passes the messages of a connection to their handlers until the connection ends.
 func (m *Mesh) read(run *running, l *link) {
+	defer m.count(l)
 	defer m.drop(run, l)
 	ctx, cancel := context.WithCancel(run.ctx)
 	defer cancel()
@@ -171,12 +204,12 @@
 
 // write sends what is queued for a connection until the connection ends.
 func (m *Mesh) write(run *running, l *link) {
-	defer m.drop(run, l)
 	for {
 		select {
 		case envelope := <-l.out:
 			if err := m.writeBatch(l, envelope); err != nil {
 				m.Log.Debug().Err(err).Str("host", string(l.host)).Msg("peer accepts no data")
+				m.drop(run, l)
 				return
 			}
 		case <-l.done:
@@ -248,20 +281,13 @@
 	}
 }
 
+// drop closes a link and ends its use.
 func (m *Mesh) drop(run *running, l *link) {
+	l.close("ended")
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.dropLocked(run, l, "ended")
-}
-
-// dropLocked ends the use of a link. The caller holds mu.
-func (m *Mesh) dropLocked(run *running, l *link, reason string) {
-	if m.links[l.host] != l {
-		l.close(reason)
-		return
+	if m.links[l.host] == l {
+		delete(m.links, l.host)
+		m.updateLocked(run, l)
 	}
-	delete(m.links, l.host)
-	m.updateLocked(run, l)
-	m.ended.add(trafficOf(l))
-	l.close(reason)
 }
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -35,6 +35,8 @@
 const (
 	firstBackoff = 100 * time.Millisecond
 	lastBackoff  = 10 * time.Second
+	// lingerTime is well above the time that a message takes to the other host.
+	lingerTime = time.Second
 	// queueLength bounds the messages queued for one host.
 	queueLength = 32
 )
@@ -81,7 +83,9 @@
 	links   map[fleet.HostID]*link
 	dialing map[fleet.HostID]*attempt
 	wanted  map[fleet.HostID]*wantedPeer
-	ended   Traffic
+	// open holds all connections that are being read, and ended the traffic of those that no longer are.
+	open  map[*link]struct{}
+	ended Traffic
 }
 
 // running is what exists while Run is under way.
@@ -178,6 +182,7 @@
 	defer m.mu.Unlock()
 	m.run = run
 	m.links = make(map[fleet.HostID]*link)
+	m.open = make(map[*link]struct{})
 	m.dialing = make(map[fleet.HostID]*attempt)
 	run.tasks.Go(func() { m.dispatch(run) })
 	for _, wanted := range m.wanted {
@@ -189,8 +194,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.run = nil
-	for _, link := range m.links {
-		link.close("stopping")
+	for l := range m.open {
+		l.close("stopping")
 	}
 }
 
--- a/internal/peer/mesh/mesh_test.go
+++ b/internal/peer/mesh/mesh_test.go
@@ -38,9 +38,10 @@
 	stop  func()
 }
 
-// lossy is a socket that loses all packets while cut is set.
+// lossy is a socket that loses all packets while cut is set. It hides the other methods of a UDP socket, with which
+// packets would pass it by.
 type lossy struct {
-	*net.UDPConn
+	net.PacketConn
 
 	cut atomic.Bool
 }
@@ -49,12 +50,12 @@
 	if l.cut.Load() {
 		return len(packet), nil
 	}
-	return l.UDPConn.WriteTo(packet, to)
+	return l.PacketConn.WriteTo(packet, to)
 }
 
 func (l *lossy) ReadFrom(packet []byte) (int, net.Addr, error) {
 	for {
-		count, from, err := l.UDPConn.ReadFrom(packet)
+		count, from, err := l.PacketConn.ReadFrom(packet)
 		if err != nil || !l.cut.Load() {
 			return count, from, err
 		}
@@ -106,7 +107,7 @@
 	g.mu.Lock()
 	g.addresses[id] = address
 	g.mu.Unlock()
-	s := &station{socket: &lossy{UDPConn: socket}, received: make(chan string, 1000), block: make(chan struct{})}
+	s := &station{socket: &lossy{PacketConn: socket}, received: make(chan string, 1000), block: make(chan struct{})}
 	s.Mesh = &mesh.Mesh{
 		Host: fleet.Host{ID: id, Peer: address}, Incarnation: uint64(time.Now().UnixNano()), TLS: config,
 		Clock: timer.System{}, Log: zerolog.Nop(), Packets: s.socket, Resolve: g.resolve, IdleTimeout: 2 * time.Second,
@@ -294,22 +295,36 @@
 	}
 }
 
-// Guards against two hosts that dial each other at once and end without a connection, or with two.
+// Guards against two hosts that dial each other at once and end without a connection, with two, or without messages
+// that were sent meanwhile.
 func TestMutualPeers(t *testing.T) {
-	is := is.New(t)
-	g := newGroup(t)
-	a, b := g.start("a", g.config("a")), g.start("b", g.config("b"))
-	a.SetPeers([]fleet.Host{b.Host})
-	b.SetPeers([]fleet.Host{a.Host})
-	g.eventually(func() bool { return len(a.peers()) == 1 && len(b.peers()) == 1 })
-	is.NoErr(a.send("b", "x"))
-	is.Equal(g.receive(b), "a:x")
-	g.eventually(func() bool { return a.ups.Load()-a.downs.Load() == 1 && b.ups.Load()-b.downs.Load() == 1 })
-	a.SetPeers(nil)
-	g.eventually(func() bool { return len(a.peers()) == 1 }) // b still wants the connection
-	b.SetPeers(nil)
-	g.eventually(func() bool { return len(a.peers()) == 0 && len(b.peers()) == 0 })
-	g.eventually(func() bool { return a.ups.Load() == a.downs.Load() && b.ups.Load() == b.downs.Load() })
+	for range 8 {
+		t.Run("pair", func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			g := newGroup(t)
+			a, b := g.start("a", g.config("a")), g.start("b", g.config("b"))
+			a.SetPeers([]fleet.Host{b.Host})
+			b.SetPeers([]fleet.Host{a.Host})
+			const count = 50
+			for range count {
+				is.NoErr(a.send("b", "x"))
+				is.NoErr(b.send("a", "y"))
+			}
+			for range count {
+				is.Equal(g.receive(b), "a:x")
+				is.Equal(g.receive(a), "b:y")
+			}
+			_ = timer.Wait(t.Context(), timer.System{}, 1500*time.Millisecond) // beyond the time for which a worse link is read
+			is.True(a.downs.Load() <= 1 && b.downs.Load() <= 1)                // one may have been replaced
+			is.Equal(len(a.peers())+len(b.peers()), 2)
+			a.SetPeers(nil)
+			is.Equal(len(a.peers()), 1) // b still wants the connection
+			b.SetPeers(nil)
+			g.eventually(func() bool { return len(a.peers()) == 0 && len(b.peers()) == 0 })
+			g.eventually(func() bool { return a.ups.Load() == a.downs.Load() && b.ups.Load() == b.downs.Load() })
+		})
+	}
 }
 
 // Guards against a restarted or partitioned peer that does not come back, and a restart that is noticed only when the
@@ -332,6 +347,8 @@
 	begin := time.Now()
 	is.NoErr(restarted.send("a", "again"))
 	is.Equal(g.receive(a), "b:again")
+	is.NoErr(a.send("b", "welcome"))
+	is.Equal(g.receive(restarted), "a:welcome")
 	is.True(time.Since(begin) < time.Second) // the new connection replaced the old one at once
 	g.eventually(func() bool { return len(restarted.peers()) == 1 })
 }
--- a/internal/peer/mesh/traffic.go
+++ b/internal/peer/mesh/traffic.go
@@ -45,12 +45,20 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	total := m.ended
-	for _, l := range m.links {
+	for l := range m.open {
 		total.add(trafficOf(l))
 	}
 	return total
 }
 
+// count adds the traffic of a connection that has ended to the total.
+func (m *Mesh) count(l *link) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.open, l)
+	m.ended.add(trafficOf(l))
+}
+
 func trafficOf(l *link) Traffic {
 	stats := l.conn.ConnectionStats()
 	return Traffic{
