--- a/internal/daemon/dev/fleet.go
+++ b/internal/daemon/dev/fleet.go
@@ -26,9 +26,6 @@
 	platform "rosemarywick.example/rosemarywick/internal/platform/standin"
 )
 
-// DefaultDaemons is the number of daemons of a development fleet.
-const DefaultDaemons = 3
-
 const (
 	headerTimeout = 5 * time.Second
 	// readyTimeout bounds the wait until every partition has an owner.
@@ -41,10 +38,13 @@
 
 // Fleet is a development fleet. The exported fields are set before Run.
 type Fleet struct {
-	Shape   Shape
+	Shape Shape
+	// Daemons is the number of daemons that run in this process.
 	Daemons int
-	Timer   timer.Service
-	Log     zerolog.Logger
+	// SettingsFiles is the number of further settings files to write for daemons in processes of their own.
+	SettingsFiles int
+	Timer         timer.Service
+	Log           zerolog.Logger
 	// Out receives the addresses and commands for the user.
 	Out io.Writer
 
@@ -59,6 +59,8 @@
 	platformAddress netip.AddrPort
 	workers         []*worker
 	daemons         []*host.Daemon
+	// spare are the settings of daemons that the user may start.
+	spare []*settings.Settings
 }
 
 // Run starts everything, says how to use it, and runs until ctx ends.
@@ -121,12 +123,16 @@
 	if err := f.configure(ctx); err != nil {
 		return err
 	}
-	for i := range f.Daemons {
+	for i := range f.Daemons + f.SettingsFiles {
 		loaded, err := f.settings(ctx, i)
 		if err != nil {
 			return err
 		}
 		f.platform.Hosts.Set(loaded.Host, hosts.Live)
+		if i >= f.Daemons {
+			f.spare = append(f.spare, loaded)
+			continue
+		}
 		f.daemons = append(f.daemons, &host.Daemon{
 			Settings: loaded, Timer: f.Timer, Log: f.Log.With().Str("host", string(loaded.Host.ID)).Logger(),
 		})
@@ -135,7 +141,13 @@
 	for _, one := range f.daemons {
 		group.Go(func() error { return one.Run(ctx) })
 	}
-	group.Go(func() error { return f.introduce(ctx) })
+	group.Go(func() error {
+		if err := f.introduce(ctx); err != nil {
+			return err
+		}
+		<-ctx.Done()
+		return nil
+	})
 	return group.Wait()
 }
 
@@ -166,7 +178,7 @@
 authority = %q
 `, name, f.deployment.region, domain, ports.peer, ports.callers, ports.operators, f.platformAddress,
 		files.Certificate, files.Key, files.Authority)
-	path := filepath.Join(f.directory, name+".toml")
+	path := f.settingsPath(name)
 	const ownerOnly = 0o600
 	if err := os.WriteFile(path, []byte(text), ownerOnly); err != nil {
 		return nil, errors.Wrap(err, "write settings")
@@ -215,23 +227,37 @@
 	if _, err := f.authority.Issue("reader", roleRead); err != nil {
 		return err
 	}
-	_, _ = fmt.Fprintf(f.Out, "%s fleet: %d daemons, %d upstreams, platform at %s\n",
-		f.Shape, len(f.daemons), len(f.workers), f.platformAddress)
+	f.print("%s fleet: %d daemons, %d upstreams, platform at %s", f.Shape, len(f.daemons), len(f.workers), f.platformAddress)
 	for _, one := range f.daemons {
-		_, _ = fmt.Fprintf(f.Out, "  %s in %s: callers http://%s  operators https://%s\n", one.Settings.Host.ID,
+		f.print("  %s in %s: callers http://%s  operators https://%s", one.Settings.Host.ID,
 			one.Settings.Host.Place.Domain, one.Settings.Callers, one.Settings.Operators)
 	}
-	first := f.daemons[0].Settings
-	_, _ = fmt.Fprintf(f.Out, "try:\n  curl -i http://%s%s\n", first.Callers, f.deployment.example)
-	_, _ = fmt.Fprintf(f.Out, "  rosemarywick --server %s --certificate %s --key %s --authority %s partitions\n",
-		first.Operators, operator.Certificate, operator.Key, operator.Authority)
-	_, _ = fmt.Fprintln(f.Out, "stop with Ctrl-C")
+	for _, one := range f.spare {
+		f.print("to add %s, which will serve callers at http://%s:\n  rosemarywick serve --settings %s", one.Host.ID,
+			one.Callers, f.settingsPath(string(one.Host.ID)))
+	}
+	if len(f.daemons) > 0 {
+		first := f.daemons[0].Settings
+		f.print("to send a keyed request:\n  curl -i http://%s%s", first.Callers, f.deployment.example)
+		f.print("to call a daemon as an operator:\n  rosemarywick partitions --server %s --certificate %s --key %s --authority %s",
+			first.Operators, operator.Certificate, operator.Key, operator.Authority)
+	}
+	f.print("stop with Ctrl-C")
 	if f.serving != nil {
 		f.serving()
 	}
 	return nil
 }
 
+// print writes a line for the user. An error of the output is not a reason to stop the fleet.
+func (f *Fleet) print(format string, args ...any) {
+	_, _ = fmt.Fprintf(f.Out, format+"\n", args...)
+}
+
+func (f *Fleet) settingsPath(name string) string {
+	return filepath.Join(f.directory, name+".toml")
+}
+
 // waitReady blocks until each daemon knows an owner of every partition.
 func (f *Fleet) waitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeoutCause(ctx, readyTimeout, errors.New("dev: partitions are without an owner"))
--- a/internal/daemon/dev/fleet_test.go
+++ b/internal/daemon/dev/fleet_test.go
@@ -12,8 +12,11 @@
 	"rosemarywick.example/rosemarywick/internal/core/timer"
 )
 
+// daemons is the number of daemons in the fleets under test.
+const daemons = 3
+
 // startFleet runs a fleet until the test ends and returns it once it serves.
-func startFleet(t *testing.T, shape Shape, daemons int) *Fleet {
+func startFleet(t *testing.T, shape Shape) *Fleet {
 	t.Helper()
 	fleet := &Fleet{Shape: shape, Daemons: daemons, Timer: timer.System{}, Log: zerolog.Nop(), Out: io.Discard}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -60,7 +63,7 @@
 	for _, shape := range []Shape{Ceibal, Nadif} {
 		t.Run(string(shape), func(t *testing.T) {
 			is := is.New(t)
-			fleet := startFleet(t, shape, DefaultDaemons)
+			fleet := startFleet(t, shape)
 			first, status := fleet.get(t, 0, fleet.deployment.example)
 			is.Equal(status, http.StatusOK)
 			for daemon := range fleet.daemons {
@@ -78,7 +81,7 @@
 // Guards against a key that stays without an owner after its server was lost.
 func TestKeyIsServedAgainAfterLoss(t *testing.T) {
 	is := is.New(t)
-	fleet := startFleet(t, Ceibal, DefaultDaemons)
+	fleet := startFleet(t, Ceibal)
 	header, _ := fleet.get(t, 0, fleet.deployment.example)
 	lost := header.Get("Worker")
 	for _, one := range fleet.workers {
--- a/internal/operator/cli/root.go
+++ b/internal/operator/cli/root.go
@@ -7,6 +7,7 @@
 	"io"
 	"sync"
 
+	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
 	"rosemarywick.example/rosemarywick/internal/core/settings"
@@ -26,6 +27,10 @@
 // DevOptions are the arguments of the dev command.
 type DevOptions struct {
 	Shape Shape
+	// Daemons is the number of daemons in the process of the command.
+	Daemons int
+	// SettingsFiles is the number of further settings files to write, for daemons in processes of their own.
+	SettingsFiles int
 	// LogLevel is one of "debug", "info", "warn" and "error".
 	LogLevel string
 	// Out receives what the fleet tells its user, such as the addresses of its daemons.
@@ -110,6 +115,13 @@
 	return command
 }
 
+const (
+	// defaultDaemons is the number of daemons of a development fleet.
+	defaultDaemons = 3
+	// maxDaemons bounds a development fleet to what one machine runs with ease.
+	maxDaemons = 50
+)
+
 func (r *Root) devCommand() *cobra.Command {
 	options := DevOptions{Out: r.Out}
 	shape := choice{value: string(ShapeCeibal), allowed: []string{string(ShapeCeibal), string(ShapeNadif)}}
@@ -119,11 +131,17 @@
 		Short: "Run a fleet of daemons, upstreams and a platform in this process, for trials",
 		Args:  usageArgs(cobra.NoArgs),
 		RunE: func(command *cobra.Command, _ []string) error {
+			if options.Daemons < 0 || options.SettingsFiles < 0 || options.Daemons+options.SettingsFiles > maxDaemons {
+				return &usageError{err: errors.Newf("dev: expected 0 to %d daemons and settings files together", maxDaemons)}
+			}
 			options.Shape, options.LogLevel = Shape(shape.value), level.value
 			return r.Dev(command.Context(), options)
 		},
 	}
 	command.Flags().Var(&shape, "shape", "fleet to start: "+shape.list())
+	command.Flags().IntVar(&options.Daemons, "daemons", defaultDaemons, "number of daemons in this process")
+	command.Flags().IntVar(&options.SettingsFiles, "settings-files", 1,
+		"number of further settings files to write for \"serve\" in processes of their own")
 	command.Flags().Var(&level, "log-level", "lowest level to log: "+level.list())
 	return command
 }
