--- a/cmd/rosemarywick/main.go
+++ b/cmd/rosemarywick/main.go
@@ -39,7 +39,8 @@
 func runFleet(ctx context.Context, options cli.DevOptions) error {
 	log := cli.Logger(os.Stderr, options.LogLevel)
 	fleet := &dev.Fleet{
-		Shape: dev.Shape(options.Shape), Daemons: options.Daemons, SettingsFiles: options.SettingsFiles, Timer: timer.System{}, Log: log, Out: options.Out,
+		Shape: dev.Shape(options.Shape), Daemons: options.Daemons, SettingsFiles: options.SettingsFiles,
+		Timer: timer.System{}, Log: log, Out: options.Out,
 	}
 	return fleet.Run(ctx)
 }
