cli, rpc: a second SIGINT ends a program that a shell runs in the background

Cause: a shell that starts a program in the background sets SIGINT to be ignored; a second SIGINT then had no effect, since the first gave the signal that setting back. In a trial with dev, hosts were shown as seen a negative time ago. Change: the second signal ends the process explicitly; the time since a host was seen is taken after the hosts were read and is never negative. Conclusion: go test -race passes on internal/operator/...

--- a/internal/operator/cli/root_test.go
+++ b/internal/operator/cli/root_test.go
@@ -90,11 +90,15 @@
 		`level=warn event="change refused" cause="row\\nhas another version" version=7\n$`).MatchString(line))
 }
 
-// Guards against a program that a signal does not end.
+// Guards against a program that one signal does not end gracefully, or two do not end at once.
 func TestInterruptible(t *testing.T) {
 	is := is.New(t)
-	ctx, stop := cli.Interruptible(t.Context())
+	exited := make(chan int, 1)
+	ctx, stop := cli.InterruptibleWith(t.Context(), func(code int) { exited <- code })
 	defer stop()
 	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGTERM))
 	<-ctx.Done()
+	is.Equal(len(exited), 0)
+	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGINT))
+	is.Equal(<-exited, int(cli.ExitFailure))
 }
--- a/internal/operator/cli/signals.go
+++ b/internal/operator/cli/signals.go
@@ -7,10 +7,36 @@
 	"syscall"
 )
 
-// Interruptible returns a context that ends with the first SIGINT or SIGTERM. From then on the signals have their
-// default effect, so that a second one ends the process at once.
+// Interruptible returns a context that ends with the first SIGINT or SIGTERM. A second one ends the process at once. The
+// returned function ends the context and gives the signals back their default effect.
 func Interruptible(parent context.Context) (context.Context, context.CancelFunc) {
-	ctx, stop := signal.NotifyContext(parent, os.Interrupt, syscall.SIGTERM)
-	context.AfterFunc(ctx, stop)
-	return ctx, stop
+	return interruptible(parent, os.Exit)
+}
+
+// interruptible does not leave the second signal to its default effect, since a shell that starts a program in the
+// background may have set SIGINT to be ignored.
+func interruptible(parent context.Context, exit func(code int)) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(parent)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	stopped := make(chan struct{})
+	go func() {
+		for count := 1; ; count++ {
+			select {
+			case <-signals:
+			case <-stopped:
+				return
+			}
+			if count > 1 {
+				exit(int(ExitFailure))
+				return
+			}
+			cancel()
+		}
+	}()
+	return ctx, func() {
+		signal.Stop(signals)
+		cancel()
+		close(stopped)
+	}
 }
--- a/internal/operator/rpc/fleet.go
+++ b/internal/operator/rpc/fleet.go
@@ -17,12 +17,13 @@
 func (s *Server) ListHosts(
 	context.Context, *connect.Request[api.ListHostsRequest],
 ) (*connect.Response[api.ListHostsResponse], error) {
+	hosts := s.Fleet.Hosts()
 	now := s.Timer.Now()
 	response := &api.ListHostsResponse{}
-	for _, host := range s.Fleet.Hosts() {
+	for _, host := range hosts {
 		entry := &api.Host{
 			Id: string(host.ID), Region: string(host.Place.Region), Domain: string(host.Place.Domain),
-			PeerAddress: host.Peer.String(), State: string(host.State), LastSeen: durationpb.New(now.Sub(host.LastSeen)),
+			PeerAddress: host.Peer.String(), State: string(host.State), LastSeen: durationpb.New(max(0, now.Sub(host.LastSeen))),
 			ConfigVersion: host.ConfigVersion, Rejection: host.Rejection,
 		}
 		for _, service := range host.AssignerOf {
