cli: the function that ends signal handling may be called twice

Cause: closing a channel in a CancelFunc panics at the second call. Change: a context takes the place of the channel; the fake fleet has a host that claims to have been seen in the future, which guards the time shown by hosts. Conclusion: go test -race passes on internal/operator/...

--- a/internal/operator/cli/remote_test.go
+++ b/internal/operator/cli/remote_test.go
@@ -119,7 +119,7 @@
 }
 `, ""},
 		{"hosts", `HOST     REGION      DOMAIN   PEER ADDRESS    STATE  SEEN        CONFIG  REJECTED  ASSIGNER OF
-entry-1  montevideo  centro   127.0.0.1:7001  live   TIME    5       -         catalogue
+entry-1  montevideo  centro   127.0.0.1:7001  live   TIME      5       -         catalogue
 entry-2  montevideo  cerro    127.0.0.1:7002  live   TIME    0       -         -
 entry-3  montevideo  pocitos  127.0.0.1:7003  lost   TIME  0       -         -
 `, ""},
--- a/internal/operator/cli/root_test.go
+++ b/internal/operator/cli/root_test.go
@@ -101,4 +101,5 @@
 	is.Equal(len(exited), 0)
 	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGINT))
 	is.Equal(<-exited, int(cli.ExitFailure))
+	stop() // like each CancelFunc it may be called again
 }
--- a/internal/operator/cli/signals.go
+++ b/internal/operator/cli/signals.go
@@ -19,12 +19,12 @@
 	ctx, cancel := context.WithCancel(parent)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	stopped := make(chan struct{})
+	quit, end := context.WithCancel(context.Background())
 	go func() {
 		for count := 1; ; count++ {
 			select {
 			case <-signals:
-			case <-stopped:
+			case <-quit.Done():
 				return
 			}
 			if count > 1 {
@@ -37,6 +37,6 @@
 	return ctx, func() {
 		signal.Stop(signals)
 		cancel()
-		close(stopped)
+		end()
 	}
 }
--- a/internal/operator/standin/fleet.go
+++ b/internal/operator/standin/fleet.go
@@ -68,7 +68,7 @@
 	f.versions[host] = version
 }
 
-// Hosts returns two live hosts and a lost one.
+// Hosts returns two live hosts, of which one claims to have been seen in the future, and a lost one.
 func (f *Fleet) Hosts() []rpc.Host {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -83,7 +83,7 @@
 	}
 	hosts := []rpc.Host{
 		host("entry-2", "cerro", "7002", rpc.HostLive, time.Minute),
-		host("entry-1", "centro", "7001", rpc.HostLive, time.Minute),
+		host("entry-1", "centro", "7001", rpc.HostLive, -time.Minute),
 		host("entry-3", "pocitos", "7003", rpc.HostLost, time.Hour),
 	}
 	hosts[1].AssignerOf = []fleet.ServiceName{"catalogue"}
