bench/spread: delay of a change and cost of the control traffic on loopback

Cause: the targets for a change in force everywhere and for the control traffic had not been measured. The measurement found that a daemon chose its peers a round after it had read the host list, so that the first change took 980 ms; it now chooses them at once. The number of adoptions in one message is bounded.

--- /dev/null
+++ b/internal/bench/spread/run/main.go
@@ -0,0 +1,115 @@
+// Command run measures the dissemination between daemons on loopback and prints tables.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rosemarywick.example/rosemarywick/internal/bench/spread"
+)
+
+// changesADay is the number of configuration changes at the design scale.
+const changesADay = 3500
+
+func main() {
+	if err := run(context.Background(), os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// options are the command-line options.
+type options struct {
+	settings spread.Settings
+	sizes    string
+	changes  int
+	span     time.Duration
+	factor   float64
+}
+
+func run(ctx context.Context, arguments []string) error {
+	var o options
+	flags := flag.NewFlagSet("run", flag.ContinueOnError)
+	flags.StringVar(&o.sizes, "daemons", "12,50,100,200", "numbers of daemons")
+	flags.IntVar(&o.changes, "changes", 20, "changes whose delay is measured")
+	flags.DurationVar(&o.span, "span", 20*time.Second, "time for which the cost is measured, idle and with changes")
+	flags.Float64Var(&o.factor, "factor", 10, "rate of changes as a multiple of 3,500 a day")
+	flags.IntVar(&o.settings.PeerCount, "peers", 6, "mean number of connections of a daemon")
+	flags.DurationVar(&o.settings.Round, "round", 0, "interval of digests (default 1s)")
+	flags.DurationVar(&o.settings.Report, "report", 0, "interval of reports of adopted versions (default 200ms)")
+	flags.IntVar(&o.settings.ItemBytes, "bytes", 1000, "size of the published item")
+	if err := flags.Parse(arguments); err != nil {
+		return errors.Wrap(err, "arguments")
+	}
+	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(table, "daemons\tstart s\theld median ms\theld worst ms\tcounted median ms\tcounted worst ms\t"+
+		"load\tsent B/s\treceived B/s\tmost B/s\tpackets/s\tcore %\theap MB\tresident MB\tlinks\tmost links\t")
+	for _, size := range strings.Split(o.sizes, ",") {
+		count, err := strconv.Atoi(size)
+		if err != nil {
+			return errors.Wrap(err, "numbers of daemons")
+		}
+		o.settings.Daemons = count
+		if err := measure(ctx, o, table); err != nil {
+			return errors.Wrapf(err, "%d daemons", count)
+		}
+	}
+	return errors.Wrap(table.Flush(), "print")
+}
+
+func measure(ctx context.Context, o options, table *tabwriter.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Minute)
+	defer cancel()
+	fleet := &spread.Fleet{Settings: o.settings}
+	begin := time.Now()
+	if err := fleet.Start(ctx); err != nil {
+		return err
+	}
+	defer fleet.Stop()
+	start := time.Since(begin)
+	delays, err := fleet.Delays(ctx, o.changes, 2)
+	if err != nil {
+		return err
+	}
+	idle, err := fleet.Cost(ctx, o.span, 0, 0)
+	if err != nil {
+		return err
+	}
+	interval := time.Duration(float64(24*time.Hour) / changesADay / o.factor)
+	loaded, err := fleet.Cost(ctx, o.span, interval, uint64(o.changes)+2)
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(table, "%d\t%.1f\t%s\t%s\t%s\t%s\t", o.settings.Daemons, start.Seconds(),
+		middle(delays.Held), worst(delays.Held), middle(delays.Counted), worst(delays.Counted))
+	write(table, "idle", idle)
+	_, _ = fmt.Fprint(table, "\t\t\t\t\t\t")
+	write(table, fmt.Sprintf("%g x", o.factor), loaded)
+	return nil
+}
+
+func write(table *tabwriter.Writer, load string, cost spread.Cost) {
+	_, _ = fmt.Fprintf(table, "%s\t%.0f\t%.0f\t%.0f\t%.1f\t%.2f\t%.2f\t%.2f\t%.1f\t%d\t\n", load, cost.SentBytes,
+		cost.ReceivedBytes, cost.MostBytes, cost.SentPackets, 100*cost.Core, cost.HeapBytes/1e6,
+		cost.ResidentBytes/1e6, cost.Connections, cost.MostConnections)
+}
+
+func middle(delays []time.Duration) string {
+	return milliseconds(delays[len(delays)/2])
+}
+
+func worst(delays []time.Duration) string {
+	return milliseconds(delays[len(delays)-1])
+}
+
+func milliseconds(delay time.Duration) string {
+	return fmt.Sprintf("%.0f", float64(delay)/float64(time.Millisecond))
+}
--- a/internal/peer/spread/runner.go
+++ b/internal/peer/spread/runner.go
@@ -171,11 +171,18 @@
 			link.reply(root)
 		}
 	}
-	peers := r.View.Peers()
 	if host, due := r.View.Probe(now); due {
 		r.probing, r.probeEnd = host, now.Add(probeTime)
 	}
-	if now.Before(r.probeEnd) {
+	r.mu.Unlock()
+	r.choosePeers()
+}
+
+// choosePeers tells the mesh which hosts are to be connected.
+func (r *Runner) choosePeers() {
+	r.mu.Lock()
+	peers := r.View.Peers()
+	if r.Clock.Now().Before(r.probeEnd) {
 		peers = append(peers, r.probing)
 	}
 	r.mu.Unlock()
@@ -372,6 +379,7 @@
 				r.mu.Lock()
 				r.View.Listed(r.Clock.Now(), entries)
 				r.mu.Unlock()
+				r.choosePeers()
 			}
 		}
 		if timer.Wait(ctx, r.Clock, pause) != nil {
--- a/internal/peer/wire/codec.go
+++ b/internal/peer/wire/codec.go
@@ -20,7 +20,7 @@
 	MaxName = 256
 	// MaxBuckets bounds the number of buckets of a digest.
 	MaxBuckets = 1024
-	// MaxEntries bounds the number of items, entries or names in one message.
+	// MaxEntries bounds the number of items, entries, names or adoptions in one message.
 	MaxEntries = 65536
 )
 
@@ -79,6 +79,13 @@
 	if len(names) > MaxEntries || slices.ContainsFunc(names, func(name string) bool { return !validName(name) }) {
 		return nil, errors.Wrap(ErrMalformed, "names empty, too long or too many")
 	}
+	reports := 0
+	for _, adoption := range message.GetAdoptions().GetAdoptions() {
+		reports += len(adoption.GetHosts())
+	}
+	if reports > MaxEntries {
+		return nil, errors.Wrap(ErrMalformed, "too many adoptions")
+	}
 	return message, nil
 }
 
--- a/internal/peer/wire/codec_test.go
+++ b/internal/peer/wire/codec_test.go
@@ -67,10 +67,13 @@
 	is.True(errors.Is(err, wire.ErrMalformed)) // refused by its length, before the memory is taken
 	is.True(wire.WriteEnvelope(io.Discard, &wire.Envelope{Payload: make([]byte, wire.MaxEnvelope)}) != nil)
 	for name, message := range map[string]*wire.Spread{
-		"long name":  {Body: &wire.Spread_Items{Items: &wire.Items{Items: []*wire.Item{{Name: strings.Repeat("x", 257)}}}}},
-		"no name":    {Body: &wire.Spread_Offer{Offer: &wire.Summary{Entries: []*wire.Item{{Major: 1}}}}},
-		"no want":    {Body: &wire.Spread_Want{Want: &wire.Want{Names: []string{""}}}},
-		"buckets":    {Body: &wire.Spread_Buckets{Buckets: &wire.Buckets{Digests: make([]uint32, wire.MaxBuckets+1)}}},
+		"long name": {Body: &wire.Spread_Items{Items: &wire.Items{Items: []*wire.Item{{Name: strings.Repeat("x", 257)}}}}},
+		"no name":   {Body: &wire.Spread_Offer{Offer: &wire.Summary{Entries: []*wire.Item{{Major: 1}}}}},
+		"no want":   {Body: &wire.Spread_Want{Want: &wire.Want{Names: []string{""}}}},
+		"buckets":   {Body: &wire.Spread_Buckets{Buckets: &wire.Buckets{Digests: make([]uint32, wire.MaxBuckets+1)}}},
+		"adoptions": {Body: &wire.Spread_Adoptions{Adoptions: &wire.Adoptions{
+			Adoptions: []*wire.Adoption{{Hosts: make([]uint32, wire.MaxEntries+1)}},
+		}}},
 		"many wants": {Body: &wire.Spread_Want{Want: &wire.Want{Names: make([]string, wire.MaxEntries+1)}}},
 	} {
 		payload, err := proto.Marshal(message)
