--- a/internal/ownership/assigner/assigner.go
+++ b/internal/ownership/assigner/assigner.go
@@ -58,8 +58,8 @@
 	Placer Placer
 	// Timing contains the durations. It is set before first use.
 	Timing Timing
-	// Omit is empty but in tests, which show that the omission of a rule is noticed.
-	Omit lease.Rule
+	// omit is empty but in tests, which show that the omission of a rule is noticed.
+	omit lease.Rule
 
 	now     time.Time
 	started bool
@@ -84,6 +84,8 @@
 	evidence   lease.Stamp
 	evidenceAt time.Time
 	beganAt    time.Time
+	// endedAt is the time since which so many members are known to have ended that there can be no majority.
+	endedAt time.Time
 
 	plan plan
 }
@@ -123,7 +125,7 @@
 	}
 	a.started = true
 	a.watch.heard = now
-	a.ledger.Term, a.ledger.Drift, a.ledger.Omit = a.Timing.Term, a.Timing.Drift, a.Omit
+	a.ledger.Term, a.ledger.Drift, a.ledger.Omit = a.Timing.Term, a.Timing.Drift, a.omit
 	a.plan.slots = make(map[fleet.PartitionID]*slot)
 	a.plan.pending = make(map[fleet.PartitionID]struct{})
 	a.plan.changed = make(map[fleet.PartitionID]struct{})
@@ -160,7 +162,7 @@
 // observe notes an epoch that is in use. An acting assigner that sees a higher one steps down, which is rule G6.
 func (a *Assigner) observe(epoch fleet.Epoch) {
 	a.seen = max(a.seen, epoch)
-	if a.Role() != RoleActing || epoch <= a.epoch || a.Omit == lease.RuleStepDown {
+	if a.Role() != RoleActing || epoch <= a.epoch || a.omit == lease.RuleStepDown {
 		return
 	}
 	a.stepDown(ReasonHigherEpoch)
@@ -181,7 +183,9 @@
 	a.seen = max(a.seen, epoch)
 	a.beganAt, a.evidenceAt = a.now, a.now
 	a.wanted, a.evidence = 0, 0
+	a.endedAt = time.Time{}
 	a.ledger.Begin(a.row.content.Members, a.row.content.Previous)
+	a.plan.known = a.plan.known && a.Role() != RoleWatching
 	a.changeRole(RoleActing, reason)
 	a.resetServers()
 	a.plan.reset()
--- a/internal/ownership/assigner/place.go
+++ b/internal/ownership/assigner/place.go
@@ -123,7 +123,7 @@
 }
 
 func (a *Assigner) readPlacementIfUnknown() {
-	if !a.plan.known && (a.plan.readAt.IsZero() || a.now.Sub(a.plan.readAt) >= a.Timing.Retry) {
+	if !a.plan.current && (a.plan.readAt.IsZero() || a.now.Sub(a.plan.readAt) >= a.Timing.Retry) {
 		a.readPlacement()
 	}
 }
@@ -140,6 +140,7 @@
 func (a *Assigner) PlacementRead(now time.Time, rows []StoredPlacement) []Action {
 	a.enter(now)
 	a.plan.reading, a.plan.known = false, true
+	a.plan.current = a.Role() == RoleActing
 	for _, row := range rows {
 		known := a.plan.row(row.Index)
 		known.version = row.Version
@@ -172,7 +173,7 @@
 func (a *Assigner) tickPlacement() {
 	a.readPlacementIfUnknown()
 	due := a.plan.writeAt.IsZero() || a.now.Sub(a.plan.writeAt) >= a.Timing.Settle
-	if !a.plan.known || a.plan.reading || a.plan.writing != nil || !due || a.row.stale || a.row.content.Epoch != a.epoch {
+	if !a.plan.current || a.plan.reading || a.plan.writing != nil || !due || a.row.stale || a.row.content.Epoch != a.epoch {
 		return
 	}
 	write := WritePlacement{Group: a.row.version}
--- a/internal/ownership/assigner/plan.go
+++ b/internal/ownership/assigner/plan.go
@@ -33,8 +33,10 @@
 	entryVersion uint64
 	loads        map[fleet.PartitionID]float64
 
-	// known is set once the placement rows were read.
+	// known is set once the placement rows were read by this run as a deputy or in this epoch, and current once they
+	// were read in this epoch; without that they must not be written.
 	known   bool
+	current bool
 	reading bool
 	readAt  time.Time
 	writing *WritePlacement
@@ -77,6 +79,10 @@
 		p.pending[id] = struct{}{}
 	}
 	p.live, p.placedFor, p.memberChange = nil, nil, time.Time{}
+	p.current = false
+	for _, row := range p.placed {
+		row.dirty = false
+	}
 	p.entryVersion++
 }
 
--- a/internal/ownership/assigner/role.go
+++ b/internal/ownership/assigner/role.go
@@ -23,6 +23,9 @@
 	asked time.Time
 	// beat is the last time at which a heartbeat was sent to the deputy.
 	beat time.Time
+	// former are the hosts that earlier rows named, until the given times. They hear the heartbeats too, since each may
+	// still believe that it is the deputy and would take over when it hears nothing.
+	former map[fleet.HostID]time.Time
 	// ready is the last time at which the deputy said that it stands by.
 	ready time.Time
 	// placements is the count in the last heartbeat heard.
@@ -86,9 +89,13 @@
 	}
 }
 
-// hasMajority reports whether a majority of the servers accepted orders lately.
+// hasMajority reports whether a majority of the servers accepted orders lately. An epoch that has had none yet gets the
+// time to replace members, since otherwise holder and deputy would supersede one another while no majority answers.
 func (a *Assigner) hasMajority() bool {
-	return a.ledger.Quorum() && a.now.Sub(a.evidenceAt) < 4*a.Timing.Round
+	if !a.ledger.Quorum() || len(a.row.content.Members) == 0 {
+		return a.now.Sub(a.beganAt) < 3*a.Timing.WatcherPatience
+	}
+	return a.now.Sub(a.evidenceAt) < 4*a.Timing.Round
 }
 
 // tickDeputy takes over when the holder has been silent for too long.
@@ -97,7 +104,9 @@
 		a.changeRole(RoleWatching, ReasonNotDeputy)
 		return
 	}
-	a.readPlacementIfUnknown()
+	if !a.plan.known {
+		a.readPlacementIfUnknown()
+	}
 	if a.now.Sub(a.watch.heard) > a.Timing.DeputyPatience {
 		a.begin(a.row.content.Reserve, ReasonHolderSilent)
 	}
@@ -155,7 +164,7 @@
 	a.row.fresh = false
 	next := a.row.content
 	next.Epoch, next.Reserve = a.row.content.Reserve+1, a.row.content.Reserve+2
-	next.Holder, next.Deputy = a.Host, a.chooseDeputy()
+	next.Holder, next.Deputy = a.Host, a.chooseDeputy(next.Holder, next.Deputy)
 	a.writeRow(next)
 }
 
@@ -183,28 +192,29 @@
 	return rank
 }
 
-// chooseDeputy returns a live host, in another failure domain than this one if there is one.
-func (a *Assigner) chooseDeputy() fleet.HostID {
+// chooseDeputy returns a live host, if possible none of those to avoid and in another failure domain than this one.
+func (a *Assigner) chooseDeputy(avoid ...fleet.HostID) fleet.HostID {
 	var own fleet.Place
 	for _, host := range a.watch.hosts {
 		if host.ID == a.Host {
 			own = host.Place
 		}
 	}
-	var other fleet.HostID
-	failed := a.row.content.Deputy
+	var best fleet.HostID
+	highest := 0
 	for _, host := range a.order() {
-		if host.ID == a.Host || (host.ID == failed && len(a.watch.hosts) > 2) {
-			continue
+		score := 1
+		if !slices.Contains(avoid, host.ID) {
+			score += 2
 		}
-		if host.Place != own {
-			return host.ID
+		if host.Place.Domain != own.Domain {
+			score++
 		}
-		if other == "" {
-			other = host.ID
+		if host.ID != a.Host && score > highest {
+			best, highest = host.ID, score
 		}
 	}
-	return other
+	return best
 }
 
 // HandOver gives up the role because this daemon is about to stop, and tells the deputy to start at once.
@@ -222,13 +232,40 @@
 	return a.leave()
 }
 
-// beatDeputy sends the heartbeat of the round to the deputy.
-func (a *Assigner) beatDeputy() {
+// sendBeats sends the heartbeats of the round.
+func (a *Assigner) sendBeats() {
 	if a.now.Sub(a.watch.beat) < a.Timing.Round {
 		return
 	}
 	a.watch.beat = a.now
-	if deputy := a.row.content.Deputy; deputy != "" && deputy != a.Host {
-		a.do(SendMessage{To: deputy, Message: a.heartbeat()})
+	a.beat(a.row.content.Deputy)
+	former := make([]fleet.HostID, 0, len(a.watch.former))
+	for host, until := range a.watch.former {
+		if a.now.After(until) {
+			delete(a.watch.former, host)
+		} else if host != a.row.content.Deputy {
+			former = append(former, host)
+		}
+	}
+	slices.Sort(former)
+	for _, host := range former {
+		a.beat(host)
+	}
+}
+
+func (a *Assigner) beat(host fleet.HostID) {
+	if host != "" && host != a.Host {
+		a.do(SendMessage{To: host, Message: a.heartbeat()})
+	}
+}
+
+// replaceRow takes over the content of the group row and remembers the hosts that the one before it named.
+func (a *Assigner) replaceRow(content Row) {
+	if a.watch.former == nil {
+		a.watch.former = make(map[fleet.HostID]time.Time)
+	}
+	for _, host := range []fleet.HostID{a.row.content.Holder, a.row.content.Deputy} {
+		a.watch.former[host] = a.now.Add(2 * a.Timing.WatcherPatience)
 	}
+	a.row.content = content
 }
--- a/internal/ownership/assigner/rounds.go
+++ b/internal/ownership/assigner/rounds.go
@@ -30,8 +30,9 @@
 	// heard is the last time at which the server answered, and acceptedAt the last at which it accepted.
 	heard      time.Time
 	acceptedAt time.Time
-	// seen is the incarnation in the last report.
-	seen fleet.Incarnation
+	// seen is the incarnation in the last report, and current the same if the report belongs to this epoch.
+	seen    fleet.Incarnation
+	current fleet.Incarnation
 	// leaseLeft is that of the last accepted report, and leaseEnd the same on the server's clock.
 	leaseLeft time.Duration
 	leaseEnd  time.Duration
@@ -102,7 +103,7 @@
 	a.place()
 	a.decide()
 	a.sendOrders()
-	a.beatDeputy()
+	a.sendBeats()
 	a.tickRow()
 	a.tickPlacement()
 }
@@ -143,13 +144,17 @@
 	known.sequence++
 	order := fleet.Order{
 		Service: a.Service, Epoch: a.epoch, Sequence: known.sequence, Incarnation: known.member.Incarnation,
-		WantHoldings: known.unlisted,
+	}
+	if a.omit == lease.RuleIncarnation && known.seen != "" {
+		order.Incarnation = known.seen
 	}
 	if order.Incarnation != "" {
 		order.Renewal = a.ledger.Renewal(known.member)
 		order.Grants = a.grantList(known.grants)
 		order.Revokes = sortedKeys(known.revokes)
 		order.Entries = a.entriesFor(known)
+		// A new list of entries changes what the server holds.
+		order.WantHoldings = known.unlisted || order.Entries != nil
 	}
 	known.outstanding, known.sentAt = true, a.now
 	known.sentStamp = a.ledger.Sent(known.member, order.Grants)
@@ -191,7 +196,8 @@
 	if known == nil || sent.run != a.run || a.Role() != RoleActing {
 		return a.leave()
 	}
-	known.outstanding, known.heard, known.seen = false, now, report.Incarnation
+	known.outstanding, known.heard = false, now
+	known.seen, known.current = report.Incarnation, report.Incarnation
 	if report.Accepted() && a.counts(sent.member, report.Incarnation) {
 		a.accepted(known, sent, report)
 	}
@@ -201,7 +207,7 @@
 
 // counts reports whether a report counts for a member, which is rule G4.
 func (a *Assigner) counts(member lease.Member, incarnation fleet.Incarnation) bool {
-	if a.Omit == lease.RuleIncarnation {
+	if a.omit == lease.RuleIncarnation {
 		return member.Incarnation != ""
 	}
 	return member.Incarnation != "" && member.Incarnation == incarnation
--- a/internal/ownership/assigner/store.go
+++ b/internal/ownership/assigner/store.go
@@ -66,7 +66,8 @@
 		a.row.known, a.row.first = true, version
 	}
 	if first || version >= a.row.version {
-		a.row.version, a.row.content = version, content
+		a.row.version = version
+		a.replaceRow(content)
 		a.row.fresh, a.row.stale = true, false
 		a.rowChanged(changed)
 	}
@@ -120,7 +121,7 @@
 	}
 	a.row.stale = true
 	a.readRow()
-	if result == WriteDone || (result == WriteUnknown && a.Omit == lease.RuleUnknownWrite) {
+	if result == WriteDone || (result == WriteUnknown && a.omit == lease.RuleUnknownWrite) {
 		a.adopt(write.Row)
 	}
 	return a.leave()
@@ -128,7 +129,7 @@
 
 // adopt acts on a row that this host has written.
 func (a *Assigner) adopt(content Row) {
-	a.row.content = content
+	a.replaceRow(content)
 	switch {
 	case content.Epoch > a.epoch && content.Epoch >= a.seen:
 		a.begin(content.Epoch, ReasonRowWritten)
@@ -157,11 +158,11 @@
 	switch {
 	case a.row.content.Epoch < a.epoch:
 		next.Epoch, next.Reserve = a.epoch, a.row.content.Reserve+1
-		next.Holder, next.Deputy = a.Host, a.chooseDeputy()
+		next.Holder, next.Deputy = a.Host, a.chooseDeputy(next.Holder)
 	case a.changeMembers(&next):
 		next.Epoch, next.Reserve = a.row.content.Reserve+1, a.row.content.Reserve+2
 	case a.deputySilent():
-		next.Reserve, next.Deputy = a.row.content.Reserve+1, a.chooseDeputy()
+		next.Reserve, next.Deputy = a.row.content.Reserve+1, a.chooseDeputy(next.Deputy)
 	default:
 		return
 	}
@@ -174,7 +175,7 @@
 	if a.now.Sub(a.watch.ready) < a.Timing.WatcherPatience || a.now.Sub(a.beganAt) < a.Timing.WatcherPatience {
 		return false
 	}
-	return a.chooseDeputy() != ""
+	return a.chooseDeputy(a.row.content.Deputy) != ""
 }
 
 // changeMembers puts the wanted members into next and reports whether they differ from the present ones. A change waits
@@ -183,8 +184,12 @@
 func (a *Assigner) changeMembers(next *Row) bool {
 	members := a.wantedMembers()
 	row := a.row.content
+	if previous, replace := a.replacement(); replace && a.answering(members) {
+		next.Members, next.Previous = members, previous
+		return true
+	}
 	same := slices.Equal(members, row.Members)
-	if same && (len(row.Previous) == 0 || sameSet(row.Previous, members)) {
+	if same && (len(row.Previous) == 0 || sameSet(row.Previous, row.Members)) {
 		a.plan.memberChange = time.Time{}
 		return false
 	}
@@ -195,7 +200,11 @@
 	if same || (len(row.Members) == 0 && len(members) < len(a.servers)) {
 		patience = a.Timing.WatcherPatience
 	}
-	if a.now.Sub(a.plan.memberChange) < patience || !a.ledger.Settled(members) {
+	waited := a.now.Sub(a.plan.memberChange)
+	if waited < patience || !a.answering(members) || !a.ledger.Settled(members) {
+		return false
+	}
+	if a.recovering() && waited < 2*a.Timing.WatcherPatience {
 		return false
 	}
 	a.plan.memberChange = time.Time{}
@@ -203,6 +212,26 @@
 	return true
 }
 
+// recovering reports whether partitions wait for a grant or for the end of a silent member's lease. A change of members
+// would delay that, since the servers that do not answer are accounted for anew in each epoch.
+func (a *Assigner) recovering() bool {
+	if len(a.row.content.Members) == 0 {
+		return false
+	}
+	for id := range a.plan.pending {
+		if entry := a.plan.slots[id]; entry != nil && !entry.held() {
+			return true
+		}
+	}
+	for _, member := range a.row.content.Members {
+		known := a.servers[member.Server]
+		if a.ledger.Holds(member) && a.now.Sub(known.acceptedAt) > a.Timing.ServerSilence {
+			return true
+		}
+	}
+	return false
+}
+
 // wantedMembers returns the members that the row should list: of each configured server the run that answers, and of one
 // that is no longer configured the run that still holds something.
 func (a *Assigner) wantedMembers() []lease.Member {
@@ -227,12 +256,3 @@
 	}
 	return members
 }
-
-func sameSet(a, b []lease.Member) bool {
-	for _, member := range a {
-		if !slices.Contains(b, member) {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/ownership/lease/ledger.go
+++ b/internal/ownership/lease/ledger.go
@@ -262,7 +262,7 @@
 // Complete reports whether every member has listed its holdings or lost its lease, so that nothing unknown is held.
 func (l *Ledger) Complete() bool {
 	for _, entry := range l.accounts {
-		if !entry.listed {
+		if !entry.listed && l.Omit != RuleFree {
 			return false
 		}
 	}
