upstream/grants: send to each host from a goroutine of its own

Cause: with a host in the platform's list that does not run, the assigner's role changed hands without need (epoch 1 to 5 in 2 s) and a watcher tried to take over every 1.5 s for 15 s. One goroutine sent all messages, and dialing the absent host held up the heartbeats to the others; the absent host was also named as deputy. Change: one goroutine for each host with waiting messages; only hosts of which a record is known become deputies. A wrong type in a TOML file is described without the names of Go types.

--- a/internal/core/tomlfile/decode.go
+++ b/internal/core/tomlfile/decode.go
@@ -49,11 +49,29 @@
 	}
 	var decode *toml.DecodeError
 	if errors.As(err, &decode) {
-		return problemAt(file, decode, strings.TrimPrefix(decode.Error(), "toml: "))
+		return problemAt(file, decode, expectation(strings.TrimPrefix(decode.Error(), "toml: ")))
 	}
 	return &InvalidError{File: file, Expected: strings.TrimPrefix(err.Error(), "toml: ")}
 }
 
+// kinds names the types of values in the words of TOML.
+var kinds = map[string]string{
+	"int": "a number without quotes", "string": "a text in quotes", "bool": "true or false",
+}
+
+// expectation replaces the library's description of a wrong type, which names types of this program.
+func expectation(description string) string {
+	found, rest, mismatch := strings.Cut(strings.TrimPrefix(description, "cannot decode TOML "), " into struct field ")
+	if !mismatch {
+		return description
+	}
+	expected := kinds[rest[strings.LastIndexByte(rest, ' ')+1:]]
+	if expected == "" {
+		expected = "another type of value"
+	}
+	return fmt.Sprintf("expected %s, not a TOML %s", expected, found)
+}
+
 func problemAt(file string, err *toml.DecodeError, expected string) *InvalidError {
 	line, _ := err.Position()
 	return &InvalidError{File: file, Line: line, Key: strings.Join(err.Key(), "."), Expected: expected}
--- a/internal/core/tomlfile/decode_test.go
+++ b/internal/core/tomlfile/decode_test.go
@@ -24,7 +24,7 @@
 func TestDecodeNamesTheFault(t *testing.T) {
 	cases := []struct{ name, text, want string }{
 		{"unknown key", "name = \"a\"\nlabel = \"b\"\n", "f.toml:2: label: unknown key"},
-		{"wrong type", "\nname = 3\n", "f.toml:2: name: cannot decode TOML integer into struct field tomlfile_test.example.Name of type string"},
+		{"wrong type", "\nname = 3\n", "f.toml:2: name: expected a text in quotes, not a TOML integer"},
 		{"no unit", "timeout = \"250\"\n", "f.toml:1: timeout: expected a duration with a unit such as \"250ms\" or \"2s\", not \"250\""},
 		{"syntax", "name = \n", "f.toml:1: unexpected character U+000A at start of value"},
 	}
--- a/internal/daemon/host/assigners.go
+++ b/internal/daemon/host/assigners.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	// membersInterval is how often the assigners learn which daemons are alive.
+	// membersInterval is how often the assigners learn which daemons were seen alive. A host that is only listed must not
+	// become a deputy.
 	membersInterval = 500 * time.Millisecond
 	// ordersPerServer bounds the connections for orders; one order at a time is under way, the second connection
 	// replaces one that is being closed.
@@ -56,7 +57,7 @@
 	for {
 		select {
 		case <-ticks.C:
-			a.setHosts(a.daemon.peers.spread.Members())
+			a.setHosts(a.daemon.peers.spread.Observed())
 		case <-ctx.Done():
 			a.tasks.Wait()
 			return nil
@@ -117,7 +118,7 @@
 		Log: d.Log.With().Str("part", "assigner").Logger(),
 	}
 	ctx, cancel := context.WithCancel(a.ctx)
-	runner.SetHosts(d.peers.spread.Members())
+	runner.SetHosts(d.peers.spread.Observed())
 	a.tasks.Go(func() {
 		if err := runner.Run(ctx); ctx.Err() == nil {
 			d.Log.Error().Err(err).Str("service", string(service.Name)).Msg("assigner ended")
--- a/internal/peer/spread/items.go
+++ b/internal/peer/spread/items.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -76,6 +77,15 @@
 	return r.View.Members()
 }
 
+// Observed returns the members of which a record is known, in the order of their identifiers. The others are only named
+// by the host list and may not run.
+func (r *Runner) Observed() []fleet.Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	members := r.View.Members()
+	return slices.DeleteFunc(members, func(one fleet.Host) bool { return r.View.MemberIncarnation(one.ID) == 0 })
+}
+
 // Rank returns the first count members in the order of their rank for a role.
 func (r *Runner) Rank(role string, count int) []fleet.Host {
 	r.mu.Lock()
--- a/internal/upstream/grants/peers.go
+++ b/internal/upstream/grants/peers.go
@@ -8,32 +8,45 @@
 	"rosemarywick.example/rosemarywick/internal/ownership/assigner"
 )
 
-// queueMessage hands a message to the goroutine that sends messages, and drops it if too many wait. The caller holds mu.
+// queueMessage hands a message to the goroutine of its host, and drops it if too many wait. The caller holds mu.
 func (r *Runner) queueMessage(action assigner.SendMessage) {
 	payload, err := encodeMessage(action.Message)
 	if err != nil {
 		r.Log.Error().Err(err).Str("service", string(r.Assigner.Service)).Msg("message not encoded")
 		return
 	}
-	select {
-	case r.messages <- outgoing{to: action.To, payload: payload}:
-	default:
+	waiting, sending := r.messages[action.To]
+	if len(waiting) < mailbox {
+		r.messages[action.To] = append(waiting, payload)
+	}
+	if !sending {
+		ctx := r.ctx
+		r.tasks.Go(func() { r.sendMessages(ctx, action.To) })
 	}
 }
 
-// sendMessages sends the messages to other hosts. A failure is not reported, since the protocol expects messages to be
-// lost.
-func (r *Runner) sendMessages(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case message := <-r.messages:
-			bounded, cancel := context.WithTimeout(ctx, handOverTimeout)
-			_ = r.Peers.Send(bounded, message.to, topic(r.Assigner.Service), message.payload)
-			cancel()
-		}
+// sendMessages sends the messages that wait for one host. Each host has a goroutine of its own, because a host that does
+// not answer would hold up the heartbeats to the others. A failure is not reported, since the protocol expects messages
+// to be lost.
+func (r *Runner) sendMessages(ctx context.Context, to fleet.HostID) {
+	for payload, found := r.nextMessage(to); found; payload, found = r.nextMessage(to) {
+		bounded, cancel := context.WithTimeout(ctx, messageTimeout)
+		_ = r.Peers.Send(bounded, to, topic(r.Assigner.Service), payload)
+		cancel()
+	}
+}
+
+// nextMessage takes the first message that waits for a host. Once there is none, the host's goroutine ends.
+func (r *Runner) nextMessage(to fleet.HostID) ([]byte, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	waiting := r.messages[to]
+	if len(waiting) == 0 {
+		delete(r.messages, to)
+		return nil, false
 	}
+	r.messages[to] = waiting[1:]
+	return waiting[0], true
 }
 
 // receive handles a message of the assigner on another host.
--- a/internal/upstream/grants/runner.go
+++ b/internal/upstream/grants/runner.go
@@ -23,8 +23,10 @@
 	tableTimeout = 2 * time.Second
 	// handOverTimeout bounds the message to the deputy when the daemon stops.
 	handOverTimeout = 500 * time.Millisecond
-	// mailbox is the number of messages to other hosts that may wait. More are dropped; the next round repeats them.
-	mailbox = 64
+	// messageTimeout bounds the sending of one message. A message that waits for longer is superseded by the next round.
+	messageTimeout = 200 * time.Millisecond
+	// mailbox is the number of messages to one host that may wait. More are dropped; the next round repeats them.
+	mailbox = 8
 )
 
 // Peers carries messages between the daemons. Messages may be lost, late or repeated.
@@ -62,7 +64,8 @@
 	mu        sync.Mutex
 	addresses map[fleet.UpstreamID]netip.AddrPort
 	senders   map[fleet.UpstreamID]chan assigner.SendOrder
-	messages  chan outgoing
+	// messages contains what waits to be sent to each host. A host is listed while it has a goroutine.
+	messages  map[fleet.HostID][][]byte
 	groupJobs chan assigner.Action
 	placeJobs chan assigner.Action
 	// running is set while Run is.
@@ -71,12 +74,6 @@
 	tasks   sync.WaitGroup
 }
 
-// outgoing is a message to another host.
-type outgoing struct {
-	to      fleet.HostID
-	payload []byte
-}
-
 // topic returns the topic of the messages between the assigners of a service.
 func topic(service fleet.ServiceName) string {
 	return "ownership/" + string(service)
@@ -129,7 +126,6 @@
 	work, cancel := context.WithCancel(ctx)
 	r.prepare(work)
 	r.Peers.Handle(topic(r.Assigner.Service), r.receive)
-	r.tasks.Go(func() { r.sendMessages(work) })
 	r.tasks.Go(func() { r.useTable(work, r.groupJobs) })
 	r.tasks.Go(func() { r.useTable(work, r.placeJobs) })
 	ticks := r.Timer.Every(tickInterval)
@@ -153,7 +149,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.senders = make(map[fleet.UpstreamID]chan assigner.SendOrder)
-	r.messages = make(chan outgoing, mailbox)
+	r.messages = make(map[fleet.HostID][][]byte)
 	// The decision has at most one read and one write of each kind outstanding.
 	r.groupJobs = make(chan assigner.Action, 2)
 	r.placeJobs = make(chan assigner.Action, 2)
