--- /dev/null
+++ b/spec/ownership.pml
@@ -0,0 +1,477 @@
+/*
+ * The ownership protocol of docs/design.md (rules G1 to G6) for one partition. README.md describes the abstraction.
+ *
+ * Configurations are chosen with -D: ASSIGNERS, TERM and HORIZON (ticks), RESTARTS (of servers), and one of TAKEOVER,
+ * THREE, CHANGE, LIVE; without one of these assigner 0 has epoch 1 and assigner 1 is the deputy with the reserved epoch 2.
+ * Mutants are chosen with -DM_...; each removes one guard. Ticks are stored plus one wherever 0 has to mean "none".
+ */
+#ifndef TERM
+#define TERM 2
+#endif
+#ifndef HORIZON
+#define HORIZON 3
+#endif
+#ifndef ASSIGNERS
+#define ASSIGNERS 2
+#endif
+#ifndef RESTARTS
+#define RESTARTS 0
+#endif
+#if defined(TAKEOVER) || defined(THREE)
+#define TABLE
+#endif
+
+#define SERVERS 3
+#define PAIRS (ASSIGNERS * SERVERS)
+#define P(a, s) ((a) * SERVERS + (s))
+#define F(a, x) ((a) * 2 + (x))
+#define ALL 7
+#define BIT(mask, s) (((mask) >> (s)) & 1)
+#define SIZE(mask) (BIT(mask, 0) + BIT(mask, 1) + BIT(mask, 2))
+
+/* Flags of an order. */
+#define GRANT 1
+#define REVOKE 2
+
+/* What an assigner knows of a member's holding. */
+#define SILENT 0
+#define MAYHOLD 1
+#define NOTHELD 2
+
+/* What a server holds. */
+#define FREE 0
+#define HELD 1
+#define DRAINING 2
+
+/* Time: each clock shows the same tick; a clock reading is the tick at which it was taken. */
+byte now;
+
+/* The guard of each server. Server 2 is a voting member that is never granted the partition. */
+byte accEpoch[SERVERS], leaseEnd[SERVERS], hold[SERVERS], released[SERVERS];
+byte incarnation;	/* one bit for each server */
+byte restarts;
+
+/* Each assigner. */
+bit running[ASSIGNERS];
+byte epoch[ASSIGNERS], accepted[ASSIGNERS];	/* accepted: tick+1 at which the majority's acceptance was known */
+byte members[ASSIGNERS], previous[ASSIGNERS];	/* masks of servers */
+byte memberInc[ASSIGNERS], previousInc[ASSIGNERS];
+byte freeAt[ASSIGNERS * 2];	/* tick+1 from which the partition is free for server 0 or 1 */
+
+/* Each assigner's view of each member: the last completed exchange and the last reading used, as tick+1. */
+byte seen[PAIRS], used[PAIRS], knows[PAIRS];
+bit gaveUp[PAIRS];	/* the member itself released the partition to this epoch */
+
+/* The order of each pair that is delayed in the network. */
+bit late[PAIRS];
+byte lateReading[PAIRS], lateFlags[PAIRS];
+
+/* The table row of the group, and the epoch that wrote the acknowledged placement. */
+byte rowEpoch, rowToken, rowInc, rowPreviousInc, placedEpoch;
+#ifdef M_ROW
+#define PLACEMENT_ALLOWED(a) 1
+#else
+#define PLACEMENT_ALLOWED(a) (rowEpoch == epoch[a])
+#endif
+
+#define OWNS(s) (hold[s] != FREE && leaseEnd[s] > now)
+
+/* G4: only the listed incarnation counts; for a previous member, the incarnation listed before. */
+#ifdef M_G4
+#define ADDRESSED(a, s) 1
+#define COUNTED_BEFORE(a, s) 1
+#else
+#define ADDRESSED(a, s) (BIT(incarnation, s) == BIT(memberInc[a], s))
+#define COUNTED_BEFORE(a, s) (BIT(memberInc[a], s) == BIT(previousInc[a], s))
+#endif
+
+/* Joint majority of acceptances of orders sent at tick t-1 or later. */
+#define SINCE(a, s, t) (seen[P(a, s)] >= (t))
+#define OF_MEMBERS(a, t) ((BIT(members[a], 0) && SINCE(a, 0, t)) + (BIT(members[a], 1) && SINCE(a, 1, t)) + \
+	(BIT(members[a], 2) && SINCE(a, 2, t)))
+#define OF_PREVIOUS(a, t) ((BIT(previous[a], 0) && COUNTED_BEFORE(a, 0) && SINCE(a, 0, t)) + \
+	(BIT(previous[a], 1) && COUNTED_BEFORE(a, 1) && SINCE(a, 1, t)) + \
+	(BIT(previous[a], 2) && COUNTED_BEFORE(a, 2) && SINCE(a, 2, t)))
+#define MAJORITY(a, t) (2 * OF_MEMBERS(a, t) > SIZE(members[a]) && 2 * OF_PREVIOUS(a, t) > SIZE(previous[a]))
+
+/* G3: when a member certainly does not hold the partition. */
+#ifdef M_G3_SILENT
+#define SILENT_FREE(a) 1
+#else
+#define SILENT_FREE(a) (accepted[a] > 0 && now + 1 >= accepted[a] + TERM)
+#endif
+#ifdef M_G3_PREVIOUS
+#define CONSIDERED(a) members[a]
+#else
+#define CONSIDERED(a) (members[a] | previous[a])
+#endif
+#ifdef M_G3_UNUSED
+#define USED_AT_FIRST 0
+#define EXPIRED(a, s) (used[P(a, s)] == 0 || now + 1 >= used[P(a, s)] + TERM)
+#else
+#define USED_AT_FIRST (now + 1)
+#define EXPIRED(a, s) (now + 1 >= used[P(a, s)] + TERM)
+#endif
+#define NOT_HOLDER(a, s) (!BIT(CONSIDERED(a), s) || knows[P(a, s)] == NOTHELD || \
+	(knows[P(a, s)] == MAYHOLD && EXPIRED(a, s)) || (knows[P(a, s)] == SILENT && SILENT_FREE(a)))
+
+/* G1 and G2. The last completed exchange gave the reading; one that is too old renews nothing. */
+#define READABLE(a, s) ((s) < 2 && seen[P(a, s)] > 0 && seen[P(a, s)] + TERM > now + 1)
+#ifdef M_G1
+#define RENEWABLE(a, s) READABLE(a, s)
+#else
+#define RENEWABLE(a, s) (READABLE(a, s) && MAJORITY(a, seen[P(a, s)]))
+#endif
+#ifdef M_G2
+#define GRANTABLE(a, x) (freeAt[F(a, x)] > 0)
+#else
+#define GRANTABLE(a, x) (freeAt[F(a, x)] > 0 && (gaveUp[P(a, 1 - (x))] || MAJORITY(a, freeAt[F(a, x)])))
+#endif
+
+/* The server's check of the epoch; that of the sequence drops a delayed order once a later one has been accepted. */
+#ifdef M_EPOCH
+#define ACCEPTS(a, s) ADDRESSED(a, s)
+#else
+#define ACCEPTS(a, s) (ADDRESSED(a, s) && epoch[a] >= accEpoch[s])
+#endif
+
+inline noteFree(a, x)
+{
+	if
+	:: running[a] && knows[P(a, x)] != MAYHOLD && NOT_HOLDER(a, 1 - (x)) ->
+		if
+		:: freeAt[F(a, x)] == 0 -> freeAt[F(a, x)] = now + 1
+		:: else
+		fi
+	:: else -> freeAt[F(a, x)] = 0
+	fi
+}
+
+/* An expired reading is as good as any other expired one: this removes equal states. */
+inline fade(a, s)
+{
+	if
+	:: lateReading[P(a, s)] > 0 && lateReading[P(a, s)] + TERM <= now + 1 ->
+		lateReading[P(a, s)] = 0;
+		late[P(a, s)] = (lateFlags[P(a, s)] != 0)
+	:: else
+	fi;
+	if
+	:: used[P(a, s)] > 1 && EXPIRED(a, s) -> used[P(a, s)] = 1
+	:: else
+	fi
+}
+
+inline update(a)
+{
+	fade(a, 0);
+	fade(a, 1);
+	if
+	:: accepted[a] > 1 && SILENT_FREE(a) -> accepted[a] = 1
+	:: else
+	fi;
+	noteFree(a, 0);
+	noteFree(a, 1)
+}
+
+inline expire(s)
+{
+	if
+	:: leaseEnd[s] <= now ->
+		leaseEnd[s] = 0;
+#ifndef M_RESTORE
+		hold[s] = FREE
+#endif
+	:: else
+	fi
+}
+
+/* Delayed orders that can no longer be accepted are dropped, which removes equal states. */
+inline drop(a, s)
+{
+	if
+	:: !ACCEPTS(a, s) -> late[P(a, s)] = 0; lateReading[P(a, s)] = 0; lateFlags[P(a, s)] = 0
+	:: else
+	fi
+}
+
+/* The server accepts an order: epoch and sequence, renewal, then grant or revocation. */
+inline apply(a, s, read, flags)
+{
+	printf("tick %d: server %d accepts epoch %d: reading %d, flags %d\n", now, s, epoch[a], read - 1, flags);
+	accEpoch[s] = epoch[a];
+	if
+	:: read > 0 && (hold[s] == FREE || leaseEnd[s] > now) ->
+		if
+		:: read - 1 + TERM > leaseEnd[s] && read - 1 + TERM > now -> leaseEnd[s] = read - 1 + TERM
+		:: else
+		fi
+#ifdef M_RESTORE
+	:: read > 0 && hold[s] != FREE && leaseEnd[s] <= now && read - 1 + TERM > now -> leaseEnd[s] = read - 1 + TERM
+#endif
+	:: else
+	fi;
+	if
+	:: (flags & REVOKE) && hold[s] == HELD -> hold[s] = DRAINING
+	:: (flags & GRANT) && leaseEnd[s] > now -> hold[s] = HELD; released[s] = 0
+	:: else
+	fi;
+#ifndef M_SEQUENCE
+	late[P(a, s)] = 0; lateReading[P(a, s)] = 0; lateFlags[P(a, s)] = 0;
+#endif
+	drop(0, s);
+	drop(1, s);
+#if ASSIGNERS > 2
+	drop(2, s)
+#endif
+}
+
+/* What the assigner notes when it sends an order; read is the reading that the order uses. */
+inline send(a, s, flags)
+{
+	read = 0;
+	if
+	:: RENEWABLE(a, s) ->
+		read = seen[P(a, s)];
+		if
+		:: used[P(a, s)] < read -> used[P(a, s)] = read
+		:: else
+		fi
+	:: else
+	fi;
+	if
+	:: flags & GRANT -> knows[P(a, s)] = MAYHOLD; gaveUp[P(a, s)] = 0
+	:: else
+	fi
+}
+
+/* Order and report without a delay. */
+inline exchange(a, s, flags)
+{
+	send(a, s, flags);
+	apply(a, s, read, flags);
+	seen[P(a, s)] = now + 1;
+	if
+	:: s < 2 ->
+		if
+		:: used[P(a, s)] == 0 -> used[P(a, s)] = USED_AT_FIRST
+		:: else
+		fi;
+		if
+		:: hold[s] != FREE -> knows[P(a, s)] = MAYHOLD
+		:: else ->
+			knows[P(a, s)] = NOTHELD;
+			if
+			:: released[s] == epoch[a] -> gaveUp[P(a, s)] = 1
+			:: else
+			fi
+		fi
+	:: else
+	fi;
+	if
+	:: accepted[a] == 0 && MAJORITY(a, 1) -> accepted[a] = now + 1
+	:: else
+	fi;
+	read = 0;
+	update(a)
+}
+
+/* The order is delayed, the assigner gives up waiting for the report; the order may arrive at any time or never. */
+inline delay(a, s, flags)
+{
+	send(a, s, flags);
+	printf("tick %d: epoch %d, order to server %d delayed: reading %d, flags %d\n", now, epoch[a], s, read - 1, flags);
+	late[P(a, s)] = 1; lateReading[P(a, s)] = read; lateFlags[P(a, s)] = flags;
+	read = 0;
+	drop(a, s);
+	update(a)
+}
+
+inline start(a, e, mem, prev, memInc, prevInc)
+{
+	printf("tick %d: epoch %d starts\n", now, e);
+	running[a] = 1;
+	epoch[a] = e;
+	members[a] = mem; previous[a] = prev; memberInc[a] = memInc; previousInc[a] = prevInc;
+	update(a)
+}
+
+#define MEMBER(a, s) BIT(members[a] | previous[a], s)
+#define ONLINE(a, s) (running[a] && MEMBER(a, s) && ACCEPTS(a, s) && REACHABLE(a, s))
+#define RENEWS(a, s) (RENEWABLE(a, s) && used[P(a, s)] < seen[P(a, s)])
+/* An exchange that would change neither side is left out. */
+#define CHANGES(a, s) (seen[P(a, s)] <= now || RENEWS(a, s) || late[P(a, s)] || \
+	(knows[P(a, s)] == MAYHOLD && hold[s] == FREE))
+#define CAN_GRANT(a, s) (seen[P(a, s)] > 0 && GRANTABLE(a, s))
+#define CAN_REVOKE(a, s) (seen[P(a, s)] > 0 && knows[P(a, s)] == MAYHOLD && hold[s] != DRAINING)
+#ifndef LIVE
+#define REACHABLE(a, s) 1
+#endif
+
+/*
+ * One link for each assigner and member: it does one exchange after the other and pauses at any point. The accepted order
+ * whose report is lost only matters as far as the server then refuses lower epochs and the delayed order.
+ */
+proctype Link(byte a; byte s)
+{
+	byte read;
+	do
+	:: d_step { ONLINE(a, s) && CHANGES(a, s) -> exchange(a, s, 0) }
+#ifndef LIVE
+	:: d_step { ONLINE(a, s) && accEpoch[s] != epoch[a] -> apply(a, s, 0, 0) }
+#endif
+	:: d_step { s < 2 && ONLINE(a, s) && CAN_GRANT(a, s) -> exchange(a, s, GRANT) }
+#ifndef LIVE
+	:: d_step { s < 2 && ONLINE(a, s) && CAN_REVOKE(a, s) -> exchange(a, s, REVOKE) }
+	:: d_step { s < 2 && ONLINE(a, s) && !late[P(a, s)] && RENEWS(a, s) -> delay(a, s, 0) }
+	:: d_step { s < 2 && ONLINE(a, s) && !late[P(a, s)] && CAN_GRANT(a, s) -> delay(a, s, GRANT) }
+	:: d_step { late[P(a, s)] && ACCEPTS(a, s) -> apply(a, s, lateReading[P(a, s)], lateFlags[P(a, s)]) }
+#endif
+	od
+}
+
+/* The part of a server that needs no message: a drain ends, the process restarts and loses its memory. */
+proctype Server(byte s)
+{
+	do
+	:: d_step { hold[s] == DRAINING -> hold[s] = FREE; released[s] = accEpoch[s] }
+#if RESTARTS > 0
+	:: d_step { restarts < RESTARTS ->
+		printf("tick %d: server %d restarts\n", now, s);
+		restarts++;
+		incarnation = incarnation ^ (1 << s);
+		accEpoch[s] = 0; leaseEnd[s] = 0; hold[s] = FREE; released[s] = 0;
+		drop(0, s);
+		drop(1, s);
+#if ASSIGNERS > 2
+		drop(2, s)
+#endif
+		}
+#endif
+	od
+}
+
+#ifdef TABLE
+/* The transaction that writes a placement row also checks the group row. */
+proctype Placement(byte a)
+{
+	do
+	:: d_step { running[a] && PLACEMENT_ALLOWED(a) && placedEpoch != epoch[a] ->
+		assert(epoch[a] > placedEpoch);	/* an acknowledged assignment is not overwritten by an older one */
+		placedEpoch = epoch[a]
+		}
+	od
+}
+
+/* A write of the group row on the version that was read; its answer may be lost, and the table may be down for any time. */
+proctype Takeover(byte a)
+{
+	byte version, inc, previousOnes;
+	atomic { version = rowEpoch; inc = rowInc; previousOnes = rowPreviousInc };
+	if
+	:: atomic { rowEpoch == version ->
+		rowEpoch = version + 2;
+		rowToken = a + 1;
+		if
+		:: inc == previousOnes -> rowInc = incarnation	/* lists the restarted servers */
+		:: true
+		fi
+		}
+	:: rowEpoch != version
+#ifdef M_G5
+	:: true
+#endif
+	fi;
+	/* G5: the epoch is used only once the writer's own token has been read in the row. */
+#ifdef M_G5
+	d_step { start(a, version + 2, ALL, ALL, inc, previousOnes) }
+#else
+	d_step { rowEpoch == version + 2 && rowToken == a + 1 -> start(a, rowEpoch, ALL, ALL, rowInc, rowPreviousInc) }
+#endif
+}
+#endif
+
+proctype Deputy(byte a)
+{
+	d_step { start(a, 2, ALL, ALL, 0, 0) };
+#ifdef TABLE
+	/* The deputy writes the row afterwards. */
+	d_step { rowEpoch == 1 -> rowEpoch = 2; rowToken = a + 1 }
+#endif
+}
+
+#ifdef CHANGE
+/*
+ * Two membership changes after one another: assigner 0 removes server 0, which holds the partition and no longer
+ * responds; assigner 1 makes the next change, so that server 0 is not even a previous member.
+ */
+proctype NextChange()
+{
+#ifdef M_CHANGE_WAIT
+	d_step { accepted[0] > 0 -> start(1, 5, 6, 6, 0, 0) }
+#else
+	d_step { accepted[0] > 0 && SILENT_FREE(0) -> start(1, 5, 6, 6, 0, 0) }
+#endif
+}
+#endif
+
+/* A router with any map may send a request to any server at any time; the server's guard decides. */
+proctype Router()
+{
+	do
+	:: d_step { OWNS(0) -> assert(!OWNS(1)) }
+	:: d_step { OWNS(1) -> assert(!OWNS(0)) }
+	od
+}
+
+proctype Clock()
+{
+	do
+	:: d_step { now < HORIZON ->
+		now++;
+		expire(0); expire(1);
+		update(0); update(1);
+#if ASSIGNERS > 2
+		update(2)
+#endif
+		}
+	od
+}
+
+inline runAssigner(a)
+{
+	run Link(a, 0); run Link(a, 1); run Link(a, 2);
+#ifdef TABLE
+	run Placement(a)
+#endif
+}
+
+init
+{
+	atomic {
+		hold[0] = HELD; leaseEnd[0] = TERM;	/* under an earlier epoch, whose assigner is gone */
+		rowEpoch = 1;
+#ifdef CHANGE
+		start(0, 3, 6, ALL, 0, 0);
+		run NextChange();
+#else
+		start(0, 1, ALL, ALL, 0, 0);
+#endif
+#ifdef TAKEOVER
+		run Takeover(1); run Takeover(2);
+#endif
+#if !defined(TAKEOVER) && !defined(CHANGE)
+		run Deputy(1);
+#endif
+#ifdef THREE
+		run Takeover(2);
+#endif
+		run Clock(); run Router();
+		run Server(0); run Server(1); run Server(2);
+		runAssigner(0);
+		runAssigner(1);
+#if ASSIGNERS > 2
+		runAssigner(2)
+#endif
+	}
+}
