ownership: decide only when the outcome can change; measure recovery over loopback HTTP

Change: partitions are decided on when holdings, placement or the evidence waited for changed; the ledger counts possible holders instead of asking each member; only the placement rows written are read again. Removed hot-key entries are published. internal/bench/recovery with its command.

--- /dev/null
+++ b/internal/bench/recovery/command/main.go
@@ -0,0 +1,56 @@
+// Command command prints how long partitions have no owner under each kind of loss, and whether the targets are met.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"rosemarywick.example/rosemarywick/internal/bench/recovery"
+)
+
+func main() {
+	runs := flag.Int("runs", 20, "number of runs of each kind")
+	kind := flag.String("kind", "", "the only kind to run")
+	flag.Parse()
+	if err := measure(context.Background(), os.Stdout, *runs, recovery.Kind(*kind)); err != nil {
+		log := zerolog.New(os.Stderr)
+		log.Error().Err(err).Msg("measurement failed")
+		os.Exit(1)
+	}
+}
+
+// measure runs all kinds, or only one, and prints a line for each.
+func measure(ctx context.Context, out io.Writer, runs int, only recovery.Kind) error {
+	for _, kind := range recovery.Kinds() {
+		if only != "" && kind != only {
+			continue
+		}
+		var results []recovery.Result
+		affected, unserved := 0, 0
+		for range runs {
+			result, err := recovery.Run(ctx, kind)
+			if err != nil {
+				return err
+			}
+			results = append(results, result)
+			affected, unserved = max(affected, result.Affected), max(unserved, result.Unserved)
+		}
+		median, worst := recovery.Median(results)
+		verdict := "met"
+		if worst > kind.Target() || unserved > 0 {
+			verdict = "missed"
+		}
+		_, err := fmt.Fprintf(out, "kind=%s runs=%d median=%v worst=%v target=%v partitions=%d unserved=%d target-%s\n",
+			kind, runs, median.Round(100*time.Microsecond), worst.Round(100*time.Microsecond), kind.Target(), affected, unserved, verdict)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/recovery/recovery.go
@@ -0,0 +1,190 @@
+package recovery
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/core/timer"
+)
+
+// Kind names what is done to the group.
+type Kind string
+
+const (
+	// ServerLost loses one server.
+	ServerLost Kind = "server-lost"
+	// AssignerLost loses the host of the assigner.
+	AssignerLost Kind = "assigner-lost"
+	// DomainLost loses the failure domain of the assigner with all its servers and hosts.
+	DomainLost Kind = "failure-domain-lost"
+	// ServerLostInOutage loses one server while the table is down.
+	ServerLostInOutage Kind = "server-lost-in-table-outage"
+	// PlannedMove moves one partition of each server.
+	PlannedMove Kind = "planned-move"
+)
+
+// Kinds lists all kinds in the order in which they are reported.
+func Kinds() []Kind {
+	return []Kind{ServerLost, AssignerLost, DomainLost, ServerLostInOutage, PlannedMove}
+}
+
+// Target returns the longest time without an owner that the design page allows.
+func (k Kind) Target() time.Duration {
+	switch k {
+	case AssignerLost:
+		return 0
+	case PlannedMove:
+		return 50 * time.Millisecond
+	default:
+		return time.Second
+	}
+}
+
+const (
+	// startLimit bounds the time until a new group has an owner for each partition.
+	startLimit = 15 * time.Second
+	// settle is left to a new group for what follows the first grants, such as naming a deputy.
+	settle = 1500 * time.Millisecond
+	// watch is how long the owners are looked at after the event. It exceeds every target by a factor of two.
+	watch = 2500 * time.Millisecond
+)
+
+// Result is what one run has shown.
+type Result struct {
+	// Longest is the longest time for which a partition had no owner that the map named and that admitted requests.
+	Longest time.Duration
+	// Affected is the number of partitions that had none for some time.
+	Affected int
+	// Unserved is the number of partitions that had none at the end.
+	Unserved int
+}
+
+// Run starts a group, does what kind says and returns how long partitions had no owner.
+func Run(ctx context.Context, kind Kind) (Result, error) {
+	w, err := newWorld(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	defer w.close()
+	if err := w.ready(ctx); err != nil {
+		return Result{}, err
+	}
+	if kind == ServerLostInOutage {
+		w.table.down.Store(true)
+		if err := timer.Wait(ctx, w.timer, settle); err != nil {
+			return Result{}, err
+		}
+	}
+	if err := w.do(kind); err != nil {
+		return Result{}, err
+	}
+	return w.observe(ctx)
+}
+
+// ready waits until every partition has an owner and the group has settled.
+func (w *world) ready(ctx context.Context) error {
+	deadline := w.timer.Now().Add(startLimit)
+	for len(w.unserved()) > 0 {
+		if w.timer.Now().After(deadline) {
+			return errors.Newf("recovery: %d partitions without an owner after %v", len(w.unserved()), startLimit)
+		}
+		if err := timer.Wait(ctx, w.timer, 10*time.Millisecond); err != nil {
+			return err
+		}
+	}
+	return timer.Wait(ctx, w.timer, settle)
+}
+
+// do lets the event of a kind happen.
+func (w *world) do(kind Kind) error {
+	assigner := w.acting()
+	if assigner == nil {
+		return errors.New("recovery: no daemon acts as the assigner")
+	}
+	switch kind {
+	case ServerLost, ServerLostInOutage:
+		w.upstreams[0].lost.Store(true)
+	case AssignerLost:
+		assigner.lost.Store(true)
+	case DomainLost:
+		for _, h := range w.hosts {
+			h.lost.Store(h.domain == assigner.domain)
+		}
+		for _, u := range w.upstreams {
+			u.lost.Store(u.domain == assigner.domain)
+		}
+	case PlannedMove:
+		w.placer.shift.Add(1)
+		assigner.runner.SetLoads(nil)
+	}
+	return nil
+}
+
+// observe looks at the owners for the time of a watch.
+func (w *world) observe(ctx context.Context) (Result, error) {
+	var result Result
+	since := make(map[fleet.PartitionID]time.Time)
+	affected := make(map[fleet.PartitionID]struct{})
+	end := w.timer.Now().Add(watch)
+	ticks := w.timer.Every(interval)
+	defer ticks.Stop()
+	for now := w.timer.Now(); now.Before(end); now = w.timer.Now() {
+		unserved := w.unserved()
+		result.Unserved = len(unserved)
+		for partition := range unserved {
+			affected[partition] = struct{}{}
+			if _, known := since[partition]; !known {
+				since[partition] = now
+			}
+		}
+		for partition, start := range since {
+			result.Longest = max(result.Longest, now.Sub(start))
+			if _, still := unserved[partition]; !still {
+				delete(since, partition)
+			}
+		}
+		select {
+		case <-ticks.C:
+		case <-ctx.Done():
+			return result, context.Cause(ctx)
+		}
+	}
+	result.Affected = len(affected)
+	return result, nil
+}
+
+// unserved returns the partitions for which the map names no server that admits requests.
+func (w *world) unserved() map[fleet.PartitionID]struct{} {
+	known := w.snapshot()
+	byID := make(map[fleet.UpstreamID]*upstream, len(w.upstreams))
+	for _, u := range w.upstreams {
+		byID[u.ID] = u
+	}
+	unserved := make(map[fleet.PartitionID]struct{})
+	for index := range known.Chunks() {
+		for _, assignment := range known.Chunk(index) {
+			u := byID[assignment.Owner]
+			if u == nil || u.lost.Load() || !u.guard.Holds(assignment.Partition) {
+				unserved[assignment.Partition] = struct{}{}
+			}
+		}
+	}
+	return unserved
+}
+
+// Median returns the median and the worst of the longest times of several runs.
+func Median(results []Result) (median, worst time.Duration) {
+	times := make([]time.Duration, 0, len(results))
+	for _, result := range results {
+		times = append(times, result.Longest)
+	}
+	slices.Sort(times)
+	if len(times) == 0 {
+		return 0, 0
+	}
+	return times[len(times)/2], times[len(times)-1]
+}
--- a/internal/ownership/assigner/action.go
+++ b/internal/ownership/assigner/action.go
@@ -36,8 +36,11 @@
 	Row      Row
 }
 
-// ReadPlacement reads all placement rows. Its user answers with PlacementRead or PlacementUnread.
-type ReadPlacement struct{}
+// ReadPlacement reads placement rows. Its user answers with PlacementRead or PlacementUnread.
+type ReadPlacement struct {
+	// Rows are the numbers of the rows; none stands for all that exist.
+	Rows []int
+}
 
 // WritePlacement writes placement rows in one transaction which also checks that the group row has the given version.
 // Its user answers with PlacementWritten.
--- a/internal/ownership/assigner/entries.go
+++ b/internal/ownership/assigner/entries.go
@@ -43,7 +43,7 @@
 	parent := a.plan.slots[key.Partition(a.Partitions)]
 	entry := &slot{key: key, owner: parent.owner, standby: parent.standby, target: parent.target}
 	a.plan.slots[id] = entry
-	a.plan.pending[id] = struct{}{}
+	a.plan.pend(id)
 	a.plan.entryVersion++
 	a.plan.replace = true
 	if a.Role() == RoleActing {
@@ -73,6 +73,7 @@
 func (a *Assigner) removeEntries(keys []fleet.KeyHash) {
 	for _, id := range a.entryIDs() {
 		entry := a.plan.slots[id]
+		entry.rejoining = false
 		if slices.Contains(keys, entry.key) {
 			continue
 		}
@@ -81,10 +82,11 @@
 			continue
 		}
 		if entry.holder != parent.holder || entry.moving {
-			entry.target = parent.holder.Server
-			a.plan.pending[id] = struct{}{}
+			entry.target, entry.rejoining = parent.holder.Server, true
+			a.plan.pend(id)
 			continue
 		}
+		a.plan.removed = append(a.plan.removed, fleet.Assignment{Partition: id, Key: entry.key, Fence: a.nextFence()})
 		delete(a.plan.slots, id)
 		delete(a.plan.pending, id)
 		a.ledger.Released(entry.holder, id)
--- a/internal/ownership/assigner/place.go
+++ b/internal/ownership/assigner/place.go
@@ -74,9 +74,9 @@
 	if entry == nil {
 		return
 	}
-	if entry.target != spot.Owner {
+	if entry.target != spot.Owner && !entry.rejoining {
 		entry.target = spot.Owner
-		a.plan.pending[spot.Partition] = struct{}{}
+		a.plan.pend(spot.Partition)
 	}
 	if entry.standby != spot.Standby {
 		entry.standby = spot.Standby
@@ -89,10 +89,11 @@
 
 // publish makes the changed assignments known. A partition without a holder is published when it has one again.
 func (a *Assigner) publish() {
-	if len(a.plan.changed) == 0 {
+	if len(a.plan.changed) == 0 && len(a.plan.removed) == 0 {
 		return
 	}
-	var list []fleet.Assignment
+	list := a.plan.removed
+	a.plan.removed = nil
 	for _, id := range sortedKeys(a.plan.changed) {
 		entry := a.plan.slots[id]
 		if entry == nil || !entry.held() {
@@ -114,12 +115,16 @@
 	return a.plan.known || a.now.Sub(a.beganAt) > 4*a.Timing.Retry
 }
 
-func (a *Assigner) readPlacement() {
+// readPlacement reads the given placement rows, or all if none is given.
+func (a *Assigner) readPlacement(rows ...int) {
 	if a.plan.reading {
 		return
 	}
-	a.plan.reading, a.plan.readAt = true, a.now
-	a.do(ReadPlacement{})
+	a.plan.reading, a.plan.readAt, a.plan.readRun = true, a.now, 0
+	if len(rows) == 0 {
+		a.plan.readRun = a.run
+	}
+	a.do(ReadPlacement{Rows: rows})
 }
 
 func (a *Assigner) readPlacementIfUnknown() {
@@ -140,7 +145,7 @@
 func (a *Assigner) PlacementRead(now time.Time, rows []StoredPlacement) []Action {
 	a.enter(now)
 	a.plan.reading, a.plan.known = false, true
-	a.plan.current = a.Role() == RoleActing
+	a.plan.current = a.plan.current || (a.Role() == RoleActing && a.plan.readRun == a.run)
 	for _, row := range rows {
 		known := a.plan.row(row.Index)
 		known.version = row.Version
@@ -188,30 +193,37 @@
 }
 
 func (a *Assigner) dirtyRows() []int {
-	var indexes []int
+	var dirty []int
 	for index, row := range a.plan.placed {
 		if row.dirty {
-			indexes = append(indexes, index)
+			dirty = append(dirty, index)
 		}
 	}
-	slices.Sort(indexes)
-	return indexes[:min(len(indexes), maxRowsWritten)]
+	slices.Sort(dirty)
+	return dirty[:min(len(dirty), maxRowsWritten)]
 }
 
 // stored returns the content of one placement row.
 func (a *Assigner) stored(index int) StoredPlacement {
 	row := StoredPlacement{Index: index, Version: a.plan.row(index).version}
-	for id, entry := range a.plan.slots {
-		if int(id)/PlacementSize == index {
+	for id := fleet.PartitionID(index * PlacementSize); id < fleet.PartitionID((index+1)*PlacementSize); id++ {
+		if entry := a.plan.slots[id]; entry != nil {
 			spot := a.spot(id, entry)
 			spot.Owner, spot.Load = entry.owner, 0
 			row.Spots = append(row.Spots, spot)
 		}
 	}
-	slices.SortFunc(row.Spots, func(x, y Spot) int { return int(x.Partition) - int(y.Partition) })
 	return row
 }
 
+func indexes(rows []StoredPlacement) []int {
+	list := make([]int, 0, len(rows))
+	for _, row := range rows {
+		list = append(list, row.Index)
+	}
+	return list
+}
+
 // PlacementWritten tells how the outstanding write of placement rows ended. Unless nothing was written, the rows are
 // read to learn their new versions, and the group row in case that another assigner has written it.
 func (a *Assigner) PlacementWritten(now time.Time, result WriteResult) []Action {
@@ -229,7 +241,7 @@
 	switch result {
 	case WriteDone, WriteUnknown:
 		a.plan.writes++
-		a.readPlacement()
+		a.readPlacement(indexes(write.Rows)...)
 	case WriteConflict:
 		a.readRow()
 		a.readPlacement()
--- a/internal/ownership/assigner/plan.go
+++ b/internal/ownership/assigner/plan.go
@@ -18,6 +18,15 @@
 	pending map[fleet.PartitionID]struct{}
 	// changed contains the partitions whose assignment has not been published yet.
 	changed map[fleet.PartitionID]struct{}
+	// removed contains the hot-key entries whose removal has not been published yet.
+	removed []fleet.Assignment
+	// touched is set when something changed that a decision about pending partitions depends on, besides evidence.
+	touched bool
+	// decidedAt is the time of the last decision, and waiting the stamp beyond which it wanted evidence; zero if none.
+	decidedAt time.Time
+	waiting   lease.Stamp
+	// counts holds the partitions of each server during one decision, once they were needed.
+	counts map[fleet.UpstreamID]int
 	// moving counts the slots that are moving.
 	moving int
 
@@ -39,6 +48,8 @@
 	current bool
 	reading bool
 	readAt  time.Time
+	// readRun is the run in which the outstanding read of all rows was begun; zero if it reads only some.
+	readRun uint64
 	writing *WritePlacement
 	writeAt time.Time
 	placed  map[int]*placementRow
@@ -65,6 +76,8 @@
 	released bool
 	// moving is set from the revocation to the grant.
 	moving bool
+	// rejoining is set while an unwanted hot-key entry is on its way to the holder of its hash range.
+	rejoining bool
 }
 
 func (s *slot) held() bool {
@@ -76,7 +89,7 @@
 	p.moving = 0
 	for id, entry := range p.slots {
 		*entry = slot{owner: entry.owner, standby: entry.standby, target: entry.target, fence: entry.fence, key: entry.key}
-		p.pending[id] = struct{}{}
+		p.pend(id)
 	}
 	p.live, p.placedFor, p.memberChange = nil, nil, time.Time{}
 	p.current = false
@@ -105,7 +118,7 @@
 		}
 		if entry.granting == member.Server {
 			entry.granting = ""
-			p.pending[id] = struct{}{}
+			p.pend(id)
 		}
 	}
 }
@@ -114,7 +127,7 @@
 func (p *plan) drop(id fleet.PartitionID, entry *slot) {
 	entry.holder, entry.free, entry.released = lease.Member{}, 0, false
 	p.setMoving(entry, false)
-	p.pending[id] = struct{}{}
+	p.pend(id)
 }
 
 // released takes note that the holder released a partition to this epoch.
@@ -124,7 +137,7 @@
 		return
 	}
 	entry.holder, entry.free, entry.released = lease.Member{}, 0, true
-	p.pending[id] = struct{}{}
+	p.pend(id)
 }
 
 // granted takes note that a member confirmed a grant.
@@ -142,7 +155,7 @@
 	entry.holder, entry.owner, entry.fence = member, member.Server, fence
 	entry.free, entry.released = 0, false
 	p.setMoving(entry, false)
-	p.pending[id] = struct{}{}
+	p.pend(id)
 	p.note(id)
 }
 
@@ -189,25 +202,40 @@
 	return fleet.Fence{Epoch: a.epoch, Counter: a.counter}
 }
 
-// decide orders revocations and grants for the partitions that are not where they should be.
+// decide orders revocations and grants for the partitions that are not where they should be. Nothing is decided before
+// all holdings are known, since an unknown hot-key entry would otherwise be granted along with its hash range.
 func (a *Assigner) decide() {
-	if len(a.plan.pending) == 0 {
+	if len(a.plan.pending) == 0 || !a.ledger.Complete() || !a.decisionDue() {
 		return
 	}
+	a.plan.touched, a.plan.decidedAt, a.plan.waiting, a.plan.counts = false, a.now, 0, nil
+	now := a.ledger.Tick()
 	for _, id := range sortedKeys(a.plan.pending) {
 		entry := a.plan.slots[id]
-		if entry == nil {
+		switch {
+		case entry == nil:
 			delete(a.plan.pending, id)
-			continue
-		}
-		if entry.held() {
+		case entry.held():
 			a.decideHeld(id, entry)
-		} else if entry.granting == "" {
-			a.decideFree(id, entry)
+		case entry.granting == "":
+			a.decideFree(id, entry, now)
 		}
 	}
 }
 
+// decisionDue reports whether a decision may come out otherwise than the last one. Looking at all pending partitions
+// upon each report would take longer than a round while a large service gets its first owners.
+func (a *Assigner) decisionDue() bool {
+	evidence := a.plan.waiting > 0 && a.ledger.Evidence() > a.plan.waiting
+	return a.plan.touched || evidence || a.now.Sub(a.plan.decidedAt) >= a.Timing.Round
+}
+
+// pend takes note that a partition is not, or may not be, where it should be.
+func (p *plan) pend(id fleet.PartitionID) {
+	p.pending[id] = struct{}{}
+	p.touched = true
+}
+
 // decideHeld revokes a partition that should be held by another server.
 func (a *Assigner) decideHeld(id fleet.PartitionID, entry *slot) {
 	holder := a.servers[entry.holder.Server]
@@ -228,19 +256,20 @@
 }
 
 // decideFree grants a partition once it is free and the evidence suffices, which are rules G2 and G3.
-func (a *Assigner) decideFree(id fleet.PartitionID, entry *slot) {
+func (a *Assigner) decideFree(id fleet.PartitionID, entry *slot, now lease.Stamp) {
 	if !a.ledger.Free(id) {
 		entry.free = 0
 		return
 	}
 	if entry.free == 0 {
-		entry.free = a.ledger.Tick()
+		entry.free = now
 	}
 	if !entry.released && !a.ledger.MayGrant(entry.free) {
 		a.wanted = max(a.wanted, entry.free)
+		a.plan.waiting = max(a.plan.waiting, entry.free)
 		return
 	}
-	if !a.ledger.Complete() || !a.placementKnown() {
+	if !a.placementKnown() {
 		return
 	}
 	server := a.destination(entry)
@@ -279,19 +308,22 @@
 
 // leastLoaded returns the server that holds the fewest partitions.
 func (a *Assigner) leastLoaded() fleet.UpstreamID {
-	counts := make(map[fleet.UpstreamID]int)
-	for _, entry := range a.plan.slots {
-		if entry.held() {
-			counts[entry.holder.Server]++
-		} else if entry.granting != "" {
-			counts[entry.granting]++
+	if a.plan.counts == nil {
+		a.plan.counts = make(map[fleet.UpstreamID]int)
+		for _, entry := range a.plan.slots {
+			if entry.held() {
+				a.plan.counts[entry.holder.Server]++
+			} else if entry.granting != "" {
+				a.plan.counts[entry.granting]++
+			}
 		}
 	}
 	var best fleet.UpstreamID
 	for _, id := range a.serverOrder() {
-		if a.receives(id) && (best == "" || counts[id] < counts[best]) {
+		if a.receives(id) && (best == "" || a.plan.counts[id] < a.plan.counts[best]) {
 			best = id
 		}
 	}
+	a.plan.counts[best]++
 	return best
 }
--- a/internal/ownership/assigner/role.go
+++ b/internal/ownership/assigner/role.go
@@ -76,7 +76,7 @@
 		a.begin(a.row.content.Reserve, ReasonHandOver)
 		return
 	}
-	if beat.Placements != a.watch.placements {
+	if beat.Placements != a.watch.placements && a.now.Sub(a.plan.readAt) >= a.Timing.WatcherPatience {
 		a.watch.placements = beat.Placements
 		a.readPlacement()
 	}
--- a/internal/ownership/lease/ledger.go
+++ b/internal/ownership/lease/ledger.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -52,6 +53,10 @@
 	members  []Member
 	previous []Member
 	accounts map[Member]*account
+	// holders counts the members that may hold a partition, so that Free need not look at each of them.
+	holders map[fleet.PartitionID]int
+	// unlisted counts the members that have neither listed their holdings nor lost their lease in this epoch.
+	unlisted int
 	stamp    Stamp
 	// quorum is set once a majority has accepted this epoch, at quorumAt.
 	quorum   bool
@@ -89,10 +94,12 @@
 func (l *Ledger) Begin(members, previous []Member) {
 	l.members, l.previous = slices.Clone(members), slices.Clone(previous)
 	l.accounts = make(map[Member]*account)
+	l.holders = make(map[fleet.PartitionID]int)
 	l.quorum = false
 	for _, member := range slices.Concat(members, previous) {
 		l.accounts[member] = &account{}
 	}
+	l.unlisted = len(l.accounts)
 }
 
 // Bound returns the time after the receipt of a reading at which a lease of one term has ended for certain, measured by
@@ -111,7 +118,7 @@
 func (l *Ledger) Sent(member Member, grants []fleet.Grant) Stamp {
 	if held := l.accounts[member]; held != nil {
 		for _, grant := range grants {
-			held.hold(grant.Partition)
+			l.hold(held, grant.Partition)
 		}
 	}
 	return l.Tick()
@@ -198,27 +205,54 @@
 	if entry == nil {
 		return
 	}
-	entry.listed = true
-	entry.holdings = make(map[fleet.PartitionID]struct{}, len(holdings))
+	l.clear(entry)
 	for _, grant := range holdings {
-		entry.holdings[grant.Partition] = struct{}{}
+		l.hold(entry, grant.Partition)
 	}
 }
 
 // Released records that a member no longer holds a partition.
 func (l *Ledger) Released(member Member, partition fleet.PartitionID) {
-	if entry := l.accounts[member]; entry != nil {
+	entry := l.accounts[member]
+	if entry == nil {
+		return
+	}
+	if _, held := entry.holdings[partition]; held {
 		delete(entry.holdings, partition)
+		l.holders[partition]--
 	}
 }
 
 // Hold records that a member may hold a partition from now on.
 func (l *Ledger) Hold(member Member, partition fleet.PartitionID) {
 	if entry := l.accounts[member]; entry != nil {
-		entry.hold(partition)
+		l.hold(entry, partition)
 	}
 }
 
+func (l *Ledger) hold(entry *account, partition fleet.PartitionID) {
+	if _, held := entry.holdings[partition]; held {
+		return
+	}
+	if entry.holdings == nil {
+		entry.holdings = make(map[fleet.PartitionID]struct{})
+	}
+	entry.holdings[partition] = struct{}{}
+	l.holders[partition]++
+}
+
+// clear records that a member holds nothing.
+func (l *Ledger) clear(entry *account) {
+	for partition := range entry.holdings {
+		l.holders[partition]--
+	}
+	if !entry.listed {
+		entry.listed = true
+		l.unlisted--
+	}
+	entry.holdings = nil
+}
+
 // Lapse returns the members whose lease has ended for certain since the last call, and forgets what they held.
 func (l *Ledger) Lapse(now time.Time) []Member {
 	var lapsed []Member
@@ -226,8 +260,8 @@
 		if entry.lapsed || !l.ended(now, entry) {
 			continue
 		}
-		entry.lapsed, entry.listed = true, true
-		entry.holdings = nil
+		entry.lapsed = true
+		l.clear(entry)
 		lapsed = append(lapsed, member)
 	}
 	slices.SortFunc(lapsed, compareMembers)
@@ -248,25 +282,12 @@
 
 // Free reports whether no member can hold a partition, which is rule G3.
 func (l *Ledger) Free(partition fleet.PartitionID) bool {
-	for _, entry := range l.accounts {
-		if l.Omit == RuleFree && !entry.listed {
-			continue
-		}
-		if _, held := entry.holdings[partition]; held || !entry.listed {
-			return false
-		}
-	}
-	return true
+	return l.holders[partition] == 0 && l.Complete()
 }
 
 // Complete reports whether every member has listed its holdings or lost its lease, so that nothing unknown is held.
 func (l *Ledger) Complete() bool {
-	for _, entry := range l.accounts {
-		if !entry.listed && l.Omit != RuleFree {
-			return false
-		}
-	}
-	return true
+	return l.unlisted == 0 || l.Omit == RuleFree
 }
 
 // MayGrant reports whether G2 allows the grant of a partition that has been free since the given stamp.
@@ -279,25 +300,7 @@
 	return l.accounts[member] != nil
 }
 
-func (a *account) hold(partition fleet.PartitionID) {
-	if a.holdings == nil {
-		a.holdings = make(map[fleet.PartitionID]struct{})
-	}
-	a.holdings[partition] = struct{}{}
-}
-
+// compareMembers orders members by server and incarnation.
 func compareMembers(a, b Member) int {
-	if a.Server != b.Server {
-		if a.Server < b.Server {
-			return -1
-		}
-		return 1
-	}
-	if a.Incarnation < b.Incarnation {
-		return -1
-	}
-	if a.Incarnation > b.Incarnation {
-		return 1
-	}
-	return 0
+	return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Incarnation, b.Incarnation))
 }
--- a/internal/upstream/grants/rowstore.go
+++ b/internal/upstream/grants/rowstore.go
@@ -34,7 +34,7 @@
 		result := r.writeRow(ctx, job)
 		r.step(func(now time.Time) []assigner.Action { return r.Assigner.RowWritten(now, result) })
 	case assigner.ReadPlacement:
-		r.readPlacement(ctx)
+		r.readPlacement(ctx, job.Rows)
 	case assigner.WritePlacement:
 		result := r.writePlacement(ctx, job)
 		r.step(func(now time.Time) []assigner.Action { return r.Assigner.PlacementWritten(now, result) })
@@ -72,8 +72,8 @@
 	return writeResult(err)
 }
 
-func (r *Runner) readPlacement(ctx context.Context) {
-	placements, err := r.scanPlacement(ctx)
+func (r *Runner) readPlacement(ctx context.Context, indexes []int) {
+	placements, err := r.loadPlacement(ctx, indexes)
 	r.logTable("placement rows not read", err)
 	r.step(func(now time.Time) []assigner.Action {
 		if err != nil {
@@ -83,11 +83,22 @@
 	})
 }
 
-func (r *Runner) scanPlacement(ctx context.Context) ([]assigner.StoredPlacement, error) {
+// loadPlacement reads the placement rows with the given numbers, or all if none is given.
+func (r *Runner) loadPlacement(ctx context.Context, indexes []int) ([]assigner.StoredPlacement, error) {
 	prefix := placementPrefix(r.Assigner.Service)
-	rows, err := r.Table.Scan(ctx, prefix)
+	names := make([]string, 0, len(indexes))
+	for _, index := range indexes {
+		names = append(names, placementName(r.Assigner.Service, index))
+	}
+	var rows []table.Row
+	var err error
+	if len(names) > 0 {
+		rows, err = r.Table.Read(ctx, names...)
+	} else {
+		rows, err = r.Table.Scan(ctx, prefix)
+	}
 	if err != nil {
-		return nil, errors.Wrap(err, "grants: scan placement rows")
+		return nil, errors.Wrap(err, "grants: read placement rows")
 	}
 	placements := make([]assigner.StoredPlacement, 0, len(rows))
 	for _, row := range rows {
