platform/table, upstream/grants: a lost race is no warning

Cause: each start of a fleet logged two warnings whose text repeated the error; a conflict on the group row only says that another daemon took the role first. Change: conflicts are logged at debug level, and the client's error carries the service's words once. Conclusion: the log of a start has no warnings.

--- a/internal/platform/table/client.go
+++ b/internal/platform/table/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -112,7 +113,7 @@
 	}
 	switch connect.CodeOf(err) { //nolint:exhaustive // The protocol uses no other codes; they leave the outcome open.
 	case connect.CodeAborted:
-		return errors.Wrapf(ErrConflict, "commit: %v", err)
+		return errors.Wrapf(ErrConflict, "commit: %s", detail(err))
 	case connect.CodeOutOfRange, connect.CodeResourceExhausted:
 		return errors.Wrapf(ErrTooLarge, "commit: %v", err)
 	case connect.CodeUnavailable:
@@ -122,6 +123,15 @@
 	}
 }
 
+// detail returns the service's own words without the code and the text of the error that the client returns.
+func detail(err error) string {
+	var wire *connect.Error
+	if !errors.As(err, &wire) {
+		return err.Error()
+	}
+	return strings.TrimSuffix(wire.Message(), ": "+ErrConflict.Error())
+}
+
 func actionOf(change Change) tablepb.Action {
 	switch {
 	case !change.Write:
--- a/internal/upstream/grants/rowstore.go
+++ b/internal/upstream/grants/rowstore.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"rosemarywick.example/rosemarywick/internal/ownership/assigner"
 	"rosemarywick.example/rosemarywick/internal/platform/table"
@@ -150,7 +151,12 @@
 }
 
 func (r *Runner) logTable(message string, err error) {
-	if err != nil && !errors.Is(err, context.Canceled) {
-		r.Log.Warn().Err(err).Str("service", string(r.Assigner.Service)).Msg(message)
+	if err == nil || errors.Is(err, context.Canceled) {
+		return
 	}
+	level := zerolog.WarnLevel
+	if errors.Is(err, table.ErrConflict) {
+		level = zerolog.DebugLevel // Another daemon was first, which is how roles are assigned.
+	}
+	r.Log.WithLevel(level).Err(err).Str("service", string(r.Assigner.Service)).Msg(message)
 }
