--- /dev/null
+++ b/internal/bench/slopes/slopes.go
@@ -0,0 +1,147 @@
+// Package slopes measures what one unit of state or work costs a daemon: memory and bytes of the map for each partition,
+// bytes and processor time of a renewal for each server and of the assigner's decisions, and memory of a record. The
+// capacity page multiplies them by the numbers of the design scale.
+package slopes
+
+import (
+	"context"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rosemarywick.example/rosemarywick/internal/core/cause"
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/observe/records"
+	"rosemarywick.example/rosemarywick/internal/ownership/keymap"
+	"rosemarywick.example/rosemarywick/internal/ownership/placement"
+)
+
+// The sizes at which the slopes are taken.
+const (
+	partitions = 65536
+	servers    = 48
+)
+
+// Slope is one measured cost.
+type Slope struct {
+	// Name says what was measured and for which unit.
+	Name string
+	// Value is in Unit.
+	Value float64
+	Unit  string
+}
+
+// All measures every slope.
+func All(ctx context.Context) ([]Slope, error) {
+	slopes := []Slope{mapMemory(), recordMemory()}
+	encoded, err := mapBytes()
+	if err != nil {
+		return nil, err
+	}
+	slopes = append(slopes, encoded, placementTime())
+	renewal, err := renewals(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return append(slopes, renewal...), nil
+}
+
+// assignments returns a full map's worth of assignments, as after a takeover.
+func assignments() []fleet.Assignment {
+	list := make([]fleet.Assignment, partitions)
+	for i := range list {
+		list[i] = fleet.Assignment{
+			Partition: fleet.PartitionID(i), Owner: serverID(i), Standby: serverID(i + 1),
+			Fence: fleet.Fence{Epoch: 1000, Counter: uint64(i + 1)},
+		}
+	}
+	return list
+}
+
+var serverIDs = func() [servers]fleet.UpstreamID {
+	var ids [servers]fleet.UpstreamID
+	for i := range ids {
+		ids[i] = fleet.UpstreamID("catalogue-" + string(rune('a'+i/26)) + string(rune('a'+i%26)))
+	}
+	return ids
+}()
+
+func serverID(i int) fleet.UpstreamID {
+	return serverIDs[i%servers]
+}
+
+// heap returns the bytes that are reachable after a collection.
+func heap() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
+// cpu returns the processor time of this process.
+func cpu() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func mapMemory() Slope {
+	list := assignments()
+	before := heap()
+	current, _ := keymap.New(partitions).Merge(list)
+	after := heap()
+	runtime.KeepAlive(list)
+	runtime.KeepAlive(current)
+	return Slope{Name: "memory of the map, for each partition", Value: (after - before) / partitions, Unit: "bytes"}
+}
+
+func mapBytes() (Slope, error) {
+	current, _ := keymap.New(partitions).Merge(assignments())
+	total := 0
+	for index := range current.Chunks() {
+		content, _, err := keymap.EncodeChunk(index, current.Chunk(index))
+		if err != nil {
+			return Slope{}, errors.Wrap(err, "encode chunk")
+		}
+		total += len(content)
+	}
+	return Slope{Name: "encoded map, for each partition", Value: float64(total) / partitions, Unit: "bytes"}, nil
+}
+
+func recordMemory() Slope {
+	const count = 8192
+	before := heap()
+	ring := &records.Ring{Capacity: count}
+	for i := range count {
+		ring.Add(cause.Record{
+			Request: fleet.RequestID("request-" + time.Duration(i).String()), Cause: cause.SlowUpstream,
+			Attempts: []cause.Attempt{{Upstream: serverID(i)}}, Detail: "",
+		})
+	}
+	after := heap()
+	runtime.KeepAlive(ring)
+	return Slope{Name: "memory of the ring, for each record", Value: (after - before) / count, Unit: "bytes"}
+}
+
+// placementTime places all partitions after the loss of one server.
+func placementTime() Slope {
+	state := placement.State{Partitions: partitions}
+	for i := range servers {
+		state.Servers = append(state.Servers, placement.Server{ID: serverID(i), Domain: fleet.FailureDomain(rune('a' + i%11))})
+	}
+	state.Current = placement.Policy{}.Place(state)
+	state.Servers = state.Servers[1:]
+	const rounds = 10
+	before := cpu()
+	for range rounds {
+		placement.Policy{}.Place(state)
+	}
+	spent := (cpu() - before) / rounds
+	return Slope{
+		Name: "placement of 65,536 partitions after a loss, for each loss", Value: float64(spent.Microseconds()) / 1000, Unit: "ms of processor",
+	}
+}
