--- a/internal/bench/slopes/renewals.go
+++ b/internal/bench/slopes/renewals.go
@@ -74,7 +74,10 @@
 	perSecond := float64(time.Second) / float64(round)
 	return []Slope{
 		{Name: "renewal of one server, sent by the assigner", Value: float64(sent.Load()) / orders * perSecond, Unit: "bytes/s"},
-		{Name: "renewal of one server, received by the assigner", Value: float64(received.Load()) / orders * perSecond, Unit: "bytes/s"},
+		{
+			Name:  "renewal of one server, received by the assigner",
+			Value: float64(received.Load()) / orders * perSecond, Unit: "bytes/s",
+		},
 		{
 			Name:  "renewal of one server, both sides together",
 			Value: float64(spent) / orders * perSecond / float64(time.Second) * 100, Unit: "% of a core",
--- a/internal/bench/slopes/slopes.go
+++ b/internal/bench/slopes/slopes.go
@@ -142,6 +142,7 @@
 	}
 	spent := (cpu() - before) / rounds
 	return Slope{
-		Name: "placement of 65,536 partitions after a loss, for each loss", Value: float64(spent.Microseconds()) / 1000, Unit: "ms of processor",
+		Name:  "placement of 65,536 partitions after a loss, for each loss",
+		Value: float64(spent.Microseconds()) / 1000, Unit: "ms of processor",
 	}
 }
--- a/internal/daemon/host/announcements.go
+++ b/internal/daemon/host/announcements.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/peer/spread"
@@ -41,8 +40,7 @@
 func (a *assigners) known() map[fleet.HostID][]fleet.ServiceName {
 	services := make(map[fleet.HostID][]fleet.ServiceName)
 	for _, service := range a.daemon.maps.services() {
-		if item, found := a.daemon.peers.spread.Get(assignerPrefix + string(service)); found {
-			id := fleet.HostID(strings.Clone(string(item.Value)))
+		if id, found := a.assignerOf(service); found {
 			services[id] = append(services[id], service)
 		}
 	}
--- a/internal/daemon/host/assigners.go
+++ b/internal/daemon/host/assigners.go
@@ -107,12 +107,12 @@
 
 // start begins the assigner of a service. The caller holds mu.
 func (a *assigners) start(service *document.Service) *running {
-	d := a.daemon
+	d, name := a.daemon, service.Name
 	runner := &grants.Runner{
 		Assigner: &assigner.Assigner{
 			Host: d.Settings.Host.ID, Run: strconv.FormatUint(d.incarnation, 36), Service: service.Name,
 			Partitions: service.Partitions, Timing: assigner.DefaultTiming(),
-			Placer: &placer{partitions: service.Partitions, pins: a.pins(service)},
+			Placer: &placer{partitions: service.Partitions, pins: func() []document.Pin { return d.configuration.pins(name) }},
 		},
 		Table: d.table, Peers: d.peers, Publisher: d.maps, Client: a.client, Timer: d.Timer,
 		Log: d.Log.With().Str("part", "assigner").Logger(),
@@ -127,18 +127,20 @@
 	return &running{runner: runner, cancel: cancel}
 }
 
-// pins returns a function that gives the pins in force at the time of the call.
-func (a *assigners) pins(service *document.Service) func() []document.Pin {
-	name := service.Name
-	return func() []document.Pin {
-		doc := a.daemon.configuration.Current()
-		var pins []document.Pin
-		for _, pin := range doc.Pins {
-			if pin.Service == name {
-				pins = append(pins, pin)
-			}
-		}
-		return pins
+// assignerOf returns the host that announced to act for a service.
+func (a *assigners) assignerOf(service fleet.ServiceName) (fleet.HostID, bool) {
+	item, found := a.daemon.peers.spread.Get(assignerPrefix + string(service))
+	return fleet.HostID(item.Value), found
+}
+
+// balance hands measured loads and the keys that are to have entries to the assigner of a service.
+func (a *assigners) balance(service fleet.ServiceName, partitions map[fleet.PartitionID]float64, keys []fleet.KeyHash) {
+	a.mu.Lock()
+	one := a.running[service]
+	a.mu.Unlock()
+	if one != nil {
+		one.runner.SetHotKeys(keys)
+		one.runner.SetLoads(partitions)
 	}
 }
 
--- a/internal/daemon/host/configuration.go
+++ b/internal/daemon/host/configuration.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"rosemarywick.example/rosemarywick/internal/core/document"
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/operator/config"
 	"rosemarywick.example/rosemarywick/internal/peer/spread"
 )
@@ -130,3 +131,16 @@
 func (c *configuration) fleetSize() int {
 	return max(1, len(c.daemon.peers.spread.Members()))
 }
+
+// pins returns the pins of a service that are in force.
+func (c *configuration) pins(service fleet.ServiceName) []document.Pin {
+	var pins []document.Pin
+	if doc := c.Current(); doc != nil {
+		for _, pin := range doc.Pins {
+			if pin.Service == service {
+				pins = append(pins, pin)
+			}
+		}
+	}
+	return pins
+}
--- a/internal/daemon/host/host.go
+++ b/internal/daemon/host/host.go
@@ -46,6 +46,7 @@
 	maps          *maps
 	configuration *configuration
 	assigners     *assigners
+	loads         *loads
 	requests      *requests
 	lookups       *lookups
 	operators     *operators
@@ -86,6 +87,7 @@
 	d.peers = newPeers(d)
 	d.assigners = newAssigners(d)
 	d.configuration = newConfiguration(d)
+	d.loads = newLoads(d)
 	d.requests = newRequests(d)
 	d.lookups = newLookups(d)
 	d.operators = newOperators(d)
@@ -115,6 +117,7 @@
 	stages.run(stageFleet, d.operators.serve)
 	stages.run(stageRoles, d.assigners.run)
 	stages.run(stageRoles, d.assigners.announce)
+	stages.run(stageRoles, d.loads.run)
 	stages.run(stageRequests, d.requests.front.Run)
 }
 
--- /dev/null
+++ b/internal/daemon/host/loads.go
@@ -0,0 +1,174 @@
+package host
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"rosemarywick.example/rosemarywick/internal/core/cause"
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/ownership/hotkeys"
+	"rosemarywick.example/rosemarywick/internal/ownership/keymap"
+	"rosemarywick.example/rosemarywick/internal/ownership/load"
+)
+
+// loadTopic carries the load reports to the assigner of a service.
+const loadTopic = "load"
+
+// loads meters what this daemon forwards for each keyed service, reports it to the service's assigner, and, where this
+// daemon is the assigner, lets the sums decide on hot keys and moves.
+type loads struct {
+	daemon *Daemon
+
+	mu sync.Mutex
+	// meters is guarded by mu.
+	meters map[fleet.ServiceName]*load.Meter
+	// totals is guarded by mu.
+	totals map[fleet.ServiceName]*load.Totals
+}
+
+func newLoads(d *Daemon) *loads {
+	l := &loads{
+		daemon: d, meters: make(map[fleet.ServiceName]*load.Meter), totals: make(map[fleet.ServiceName]*load.Totals),
+	}
+	d.peers.mesh.Handle(loadTopic, l.receive)
+	return l
+}
+
+// observe meters a request that was sent to a server.
+func (l *loads) observe(record *cause.Record) {
+	if record.Key == 0 || len(record.Attempts) == 0 {
+		return
+	}
+	l.meter(record.Service).Add(l.daemon.Timer.Now(), record.Partition, record.Key)
+}
+
+func (l *loads) meter(service fleet.ServiceName) *load.Meter {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.meters[service] == nil {
+		l.meters[service] = &load.Meter{}
+	}
+	return l.meters[service]
+}
+
+// run reports at intervals until ctx ends.
+func (l *loads) run(ctx context.Context) error {
+	ticks := l.daemon.Timer.Every(load.Interval)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ticks.C:
+			for _, service := range l.daemon.maps.services() {
+				l.report(ctx, service)
+			}
+			for service := range l.daemon.assigners.acting() {
+				l.use(service)
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// report sends this daemon's report of a service to the assigner.
+func (l *loads) report(ctx context.Context, service fleet.ServiceName) {
+	report := l.meter(service).Report(l.daemon.Timer.Now())
+	to, known := l.daemon.assigners.assignerOf(service)
+	if !known {
+		return
+	}
+	if to == l.daemon.Settings.Host.ID {
+		l.take(to, service, report)
+		return
+	}
+	content, err := load.Encode(service, report)
+	if err == nil {
+		ctx, cancel := context.WithTimeout(ctx, load.Interval/2)
+		defer cancel()
+		err = l.daemon.peers.mesh.Send(ctx, to, loadTopic, content)
+	}
+	if err != nil {
+		l.daemon.Log.Debug().Err(err).Str("service", string(service)).Str("to", string(to)).Msg("load not reported")
+	}
+}
+
+func (l *loads) receive(_ context.Context, from fleet.HostID, content []byte) {
+	service, report, err := load.Decode(content)
+	if err != nil {
+		l.daemon.Log.Warn().Err(err).Str("from", string(from)).Msg("load report not understood")
+		return
+	}
+	if l.daemon.maps.get(service) != nil {
+		l.take(from, service, report)
+	}
+}
+
+func (l *loads) take(from fleet.HostID, service fleet.ServiceName, report load.Report) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.totals[service] == nil {
+		l.totals[service] = &load.Totals{}
+	}
+	l.totals[service].Take(l.daemon.Timer.Now(), from, report)
+}
+
+// use hands the load of a service to the assigner of this daemon.
+func (l *loads) use(service fleet.ServiceName) {
+	current := l.daemon.maps.get(service)
+	doc := l.daemon.configuration.Current()
+	if current == nil || doc == nil || doc.Find(service) == nil {
+		return
+	}
+	sum := l.sum(service, current.Partitions())
+	servers := len(upstreamsOf(doc.Find(service)))
+	l.daemon.maps.metrics.ObserveLoad(service, l.ownerLoads(service, &sum))
+	if !sum.Significant(servers) {
+		l.daemon.assigners.balance(service, nil, l.withPins(service, nil))
+		return
+	}
+	keys := hotkeys.Decide(sum.Keys, sum.Total/float64(servers), dedicated(current))
+	l.daemon.assigners.balance(service, sum.Partitions, l.withPins(service, keys))
+}
+
+// dedicated returns the keys that have an entry of their own.
+func dedicated(current *keymap.Map) []fleet.KeyHash {
+	var keys []fleet.KeyHash
+	for _, entry := range current.Entries() {
+		if entry.Owner != "" {
+			keys = append(keys, entry.Key)
+		}
+	}
+	return keys
+}
+
+func (l *loads) sum(service fleet.ServiceName, partitions int) load.Sum {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.totals[service] == nil {
+		return load.Sum{}
+	}
+	return l.totals[service].Sum(l.daemon.Timer.Now(), partitions)
+}
+
+// ownerLoads returns the load of each owner, those without load included.
+func (l *loads) ownerLoads(service fleet.ServiceName, sum *load.Sum) map[fleet.UpstreamID]float64 {
+	owners := make(map[fleet.UpstreamID]float64)
+	assignments, _ := l.daemon.operators.Assignments(service)
+	for _, assignment := range assignments {
+		if assignment.Owner != "" {
+			owners[assignment.Owner] += sum.Partitions[assignment.Partition]
+		}
+	}
+	return owners
+}
+
+// withPins adds the pinned keys of a service, which need an entry to stay where they are pinned.
+func (l *loads) withPins(service fleet.ServiceName, keys []fleet.KeyHash) []fleet.KeyHash {
+	for _, pin := range l.daemon.configuration.pins(service) {
+		if key := fleet.HashKey(pin.Key); !slices.Contains(keys, key) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
--- a/internal/daemon/host/requests.go
+++ b/internal/daemon/host/requests.go
@@ -17,6 +17,7 @@
 	router  *router.Router
 	front   *front.Front
 	metrics *metrics.Metrics
+	loads   *loads
 }
 
 func newRequests(d *Daemon) *requests {
@@ -24,7 +25,7 @@
 		ring:    &records.Ring{Capacity: records.DefaultCapacity},
 		archive: &records.Archive{Host: d.Settings.Host.ID, Store: d.objects, Timer: d.Timer, Log: d.Log},
 		claims:  &once.Table{Store: d.table, Clock: d.Timer, Host: d.Settings.Host.ID},
-		metrics: d.maps.metrics,
+		metrics: d.maps.metrics, loads: d.loads,
 	}
 	r.router = &router.Router{
 		Host: d.Settings.Host, Clock: d.Timer, Config: d.configuration, Owners: d.maps, Claims: r.claims, Recorder: r,
@@ -43,6 +44,7 @@
 		Service: record.Service, Tenant: record.Tenant, Queue: record.Queued, Connect: record.Connect(), Upstream: record.Upstream(),
 		Total: record.Total, Outcome: record.Outcome, Cause: record.Cause,
 	})
+	r.loads.observe(&record)
 	if record.Notable() {
 		r.ring.Add(record)
 		r.archive.Add(record)
--- /dev/null
+++ b/internal/ownership/load/totals.go
@@ -0,0 +1,88 @@
+package load
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/ownership/hotkeys"
+)
+
+const (
+	// reportLife is how long the last report of a daemon counts; three reports may be lost.
+	reportLife = 4 * Interval
+	// minRequests is the number of requests for each server within the half-life below which chance differs from
+	// server to server by more than 3%, so that no load is stated.
+	minRequests = 1000
+)
+
+// Totals adds up the reports of all daemons for one service. It is not safe for concurrent use.
+type Totals struct {
+	reports map[fleet.HostID]received
+}
+
+// received is the last report of one daemon.
+type received struct {
+	report Report
+	at     time.Time
+}
+
+// Take replaces the report of a daemon.
+func (t *Totals) Take(now time.Time, from fleet.HostID, report Report) {
+	if t.reports == nil {
+		t.reports = make(map[fleet.HostID]received)
+	}
+	t.reports[from] = received{report: report, at: now}
+}
+
+// Sum is the load of a service over all daemons.
+type Sum struct {
+	// Total is in requests a second.
+	Total float64
+	// Partitions is the load of each partition in requests a second.
+	Partitions map[fleet.PartitionID]float64
+	// Keys are the most frequent keys, the most frequent first.
+	Keys []hotkeys.Count
+}
+
+// Significant reports whether enough requests were measured to tell the servers apart.
+func (s *Sum) Significant(servers int) bool {
+	return servers > 0 && s.Total*HalfLife.Seconds()/math.Ln2 >= minRequests*float64(servers)
+}
+
+// Sum adds up the reports that still count. Load that a daemon did not attribute is spread evenly over the hash ranges.
+func (t *Totals) Sum(now time.Time, partitions int) Sum {
+	sum := Sum{Partitions: make(map[fleet.PartitionID]float64)}
+	rest := 0.0
+	keys := make(map[fleet.KeyHash]hotkeys.Count)
+	for host, one := range t.reports {
+		if now.Sub(one.at) > reportLife {
+			delete(t.reports, host)
+			continue
+		}
+		rest += one.report.Rest
+		for _, rate := range one.report.Partitions {
+			sum.Partitions[rate.Partition] += rate.PerSecond
+			sum.Total += rate.PerSecond
+		}
+		for _, count := range one.report.Keys {
+			added := keys[count.Key]
+			keys[count.Key] = hotkeys.Count{
+				Key: count.Key, Rate: added.Rate + count.Rate, Error: added.Error + count.Error,
+			}
+		}
+	}
+	sum.Total += rest
+	for id := range fleet.PartitionID(partitions) {
+		sum.Partitions[id] += rest / float64(partitions)
+	}
+	for _, count := range keys {
+		sum.Keys = append(sum.Keys, count)
+	}
+	slices.SortFunc(sum.Keys, func(a, b hotkeys.Count) int {
+		return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Key, b.Key))
+	})
+	return sum
+}
