daemon/host, caller/front: take sockets that are open already

Cause: a development fleet chose free ports and closed them again before the daemons opened them, so that another process could take one in between (TestSameOwnerThroughEachDaemon failed once with 'address already in use'). Change: a daemon takes open listeners for callers and operators.

--- a/internal/caller/front/front.go
+++ b/internal/caller/front/front.go
@@ -42,10 +42,12 @@
 type Front struct {
 	// Address is where callers connect; the port may be zero.
 	Address netip.AddrPort
-	Router  Router
-	Config  Configuration
-	Clock   timer.Service
-	Log     zerolog.Logger
+	// Listener is the socket to use. If it is nil, Run opens Address.
+	Listener net.Listener
+	Router   Router
+	Config   Configuration
+	Clock    timer.Service
+	Log      zerolog.Logger
 	// BodyLimit bounds the body of a request, which is kept in memory so that it can be sent again. Zero means 1 MiB.
 	BodyLimit int64
 	// StopTimeout bounds how long Run waits for the requests in flight. Zero means 30 s.
@@ -68,9 +70,9 @@
 
 // Run serves callers until ctx ends. It then rejects new requests, waits for those in flight, and returns.
 func (f *Front) Run(ctx context.Context) error {
-	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", f.Address.String())
+	listener, err := f.listen(ctx)
 	if err != nil {
-		return errors.Wrap(err, "front: listen")
+		return err
 	}
 	if f.Listening != nil {
 		f.Listening(listener.Addr().(*net.TCPAddr).AddrPort())
@@ -93,6 +95,14 @@
 	return errors.Wrap(server.Close(), "front: close")
 }
 
+func (f *Front) listen(ctx context.Context) (net.Listener, error) {
+	if f.Listener != nil {
+		return f.Listener, nil
+	}
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", f.Address.String())
+	return listener, errors.Wrap(err, "front: listen")
+}
+
 // Handler returns the handler that Run serves.
 func (f *Front) Handler() http.Handler {
 	f.setup.Do(func() { f.handler = f.routes() })
--- a/internal/daemon/host/host.go
+++ b/internal/daemon/host/host.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -28,6 +29,9 @@
 	Settings *settings.Settings
 	Timer    timer.Service
 	Log      zerolog.Logger
+	// CallerListener and OperatorListener are the sockets for callers and operators. Where one is nil, the daemon opens
+	// the address of the settings itself.
+	CallerListener, OperatorListener net.Listener
 	// Listening is called with the address for callers once requests are accepted. It may be nil.
 	Listening func(netip.AddrPort)
 
--- a/internal/daemon/host/operators.go
+++ b/internal/daemon/host/operators.go
@@ -36,9 +36,13 @@
 
 // serve accepts operators until ctx ends.
 func (o *operators) serve(ctx context.Context) error {
-	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", o.daemon.Settings.Operators.String())
-	if err != nil {
-		return errors.Wrap(err, "listen for operators")
+	listener := o.daemon.OperatorListener
+	if listener == nil {
+		var err error
+		listener, err = new(net.ListenConfig).Listen(ctx, "tcp", o.daemon.Settings.Operators.String())
+		if err != nil {
+			return errors.Wrap(err, "listen for operators")
+		}
 	}
 	return o.server.Serve(ctx, listener)
 }
--- a/internal/daemon/host/requests.go
+++ b/internal/daemon/host/requests.go
@@ -32,7 +32,7 @@
 		Hosts: d.configuration.fleetSize,
 	}
 	r.front = &front.Front{
-		Address: d.Settings.Callers, Router: r.router, Config: d.configuration, Clock: d.Timer, Log: d.Log,
+		Address: d.Settings.Callers, Listener: d.CallerListener, Router: r.router, Config: d.configuration, Clock: d.Timer, Log: d.Log,
 		StopTimeout: d.Settings.StopTimeout, Listening: d.Listening,
 	}
 	return r
