peer/spread: a slow peer that offered an item first does not delay it

Cause: an item that several peers offer is asked for once. When the first of them was slow, the item waited until the request expired, up to 3 s, although the others had it. Change: further offers are remembered, and the item is asked for at the next peer after 2 ticks of 200 ms, at once if the first peer is gone.

--- a/internal/peer/spread/faults_test.go
+++ b/internal/peer/spread/faults_test.go
@@ -33,7 +33,9 @@
 	blocked func(a, b fleet.Host) bool
 	// alter changes a message on its way.
 	alter func(from, to fleet.HostID, payload []byte) []byte
-	delay func(from, to fleet.HostID) time.Duration
+	delay func(from, to fleet.HostID, size int) time.Duration
+	// itemBytes is the size of published items, which is 100 when it is zero.
+	itemBytes int
 }
 
 // node is one daemon; it is the transport of its runner.
@@ -124,7 +126,7 @@
 			delay := time.Millisecond
 			net.mu.Lock()
 			if net.delay != nil {
-				delay += net.delay(from.host.ID, to.host.ID)
+				delay += net.delay(from.host.ID, to.host.ID, len(payload))
 			}
 			net.mu.Unlock()
 			if timer.Wait(link.ctx, timer.System{}, delay) != nil {
@@ -174,7 +176,7 @@
 }
 
 func (net *network) publish(id fleet.HostID, version uint64) {
-	item := spread.Item{Name: "config", Version: spread.Version{Major: version}, Value: make([]byte, 100)}
+	item := spread.Item{Name: "config", Version: spread.Version{Major: version}, Value: make([]byte, max(100, net.itemBytes))}
 	if _, err := net.nodes[id].runner.Publish(item); err != nil {
 		net.t.Fatal(err)
 	}
@@ -271,7 +273,7 @@
 		}},
 		{"peer slow: 2 s for each message", func(net *network) {
 			net.setFaults(func() {
-				net.delay = func(_, to fleet.HostID) time.Duration {
+				net.delay = func(_, to fleet.HostID, _ int) time.Duration {
 					if to == "entry-04" {
 						return 2 * time.Second
 					}
@@ -288,6 +290,23 @@
 			net.sleep(30 * time.Second)
 			net.settled(fleetSize, 199)
 		}},
+		{"peer slow: offers items and delivers them late", func(net *network) {
+			net.setFaults(func() {
+				net.delay = func(from, _ fleet.HostID, size int) time.Duration {
+					if from == "entry-04" && size > 1000 {
+						return 5 * time.Second
+					}
+					return 0
+				}
+				net.itemBytes = 10_000
+			})
+			for version := uint64(2); version < 30; version++ {
+				net.publish([]fleet.HostID{"entry-00", "entry-03", "entry-06"}[version%3], version)
+				net.sleep(time.Second)
+				low, _ := net.version("entry-04")
+				net.expect("version at the other hosts", low, version)
+			}
+		}},
 		{"peer of another release: unknown fields and messages", func(net *network) {
 			future := protowire.AppendBytes(protowire.AppendTag(nil, 900, protowire.BytesType), []byte("new"))
 			net.setFaults(func() {
--- a/internal/peer/spread/receive.go
+++ b/internal/peer/spread/receive.go
@@ -132,10 +132,13 @@
 		if found && (entry.Version.Less(item.Version) || entry == item.entry()) {
 			continue
 		}
-		if asked, pending := s.wanted[entry.Name]; pending && !asked.entry.Version.Less(entry.Version) {
+		if asked := s.wanted[entry.Name]; asked != nil && !asked.entry.Version.Less(entry.Version) {
+			if asked.entry == entry && asked.from != from && len(asked.others) < maxOffers {
+				asked.others = append(asked.others, from)
+			}
 			continue
 		}
-		s.wanted[entry.Name] = want{entry: entry, from: from}
+		s.wanted[entry.Name] = &want{entry: entry, from: from}
 		names = append(names, entry.Name)
 	}
 	if len(names) == 0 {
--- a/internal/peer/spread/runner.go
+++ b/internal/peer/spread/runner.go
@@ -25,7 +25,8 @@
 // Defaults of the intervals that may be left out.
 const (
 	DefaultRoundInterval = time.Second
-	// DefaultReportInterval is the time for which adoptions are gathered before they are passed on.
+	// DefaultReportInterval is the time for which adoptions are gathered before they are passed on, and the tick of the
+	// state.
 	DefaultReportInterval = 200 * time.Millisecond
 	DefaultListInterval   = 10 * time.Second
 )
@@ -202,10 +203,15 @@
 	return NewAdoptionKey(id, r.View.MemberIncarnation(id))
 }
 
-// report lets the goroutines of peers send the adoptions that have been gathered.
+// report lets the goroutines of peers send the adoptions that have been gathered, and repeats requests.
 func (r *Runner) report() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	for id, want := range r.state.Tick() {
+		if link := r.links[id]; link != nil {
+			link.reply(want)
+		}
+	}
 	for id, link := range r.links {
 		if r.state.AdoptionsDue(id) {
 			link.report = true
--- a/internal/peer/spread/state.go
+++ b/internal/peer/spread/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,8 +19,12 @@
 	batchBytes = 32 << 10
 	// summaryEntries bounds one summary. Buckets beyond it are left for the next exchange.
 	summaryEntries = 512
-	// wantRounds is the number of digest rounds after which an item that was asked for may be asked for elsewhere.
-	wantRounds = 2
+	// patientTicks is the number of ticks after which an item is asked for at the next peer that has offered it, and
+	// wantTicks that after which it counts as not asked for.
+	patientTicks = 2
+	wantTicks    = 10
+	// maxOffers bounds the peers that are remembered to have offered an item.
+	maxOffers = 8
 	// settleRounds is the number of rounds without a change of the adoptions after which a difference is repaired by
 	// sending all of them. Before that it is most likely due to adoptions on their way.
 	settleRounds = 3
@@ -33,16 +36,18 @@
 	buckets [bucketCount]uint64
 	peers   map[fleet.HostID]*peer
 	// wanted holds what has been asked for and has not arrived.
-	wanted map[string]want
+	wanted map[string]*want
 
 	adopted adoption
 }
 
 // want is a request for an item that is on its way.
 type want struct {
-	entry  Entry
-	from   fleet.HostID
-	rounds int
+	entry Entry
+	from  fleet.HostID
+	ticks int
+	// others holds further peers that have offered the item.
+	others []fleet.HostID
 }
 
 // peer is what is known about one connected peer.
@@ -59,7 +64,7 @@
 // NewState returns a state without items or peers.
 func NewState() *State {
 	return &State{
-		items: make(map[string]Item), peers: make(map[fleet.HostID]*peer), wanted: make(map[string]want),
+		items: make(map[string]Item), peers: make(map[fleet.HostID]*peer), wanted: make(map[string]*want),
 		adopted: adoption{hosts: make(map[AdoptionKey]uint64)},
 	}
 }
@@ -143,10 +148,17 @@
 	return s.Root()
 }
 
-// Disconnect removes a peer. What it was asked for may be asked of others.
+// Disconnect removes a peer. What it was asked for is asked of others.
 func (s *State) Disconnect(id fleet.HostID) {
 	delete(s.peers, id)
-	maps.DeleteFunc(s.wanted, func(_ string, w want) bool { return w.from == id })
+	for name, w := range s.wanted {
+		if w.from != id {
+			continue
+		}
+		if w.from, w.ticks = "", patientTicks; len(w.others) == 0 {
+			delete(s.wanted, name)
+		}
+	}
 }
 
 // Root returns the digest that is sent to each peer at every round.
@@ -161,13 +173,34 @@
 // Round notes that a digest interval has passed.
 func (s *State) Round() {
 	s.adopted.quiet++
+}
+
+// Tick notes that a short interval has passed. It returns what to ask of which peers, because the peers that were asked
+// first have not responded; a slow peer thus delays an item for no longer than a few ticks.
+func (s *State) Tick() map[fleet.HostID]Want {
+	var asks map[fleet.HostID]Want
 	for name, w := range s.wanted {
-		w.rounds++
-		s.wanted[name] = w
-		if w.rounds > wantRounds {
+		if w.ticks++; w.ticks > wantTicks {
 			delete(s.wanted, name)
+			continue
+		}
+		if w.ticks < patientTicks {
+			continue
+		}
+		for len(w.others) > 0 {
+			next := w.others[0]
+			w.others = w.others[1:]
+			if s.peers[next] != nil {
+				w.from, w.ticks = next, 0
+				if asks == nil {
+					asks = make(map[fleet.HostID]Want)
+				}
+				asks[next] = Want{Names: append(asks[next].Names, name)}
+				break
+			}
 		}
 	}
+	return asks
 }
 
 // Due reports whether there are items to be sent to a peer.
--- a/internal/peer/spread/state_test.go
+++ b/internal/peer/spread/state_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"testing"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
@@ -120,6 +121,7 @@
 		m.states[a], m.seen[a] = NewState(), make(map[string]Item)
 	case 5:
 		m.states[a].Round()
+		m.tick(a)
 		if m.links[[2]int{min(a, b), max(a, b)}] {
 			m.send(a, b, m.states[a].Root())
 		}
@@ -156,8 +158,19 @@
 			break
 		}
 	}
-	for _, state := range m.states {
+	for node, state := range m.states {
 		state.Round()
+		m.tick(node)
+	}
+}
+
+func (m *model) tick(node int) {
+	for to, want := range m.states[node].Tick() {
+		for other := range m.states {
+			if id(other) == to {
+				m.send(node, other, want)
+			}
+		}
 	}
 }
 
@@ -191,7 +204,7 @@
 			m.connect(node, (node+1)%len(m.states))
 		}
 		// Requests that were lost expire, and adoptions settle, after a few rounds for each hop.
-		for range (wantRounds + settleRounds + 2) * len(m.states) {
+		for range (wantTicks + settleRounds + 2) * len(m.states) {
 			m.round()
 		}
 		if !m.converged() {
@@ -232,16 +245,27 @@
 	}
 }
 
-// Guards against an item that is never asked for again after the request for it was lost.
-func TestLostRequestIsRepeated(t *testing.T) {
+// Guards against an item that is never asked for again after the request for it was lost, and one that waits for a
+// slow peer while another one has offered it.
+func TestRequestsAreRepeated(t *testing.T) {
+	is := is.New(t)
 	s := NewState()
-	s.Connect("a")
+	s.Connect("slow")
+	s.Connect("other")
 	offer := Offer{Entries: []Entry{{Name: "x", Version: Version{Major: 1}}}}
-	for round := range wantRounds + 2 {
-		replies, _ := s.Receive("a", offer)
-		if asked := len(replies) > 0; asked != (round == 0 || round == wantRounds+1) {
-			t.Fatalf("round %d: %v", round, replies)
-		}
-		s.Round()
+	replies, _ := s.Receive("slow", offer)
+	is.Equal(replies, []Message{Want{Names: []string{"x"}}})
+	replies, _ = s.Receive("other", offer)
+	is.Equal(len(replies), 0) // already on its way
+	is.Equal(len(s.Tick()), 0)
+	is.Equal(s.Tick(), map[fleet.HostID]Want{"other": {Names: []string{"x"}}})
+	for range wantTicks {
+		is.Equal(len(s.Tick()), 0) // there is nobody else to ask
 	}
+	s.Tick()
+	replies, _ = s.Receive("slow", offer)
+	is.Equal(len(replies), 1) // both requests count as lost
+	s.Receive("other", offer)
+	s.Disconnect("slow")
+	is.Equal(len(s.Tick()), 1) // asked at once where the peer is gone
 }
