grants: edge for services whose servers check no orders

Change: grants.Direct runs the assigner with authority from the table and the router's confirmed map; the store of rows and the queue of messages are shared with Runner. Conclusion: both kinds of services can be wired.

--- a/internal/ownership/assigner/sim_test.go
+++ b/internal/ownership/assigner/sim_test.go
@@ -66,6 +66,7 @@
 type daemon struct {
 	process
 	id       fleet.HostID
+	decider  decider
 	assigner *assigner.Assigner
 	// superseded is the highest epoch that a report has shown to this run of the daemon.
 	superseded fleet.Epoch
@@ -144,6 +145,7 @@
 	d.assigner = &assigner.Assigner{
 		Host: d.id, Run: fmt.Sprint(d.life), Service: service, Partitions: partitions, Placer: placer{s}, Timing: assigner.DefaultTiming(),
 	}
+	d.decider = d.assigner
 	d.assigner.SetOmit(s.omit)
 	var hosts []fleet.Host
 	for i := range 3 {
@@ -214,7 +216,7 @@
 		return
 	}
 	s.at(&d.process, tick, func() {
-		s.step(d, d.assigner.Tick)
+		s.step(d, d.decider.Tick)
 		if s.hot != nil && s.random.IntN(10) == 0 {
 			s.step(d, func(now time.Time) []assigner.Action { return d.assigner.SetHotKeys(now, s.hot) })
 		}
--- a/internal/ownership/assigner/world_test.go
+++ b/internal/ownership/assigner/world_test.go
@@ -9,6 +9,17 @@
 	"rosemarywick.example/rosemarywick/internal/ownership/assigner"
 )
 
+// decider is what both kinds of assigners have in common.
+type decider interface {
+	Tick(now time.Time) []assigner.Action
+	RowRead(now time.Time, version assigner.Version, content assigner.Row) []assigner.Action
+	RowUnread(now time.Time) []assigner.Action
+	RowWritten(now time.Time, result assigner.WriteResult) []assigner.Action
+	PlacementRead(now time.Time, rows []assigner.StoredPlacement) []assigner.Action
+	PlacementUnread(now time.Time) []assigner.Action
+	PlacementWritten(now time.Time, result assigner.WriteResult) []assigner.Action
+}
+
 // useTable carries out one operation of the table, which may be slow, fail, or lose its answer before or after it takes
 // effect.
 func (s *sim) useTable(d *daemon, action assigner.Action) {
@@ -79,13 +90,13 @@
 	s.step(d, func(now time.Time) []assigner.Action {
 		switch action.(type) {
 		case assigner.ReadRow:
-			return d.assigner.RowUnread(now)
+			return d.decider.RowUnread(now)
 		case assigner.ReadPlacement:
-			return d.assigner.PlacementUnread(now)
+			return d.decider.PlacementUnread(now)
 		case assigner.WriteRow:
-			return d.assigner.RowWritten(now, result)
+			return d.decider.RowWritten(now, result)
 		default:
-			return d.assigner.PlacementWritten(now, result)
+			return d.decider.PlacementWritten(now, result)
 		}
 	})
 }
@@ -97,9 +108,9 @@
 ) {
 	switch action.(type) {
 	case assigner.ReadRow:
-		s.step(d, func(now time.Time) []assigner.Action { return d.assigner.RowRead(now, version, row) })
+		s.step(d, func(now time.Time) []assigner.Action { return d.decider.RowRead(now, version, row) })
 	case assigner.ReadPlacement:
-		s.step(d, func(now time.Time) []assigner.Action { return d.assigner.PlacementRead(now, rows) })
+		s.step(d, func(now time.Time) []assigner.Action { return d.decider.PlacementRead(now, rows) })
 	default:
 		s.answer(d, action, result)
 	}
--- /dev/null
+++ b/internal/upstream/grants/direct.go
@@ -0,0 +1,254 @@
+package grants
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/ownership/assigner"
+	"rosemarywick.example/rosemarywick/internal/platform/table"
+)
+
+// askInterval is how often a router asks for a confirmation. Three may be lost before the confirmation of 1 s ends.
+const askInterval = 250 * time.Millisecond
+
+// Direct runs both sides of a service whose servers check no orders on one host: the assigner, which has authority on at
+// most one host, and the router's confirmed map.
+type Direct struct {
+	// Assigner decides. Its own fields are set before Run; the Direct then has sole use of it.
+	Assigner *assigner.Direct
+	// Confirmed is the router's side. Its own fields are set before Run; the Direct then has sole use of it.
+	Confirmed *assigner.Confirmed
+	// Service is the service.
+	Service fleet.ServiceName
+	// Table holds the group row and the placement rows.
+	Table table.Store
+	// Peers reaches the other daemons.
+	Peers Peers
+	// Publisher makes assignments known for display. Routers use Locate instead.
+	Publisher Publisher
+	// Timer is the host's clock.
+	Timer timer.Service
+	// Log receives one line for each change of role and each failure of the table.
+	Log zerolog.Logger
+
+	// mu guards Assigner, Confirmed and the fields below.
+	mu        sync.Mutex
+	hosts     []fleet.HostID
+	holder    fleet.HostID
+	asked     int
+	groupJobs chan assigner.Action
+	placeJobs chan assigner.Action
+	messages  *outbox
+	running   bool
+}
+
+// SetServers tells which servers are alive and do not leave. It may be called at any time.
+func (d *Direct) SetServers(servers []assigner.Server) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.Assigner.SetServers(servers)
+}
+
+// SetHosts tells which hosts may have authority, this one included if it may. All daemons must be given the same few.
+func (d *Direct) SetHosts(hosts []fleet.HostID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hosts = hosts
+	d.Assigner.Candidate = false
+	for _, host := range hosts {
+		d.Assigner.Candidate = d.Assigner.Candidate || host == d.Assigner.Host
+	}
+}
+
+// Locate returns the assignment of a key and the time at which a request forwarded to its owner must have ended. It
+// reports false when the map is not confirmed.
+func (d *Direct) Locate(key fleet.KeyHash) (fleet.Assignment, time.Time, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Confirmed.Locate(d.Timer.Now(), key)
+}
+
+// Acts reports whether this host has authority.
+func (d *Direct) Acts() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Assigner.Acts(d.Timer.Now())
+}
+
+// Run runs until ctx ends, and then gives up the authority if this host has it.
+func (d *Direct) Run(ctx context.Context) error {
+	work, cancel := context.WithCancel(ctx)
+	var tasks sync.WaitGroup
+	d.prepare()
+	rows := &rowStore{table: d.Table, service: d.Service, log: d.Log, decider: d.Assigner, step: d.step}
+	d.Peers.Handle(confirmTopic(d.Service), d.receive)
+	tasks.Go(func() { d.messages.run(work) })
+	tasks.Go(func() { rows.run(work, d.groupJobs) })
+	tasks.Go(func() { rows.run(work, d.placeJobs) })
+	tasks.Go(func() { d.ask(work) })
+	ticks := d.Timer.Every(tickInterval)
+	defer ticks.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ticks.C:
+			d.step(d.Assigner.Tick)
+		case <-ctx.Done():
+		}
+	}
+	cancel()
+	tasks.Wait()
+	d.handOver(ctx, rows)
+	return context.Cause(ctx)
+}
+
+func (d *Direct) prepare() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.groupJobs, d.placeJobs = make(chan assigner.Action, 2), make(chan assigner.Action, 2)
+	d.messages = newOutbox(d.Peers, confirmTopic(d.Service))
+	d.running = true
+}
+
+// handOver gives up the authority with a last write, so that the next host need not wait for its end.
+func (d *Direct) handOver(ctx context.Context, rows *rowStore) {
+	d.mu.Lock()
+	d.running = false
+	actions := d.Assigner.HandOver(d.Timer.Now())
+	d.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), sendTimeout)
+	defer cancel()
+	for _, action := range actions {
+		switch action := action.(type) {
+		case assigner.WriteRow:
+			rows.writeRow(ctx, action)
+		case assigner.ChangeRole:
+			logRole(d.Log, d.Service, d.Assigner.Host, action)
+		default:
+		}
+	}
+}
+
+// step lets the decision take one step and carries out its actions.
+func (d *Direct) step(decide func(now time.Time) []assigner.Action) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.running {
+		return
+	}
+	for _, action := range decide(d.Timer.Now()) {
+		switch action := action.(type) {
+		case assigner.ReadRow, assigner.WriteRow:
+			d.groupJobs <- action
+		case assigner.ReadPlacement, assigner.WritePlacement:
+			d.placeJobs <- action
+		case assigner.Publish:
+			d.Publisher.Publish(d.Service, action.Assignments)
+		case assigner.ChangeRole:
+			logRole(d.Log, d.Service, d.Assigner.Host, action)
+		default:
+		}
+	}
+}
+
+// ask asks for a confirmation at intervals: the host that has authority if it is known, else one host after another.
+func (d *Direct) ask(ctx context.Context) {
+	ticks := d.Timer.Every(askInterval)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ticks.C:
+		case <-ctx.Done():
+			return
+		}
+		to, payload, err := d.nextQuestion()
+		if err != nil {
+			d.Log.Error().Err(err).Str("service", string(d.Service)).Msg("question not encoded")
+			continue
+		}
+		if to != "" {
+			d.messages.post(to, payload)
+		}
+	}
+}
+
+// nextQuestion returns the next question and the host to ask. The question of this host to itself is answered at once.
+func (d *Direct) nextQuestion() (fleet.HostID, []byte, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Timer.Now()
+	question := d.Confirmed.Ask(now)
+	if answer, has := d.Assigner.Confirm(now, question); has {
+		d.Confirmed.Answered(answer)
+		return "", nil, nil
+	}
+	to := d.holder
+	d.holder = ""
+	if to == "" || to == d.Assigner.Host {
+		to = ""
+		if len(d.hosts) > 0 {
+			d.asked++
+			to = d.hosts[d.asked%len(d.hosts)]
+		}
+	}
+	if to == d.Assigner.Host {
+		return "", nil, nil
+	}
+	payload, err := encodeQuestion(question)
+	return to, payload, err
+}
+
+// receive handles a question of a router or an answer to this host's router.
+func (d *Direct) receive(from fleet.HostID, payload []byte) {
+	wire, err := decodeConfirm(payload)
+	if err == nil && wire.Answer != nil {
+		err = d.answered(from, wire.Answer)
+	} else if err == nil {
+		err = d.answer(from, wire.Question)
+	}
+	if err != nil {
+		d.Log.Warn().Err(err).Str("service", string(d.Service)).Str("from", string(from)).Msg("confirmation failed")
+	}
+}
+
+func (d *Direct) answered(from fleet.HostID, wire *wireConfirmation) error {
+	answer, err := wire.confirmation()
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if wire.Holder != "" {
+		d.holder = fleet.HostID(wire.Holder)
+		return nil
+	}
+	d.holder = from
+	d.Confirmed.Answered(answer)
+	return nil
+}
+
+func (d *Direct) answer(from fleet.HostID, wire *wireQuestion) error {
+	d.mu.Lock()
+	answer, has := d.Assigner.Confirm(d.Timer.Now(), wire.question())
+	holder := d.Assigner.Holder()
+	d.mu.Unlock()
+	var payload []byte
+	var err error
+	switch {
+	case has:
+		payload, err = encodeConfirmation(answer)
+	case holder != "" && holder != d.Assigner.Host:
+		payload, err = encodeHolder(holder)
+	default:
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	d.messages.post(from, payload)
+	return nil
+}
--- a/internal/upstream/grants/peers.go
+++ b/internal/upstream/grants/peers.go
@@ -8,34 +8,59 @@
 	"rosemarywick.example/rosemarywick/internal/ownership/assigner"
 )
 
-// queueMessage hands a message to the goroutine that sends messages, and drops it if too many wait. The caller holds mu.
-func (r *Runner) queueMessage(action assigner.SendMessage) {
-	payload, err := encodeMessage(action.Message)
-	if err != nil {
-		r.Log.Error().Err(err).Str("service", string(r.Assigner.Service)).Msg("message not encoded")
-		return
-	}
+// mailbox is the number of messages to other hosts that may wait. More are dropped; the next round repeats them.
+const mailbox = 64
+
+// outbox sends the messages of one topic from a goroutine of its own, so that neither a decision nor the receiver of a
+// message waits for the network.
+type outbox struct {
+	peers Peers
+	topic string
+	queue chan outgoing
+}
+
+// outgoing is a message to another host.
+type outgoing struct {
+	to      fleet.HostID
+	payload []byte
+}
+
+func newOutbox(peers Peers, topic string) *outbox {
+	return &outbox{peers: peers, topic: topic, queue: make(chan outgoing, mailbox)}
+}
+
+// post queues a message, and drops it if too many wait.
+func (o *outbox) post(to fleet.HostID, payload []byte) {
 	select {
-	case r.messages <- outgoing{to: action.To, payload: payload}:
+	case o.queue <- outgoing{to: to, payload: payload}:
 	default:
 	}
 }
 
-// sendMessages sends the messages to other hosts. A failure is not reported, since the protocol expects messages to be
-// lost.
-func (r *Runner) sendMessages(ctx context.Context) {
+// run sends the messages. A failure is not reported, since the protocols expect messages to be lost.
+func (o *outbox) run(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case message := <-r.messages:
-			bounded, cancel := context.WithTimeout(ctx, handOverTimeout)
-			_ = r.Peers.Send(bounded, message.to, topic(r.Assigner.Service), message.payload)
+		case message := <-o.queue:
+			bounded, cancel := context.WithTimeout(ctx, sendTimeout)
+			_ = o.peers.Send(bounded, message.to, o.topic, message.payload)
 			cancel()
 		}
 	}
 }
 
+// postMessage queues a message to the assigner on another host. The caller holds mu.
+func (r *Runner) postMessage(action assigner.SendMessage) {
+	payload, err := encodeMessage(action.Message)
+	if err != nil {
+		r.Log.Error().Err(err).Str("service", string(r.Assigner.Service)).Msg("message not encoded")
+		return
+	}
+	r.messages.post(action.To, payload)
+}
+
 // receive handles a message of the assigner on another host.
 func (r *Runner) receive(from fleet.HostID, payload []byte) {
 	message, err := decodeMessage(payload)
@@ -48,7 +73,7 @@
 
 // handOver gives up the role and tells the deputy to start, although ctx has ended.
 func (r *Runner) handOver(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), handOverTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), sendTimeout)
 	defer cancel()
 	for _, action := range r.stop() {
 		switch action := action.(type) {
--- a/internal/upstream/grants/rowstore.go
+++ b/internal/upstream/grants/rowstore.go
@@ -7,102 +7,128 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/ownership/assigner"
 	"rosemarywick.example/rosemarywick/internal/platform/table"
 )
 
-// useTable carries out the reads and writes of the group row, or those of the placement rows, one at a time.
-func (r *Runner) useTable(ctx context.Context, jobs <-chan assigner.Action) {
+// decider is what both kinds of assigners are told about the table.
+type decider interface {
+	RowRead(now time.Time, version assigner.Version, content assigner.Row) []assigner.Action
+	RowUnread(now time.Time) []assigner.Action
+	RowWritten(now time.Time, result assigner.WriteResult) []assigner.Action
+	PlacementRead(now time.Time, rows []assigner.StoredPlacement) []assigner.Action
+	PlacementUnread(now time.Time) []assigner.Action
+	PlacementWritten(now time.Time, result assigner.WriteResult) []assigner.Action
+}
+
+// rowStore keeps the group row and the placement rows of one service in the table.
+type rowStore struct {
+	table   table.Store
+	service fleet.ServiceName
+	log     zerolog.Logger
+	// decider is told the outcomes through step, which lets it take one step under its lock.
+	decider decider
+	step    func(decide func(now time.Time) []assigner.Action)
+}
+
+// run carries out the reads and writes from jobs, one at a time.
+func (s *rowStore) run(ctx context.Context, jobs <-chan assigner.Action) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case job := <-jobs:
-			r.useTableOnce(ctx, job)
+			s.carryOut(ctx, job)
 		}
 	}
 }
 
-func (r *Runner) useTableOnce(ctx context.Context, job assigner.Action) {
+func (s *rowStore) carryOut(ctx context.Context, job assigner.Action) {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	switch job := job.(type) {
 	case assigner.ReadRow:
-		r.readRow(ctx)
+		version, content, err := s.readRow(ctx)
+		s.step(func(now time.Time) []assigner.Action {
+			if err != nil {
+				return s.decider.RowUnread(now)
+			}
+			return s.decider.RowRead(now, version, content)
+		})
 	case assigner.WriteRow:
-		result := r.writeRow(ctx, job)
-		r.step(func(now time.Time) []assigner.Action { return r.Assigner.RowWritten(now, result) })
+		result := s.writeRow(ctx, job)
+		s.step(func(now time.Time) []assigner.Action { return s.decider.RowWritten(now, result) })
 	case assigner.ReadPlacement:
-		r.readPlacement(ctx, job.Rows)
+		placements, err := s.readPlacement(ctx, job.Rows)
+		s.step(func(now time.Time) []assigner.Action {
+			if err != nil {
+				return s.decider.PlacementUnread(now)
+			}
+			return s.decider.PlacementRead(now, placements)
+		})
 	case assigner.WritePlacement:
-		result := r.writePlacement(ctx, job)
-		r.step(func(now time.Time) []assigner.Action { return r.Assigner.PlacementWritten(now, result) })
+		result := s.writePlacement(ctx, job)
+		s.step(func(now time.Time) []assigner.Action { return s.decider.PlacementWritten(now, result) })
 	default:
 	}
 }
 
-func (r *Runner) readRow(ctx context.Context) {
-	var version assigner.Version
-	var content assigner.Row
-	rows, err := r.Table.Read(ctx, groupName(r.Assigner.Service))
-	if err == nil && len(rows) > 0 {
-		version = assigner.Version(rows[0].Version)
-		content, err = decodeRow(rows[0].Value)
+func (s *rowStore) readRow(ctx context.Context) (assigner.Version, assigner.Row, error) {
+	rows, err := s.table.Read(ctx, groupName(s.service))
+	if err != nil {
+		s.warn("group row not read", err)
+		return 0, assigner.Row{}, errors.Wrap(err, "grants: read group row")
 	}
-	r.logTable("group row not read", err)
-	r.step(func(now time.Time) []assigner.Action {
-		if err != nil {
-			return r.Assigner.RowUnread(now)
-		}
-		return r.Assigner.RowRead(now, version, content)
-	})
+	if len(rows) == 0 {
+		return 0, assigner.Row{}, nil
+	}
+	content, err := decodeRow(rows[0].Value)
+	s.warn("group row not decoded", err)
+	return assigner.Version(rows[0].Version), content, err
 }
 
-func (r *Runner) writeRow(ctx context.Context, job assigner.WriteRow) assigner.WriteResult {
+func (s *rowStore) writeRow(ctx context.Context, job assigner.WriteRow) assigner.WriteResult {
 	value, err := encodeRow(job.Row)
 	if err != nil {
-		r.logTable("group row not encoded", err)
+		s.warn("group row not encoded", err)
 		return assigner.WriteFailed
 	}
-	err = r.Table.Commit(ctx, table.Change{
-		Name: groupName(r.Assigner.Service), Expected: table.Version(job.Expected), Write: true, Value: value,
+	err = s.table.Commit(ctx, table.Change{
+		Name: groupName(s.service), Expected: table.Version(job.Expected), Write: true, Value: value,
 	})
-	r.logTable("group row not written", err)
+	s.warn("group row not written", err)
 	return writeResult(err)
 }
 
-func (r *Runner) readPlacement(ctx context.Context, indexes []int) {
-	placements, err := r.loadPlacement(ctx, indexes)
-	r.logTable("placement rows not read", err)
-	r.step(func(now time.Time) []assigner.Action {
-		if err != nil {
-			return r.Assigner.PlacementUnread(now)
-		}
-		return r.Assigner.PlacementRead(now, placements)
-	})
-}
-
-// loadPlacement reads the placement rows with the given numbers, or all if none is given.
-func (r *Runner) loadPlacement(ctx context.Context, indexes []int) ([]assigner.StoredPlacement, error) {
-	prefix := placementPrefix(r.Assigner.Service)
+// readPlacement reads the placement rows with the given numbers, or all if none is given.
+func (s *rowStore) readPlacement(ctx context.Context, indexes []int) ([]assigner.StoredPlacement, error) {
 	names := make([]string, 0, len(indexes))
 	for _, index := range indexes {
-		names = append(names, placementName(r.Assigner.Service, index))
+		names = append(names, placementName(s.service, index))
 	}
 	var rows []table.Row
 	var err error
 	if len(names) > 0 {
-		rows, err = r.Table.Read(ctx, names...)
+		rows, err = s.table.Read(ctx, names...)
 	} else {
-		rows, err = r.Table.Scan(ctx, prefix)
+		rows, err = s.table.Scan(ctx, placementPrefix(s.service))
 	}
 	if err != nil {
+		s.warn("placement rows not read", err)
 		return nil, errors.Wrap(err, "grants: read placement rows")
 	}
+	placements, err := s.decodePlacements(rows)
+	s.warn("placement rows not decoded", err)
+	return placements, err
+}
+
+func (s *rowStore) decodePlacements(rows []table.Row) ([]assigner.StoredPlacement, error) {
 	placements := make([]assigner.StoredPlacement, 0, len(rows))
 	for _, row := range rows {
-		index, err := strconv.Atoi(strings.TrimPrefix(row.Name, prefix))
+		index, err := strconv.Atoi(strings.TrimPrefix(row.Name, placementPrefix(s.service)))
 		if err != nil {
 			return nil, errors.Mark(errors.Wrapf(err, "grants: placement row %q", row.Name), ErrMalformed)
 		}
@@ -117,20 +143,20 @@
 	return placements, nil
 }
 
-func (r *Runner) writePlacement(ctx context.Context, job assigner.WritePlacement) assigner.WriteResult {
-	changes := []table.Change{{Name: groupName(r.Assigner.Service), Expected: table.Version(job.Group)}}
+func (s *rowStore) writePlacement(ctx context.Context, job assigner.WritePlacement) assigner.WriteResult {
+	changes := []table.Change{{Name: groupName(s.service), Expected: table.Version(job.Group)}}
 	for _, row := range job.Rows {
 		value, err := encodePlacement(row.Spots)
 		if err != nil {
-			r.logTable("placement row not encoded", err)
+			s.warn("placement row not encoded", err)
 			return assigner.WriteFailed
 		}
 		changes = append(changes, table.Change{
-			Name: placementName(r.Assigner.Service, row.Index), Expected: table.Version(row.Version), Write: true, Value: value,
+			Name: placementName(s.service, row.Index), Expected: table.Version(row.Version), Write: true, Value: value,
 		})
 	}
-	err := r.Table.Commit(ctx, changes...)
-	r.logTable("placement rows not written", err)
+	err := s.table.Commit(ctx, changes...)
+	s.warn("placement rows not written", err)
 	return writeResult(err)
 }
 
@@ -149,8 +175,8 @@
 	}
 }
 
-func (r *Runner) logTable(message string, err error) {
+func (s *rowStore) warn(message string, err error) {
 	if err != nil && !errors.Is(err, context.Canceled) {
-		r.Log.Warn().Err(err).Str("service", string(r.Assigner.Service)).Msg(message)
+		s.log.Warn().Err(err).Str("service", string(s.service)).Msg(message)
 	}
 }
--- a/internal/upstream/grants/runner.go
+++ b/internal/upstream/grants/runner.go
@@ -21,10 +21,8 @@
 	tickInterval = 5 * time.Millisecond
 	// tableTimeout bounds one call of the table service, so that an outage does not hold up the next attempt.
 	tableTimeout = 2 * time.Second
-	// handOverTimeout bounds the message to the deputy when the daemon stops.
-	handOverTimeout = 500 * time.Millisecond
-	// mailbox is the number of messages to other hosts that may wait. More are dropped; the next round repeats them.
-	mailbox = 64
+	// sendTimeout bounds the sending of one message, so that an unreachable host does not hold up the others for long.
+	sendTimeout = 500 * time.Millisecond
 )
 
 // Peers carries messages between the daemons. Messages may be lost, late or repeated.
@@ -62,7 +60,7 @@
 	mu        sync.Mutex
 	addresses map[fleet.UpstreamID]netip.AddrPort
 	senders   map[fleet.UpstreamID]chan assigner.SendOrder
-	messages  chan outgoing
+	messages  *outbox
 	groupJobs chan assigner.Action
 	placeJobs chan assigner.Action
 	// running is set while Run is.
@@ -71,12 +69,6 @@
 	tasks   sync.WaitGroup
 }
 
-// outgoing is a message to another host.
-type outgoing struct {
-	to      fleet.HostID
-	payload []byte
-}
-
 // topic returns the topic of the messages between the assigners of a service.
 func topic(service fleet.ServiceName) string {
 	return "ownership/" + string(service)
@@ -129,9 +121,12 @@
 	work, cancel := context.WithCancel(ctx)
 	r.prepare(work)
 	r.Peers.Handle(topic(r.Assigner.Service), r.receive)
-	r.tasks.Go(func() { r.sendMessages(work) })
-	r.tasks.Go(func() { r.useTable(work, r.groupJobs) })
-	r.tasks.Go(func() { r.useTable(work, r.placeJobs) })
+	r.tasks.Go(func() { r.messages.run(work) })
+	rows := &rowStore{
+		table: r.Table, service: r.Assigner.Service, log: r.Log, decider: r.Assigner, step: r.step,
+	}
+	r.tasks.Go(func() { rows.run(work, r.groupJobs) })
+	r.tasks.Go(func() { rows.run(work, r.placeJobs) })
 	ticks := r.Timer.Every(tickInterval)
 	defer ticks.Stop()
 	for {
@@ -153,7 +148,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.senders = make(map[fleet.UpstreamID]chan assigner.SendOrder)
-	r.messages = make(chan outgoing, mailbox)
+	r.messages = newOutbox(r.Peers, topic(r.Assigner.Service))
 	// The decision has at most one read and one write of each kind outstanding.
 	r.groupJobs = make(chan assigner.Action, 2)
 	r.placeJobs = make(chan assigner.Action, 2)
@@ -185,14 +180,19 @@
 	case assigner.Publish:
 		r.Publisher.Publish(r.Assigner.Service, action.Assignments)
 	case assigner.SendMessage:
-		r.queueMessage(action)
+		r.postMessage(action)
 	case assigner.ChangeRole:
-		r.Log.Info().Str("service", string(r.Assigner.Service)).Str("host", string(r.Assigner.Host)).
-			Str("from", string(action.From)).Str("to", string(action.To)).Uint64("epoch", uint64(action.Epoch)).
-			Str("reason", string(action.Reason)).Msg("assigner role changed")
+		logRole(r.Log, r.Assigner.Service, r.Assigner.Host, action)
 	}
 }
 
+// logRole writes the line of a change of role.
+func logRole(log zerolog.Logger, service fleet.ServiceName, host fleet.HostID, change assigner.ChangeRole) {
+	log.Info().Str("service", string(service)).Str("host", string(host)).
+		Str("from", string(change.From)).Str("to", string(change.To)).Uint64("epoch", uint64(change.Epoch)).
+		Str("reason", string(change.Reason)).Msg("assigner role changed")
+}
+
 // post hands an order to the goroutine of its server. An order of an earlier epoch that still waits there is replaced,
 // since the server would refuse it anyway. The caller holds mu.
 func (r *Runner) post(order assigner.SendOrder) {
--- a/internal/upstream/grants/runner_test.go
+++ b/internal/upstream/grants/runner_test.go
@@ -82,6 +82,12 @@
 	return w.outage()
 }
 
+func (w *world) setDown(down bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.down = down
+}
+
 func (w *world) outage() error {
 	if w.down {
 		return table.ErrUnavailable
