--- a/internal/upstream/grants/peers.go
+++ b/internal/upstream/grants/peers.go
@@ -2,103 +2,95 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/ownership/assigner"
 )
 
-<<<<<<< HEAD
-// queueMessage hands a message to the goroutine of its host, and drops it if too many wait. The caller holds mu.
-func (r *Runner) queueMessage(action assigner.SendMessage) {
-=======
-// mailbox is the number of messages to other hosts that may wait. More are dropped; the next round repeats them.
-const mailbox = 64
+// mailbox is the number of messages to one host that may wait. More are dropped; the next round repeats them.
+const mailbox = 8
 
-// outbox sends the messages of one topic from a goroutine of its own, so that neither a decision nor the receiver of a
-// message waits for the network.
+// outbox sends the messages of one topic, so that neither a decision nor the receiver of a message waits for the network.
+// Each host has a goroutine of its own while messages wait for it, because a host that does not answer would hold up the
+// heartbeats to the others.
 type outbox struct {
 	peers Peers
 	topic string
-	queue chan outgoing
-}
 
-// outgoing is a message to another host.
-type outgoing struct {
-	to      fleet.HostID
-	payload []byte
+	mu sync.Mutex
+	// ctx is guarded by mu and nil unless run is running.
+	ctx context.Context
+	// waiting is guarded by mu and contains what is to be sent to each host. A host is listed while it has a goroutine.
+	waiting map[fleet.HostID][][]byte
+	senders sync.WaitGroup
 }
 
 func newOutbox(peers Peers, topic string) *outbox {
-	return &outbox{peers: peers, topic: topic, queue: make(chan outgoing, mailbox)}
+	return &outbox{peers: peers, topic: topic, waiting: make(map[fleet.HostID][][]byte)}
 }
 
-// post queues a message, and drops it if too many wait.
+// post queues a message, and drops it if too many wait or the outbox does not run.
 func (o *outbox) post(to fleet.HostID, payload []byte) {
-	select {
-	case o.queue <- outgoing{to: to, payload: payload}:
-	default:
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.ctx == nil {
+		return
+	}
+	queue, sending := o.waiting[to]
+	if len(queue) < mailbox {
+		o.waiting[to] = append(queue, payload)
+	}
+	if !sending {
+		ctx := o.ctx
+		o.senders.Go(func() { o.send(ctx, to) })
 	}
 }
 
-// run sends the messages. A failure is not reported, since the protocols expect messages to be lost.
+// run lets messages be sent until ctx ends, and waits for the last.
 func (o *outbox) run(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case message := <-o.queue:
-			bounded, cancel := context.WithTimeout(ctx, sendTimeout)
-			_ = o.peers.Send(bounded, message.to, o.topic, message.payload)
-			cancel()
-		}
+	o.mu.Lock()
+	o.ctx = ctx
+	o.mu.Unlock()
+	<-ctx.Done()
+	o.mu.Lock()
+	o.ctx = nil
+	o.mu.Unlock()
+	o.senders.Wait()
+}
+
+// send sends the messages that wait for one host. A failure is not reported, since the protocols expect messages to be
+// lost.
+func (o *outbox) send(ctx context.Context, to fleet.HostID) {
+	for payload, found := o.next(to); found; payload, found = o.next(to) {
+		bounded, cancel := context.WithTimeout(ctx, sendTimeout)
+		_ = o.peers.Send(bounded, to, o.topic, payload)
+		cancel()
+	}
+}
+
+// next takes the first message that waits for a host. Once there is none, the host's goroutine ends.
+func (o *outbox) next(to fleet.HostID) ([]byte, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	queue := o.waiting[to]
+	if len(queue) == 0 {
+		delete(o.waiting, to)
+		return nil, false
 	}
+	o.waiting[to] = queue[1:]
+	return queue[0], true
 }
 
 // postMessage queues a message to the assigner on another host. The caller holds mu.
 func (r *Runner) postMessage(action assigner.SendMessage) {
->>>>>>> ownership
 	payload, err := encodeMessage(action.Message)
 	if err != nil {
 		r.Log.Error().Err(err).Str("service", string(r.Assigner.Service)).Msg("message not encoded")
 		return
 	}
-<<<<<<< HEAD
-	waiting, sending := r.messages[action.To]
-	if len(waiting) < mailbox {
-		r.messages[action.To] = append(waiting, payload)
-	}
-	if !sending {
-		ctx := r.ctx
-		r.tasks.Go(func() { r.sendMessages(ctx, action.To) })
-	}
-}
-
-// sendMessages sends the messages that wait for one host. Each host has a goroutine of its own, because a host that does
-// not answer would hold up the heartbeats to the others. A failure is not reported, since the protocol expects messages
-// to be lost.
-func (r *Runner) sendMessages(ctx context.Context, to fleet.HostID) {
-	for payload, found := r.nextMessage(to); found; payload, found = r.nextMessage(to) {
-		bounded, cancel := context.WithTimeout(ctx, messageTimeout)
-		_ = r.Peers.Send(bounded, to, topic(r.Assigner.Service), payload)
-		cancel()
-	}
-=======
 	r.messages.post(action.To, payload)
->>>>>>> ownership
-}
-
-// nextMessage takes the first message that waits for a host. Once there is none, the host's goroutine ends.
-func (r *Runner) nextMessage(to fleet.HostID) ([]byte, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	waiting := r.messages[to]
-	if len(waiting) == 0 {
-		delete(r.messages, to)
-		return nil, false
-	}
-	r.messages[to] = waiting[1:]
-	return waiting[0], true
 }
 
 // receive handles a message of the assigner on another host.
--- a/internal/upstream/grants/rowstore.go
+++ b/internal/upstream/grants/rowstore.go
@@ -175,19 +175,13 @@
 	}
 }
 
-<<<<<<< HEAD
-func (r *Runner) logTable(message string, err error) {
+func (s *rowStore) warn(message string, err error) {
 	if err == nil || errors.Is(err, context.Canceled) {
 		return
-=======
-func (s *rowStore) warn(message string, err error) {
-	if err != nil && !errors.Is(err, context.Canceled) {
-		s.log.Warn().Err(err).Str("service", string(s.service)).Msg(message)
->>>>>>> ownership
 	}
 	level := zerolog.WarnLevel
 	if errors.Is(err, table.ErrConflict) {
 		level = zerolog.DebugLevel // Another daemon was first, which is how roles are assigned.
 	}
-	r.Log.WithLevel(level).Err(err).Str("service", string(r.Assigner.Service)).Msg(message)
+	s.log.WithLevel(level).Err(err).Str("service", string(s.service)).Msg(message)
 }
--- a/internal/upstream/grants/runner.go
+++ b/internal/upstream/grants/runner.go
@@ -21,17 +21,8 @@
 	tickInterval = 5 * time.Millisecond
 	// tableTimeout bounds one call of the table service, so that an outage does not hold up the next attempt.
 	tableTimeout = 2 * time.Second
-<<<<<<< HEAD
-	// handOverTimeout bounds the message to the deputy when the daemon stops.
-	handOverTimeout = 500 * time.Millisecond
-	// messageTimeout bounds the sending of one message. A message that waits for longer is superseded by the next round.
-	messageTimeout = 200 * time.Millisecond
-	// mailbox is the number of messages to one host that may wait. More are dropped; the next round repeats them.
-	mailbox = 8
-=======
 	// sendTimeout bounds the sending of one message, so that an unreachable host does not hold up the others for long.
 	sendTimeout = 500 * time.Millisecond
->>>>>>> ownership
 )
 
 // Peers carries messages between the daemons. Messages may be lost, late or repeated.
@@ -69,12 +60,7 @@
 	mu        sync.Mutex
 	addresses map[fleet.UpstreamID]netip.AddrPort
 	senders   map[fleet.UpstreamID]chan assigner.SendOrder
-<<<<<<< HEAD
-	// messages contains what waits to be sent to each host. A host is listed while it has a goroutine.
-	messages  map[fleet.HostID][][]byte
-=======
 	messages  *outbox
->>>>>>> ownership
 	groupJobs chan assigner.Action
 	placeJobs chan assigner.Action
 	// running is set while Run is.
@@ -135,17 +121,12 @@
 	work, cancel := context.WithCancel(ctx)
 	r.prepare(work)
 	r.Peers.Handle(topic(r.Assigner.Service), r.receive)
-<<<<<<< HEAD
-	r.tasks.Go(func() { r.useTable(work, r.groupJobs) })
-	r.tasks.Go(func() { r.useTable(work, r.placeJobs) })
-=======
 	r.tasks.Go(func() { r.messages.run(work) })
 	rows := &rowStore{
 		table: r.Table, service: r.Assigner.Service, log: r.Log, decider: r.Assigner, step: r.step,
 	}
 	r.tasks.Go(func() { rows.run(work, r.groupJobs) })
 	r.tasks.Go(func() { rows.run(work, r.placeJobs) })
->>>>>>> ownership
 	ticks := r.Timer.Every(tickInterval)
 	defer ticks.Stop()
 	for {
@@ -167,11 +148,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.senders = make(map[fleet.UpstreamID]chan assigner.SendOrder)
-<<<<<<< HEAD
-	r.messages = make(map[fleet.HostID][][]byte)
-=======
 	r.messages = newOutbox(r.Peers, topic(r.Assigner.Service))
->>>>>>> ownership
 	// The decision has at most one read and one write of each kind outstanding.
 	r.groupJobs = make(chan assigner.Action, 2)
 	r.placeJobs = make(chan assigner.Action, 2)
