--- a/internal/daemon/host/configuration.go
+++ b/internal/daemon/host/configuration.go
@@ -68,6 +68,7 @@
 	c.daemon.maps.metrics.Configure(doc)
 	c.daemon.maps.replay(doc)
 	c.daemon.assigners.configure(doc)
+	c.daemon.unguarded.configure(doc)
 	return nil
 }
 
--- a/internal/daemon/host/host.go
+++ b/internal/daemon/host/host.go
@@ -34,6 +34,8 @@
 	CallerListener, OperatorListener net.Listener
 	// Listening is called with the address for callers once requests are accepted. It may be nil.
 	Listening func(netip.AddrPort)
+	// Packets is the socket for the connections to peers. If it is nil, the daemon opens the peer address itself.
+	Packets net.PacketConn
 
 	certificates *certificates.Store
 	table        *table.Client
@@ -50,6 +52,7 @@
 	maps          *maps
 	configuration *configuration
 	assigners     *assigners
+	unguarded     *unguarded
 	loads         *loads
 	requests      *requests
 	lookups       *lookups
@@ -90,6 +93,7 @@
 	d.maps = newMaps(d)
 	d.peers = newPeers(d)
 	d.assigners = newAssigners(d)
+	d.unguarded = newUnguarded(d)
 	d.configuration = newConfiguration(d)
 	d.loads = newLoads(d)
 	d.requests = newRequests(d)
@@ -120,6 +124,7 @@
 	stages.run(stageFleet, d.requests.router.Run)
 	stages.run(stageFleet, d.operators.serve)
 	stages.run(stageRoles, d.assigners.run)
+	stages.run(stageFleet, d.unguarded.run)
 	stages.run(stageRoles, d.assigners.announce)
 	stages.run(stageRoles, d.loads.run)
 	stages.run(stageRequests, d.requests.front.Run)
--- a/internal/daemon/host/maps.go
+++ b/internal/daemon/host/maps.go
@@ -66,8 +66,12 @@
 	}
 }
 
-// Locate returns the assignment of a key.
+// Locate returns the assignment of a key. For a service whose servers check no orders only a confirmed map counts.
 func (m *maps) Locate(service fleet.ServiceName, key fleet.KeyHash) (fleet.Assignment, bool) {
+	if edge := m.daemon.unguarded.find(service); edge != nil {
+		assignment, _, confirmed := edge.Locate(key)
+		return assignment, confirmed
+	}
 	current := m.get(service)
 	if current == nil {
 		return fleet.Assignment{}, false
@@ -170,7 +174,7 @@
 // publishChunk passes on one chunk. Its version is the epoch in which this daemon acted last and a counter: grants are
 // confirmed in another order than that of their fences, so the highest fence of a chunk does not order its states.
 func (m *maps) publishChunk(name chunkName, assignments []fleet.Assignment) {
-	value, _, err := keymap.EncodeChunk(name.index, assignments)
+	value, highest, err := keymap.EncodeChunk(name.index, assignments)
 	if err != nil {
 		m.log.Error().Err(err).Str("service", string(name.service)).Msg("map not encoded")
 		return
@@ -178,7 +182,8 @@
 	m.published++
 	item := spread.Item{
 		Name:    fmt.Sprintf("%s%s/%d", mapPrefix, name.service, name.index),
-		Version: spread.Version{Major: uint64(m.daemon.assigners.epoch(name.service)), Minor: m.published}, Value: value,
+		Version: spread.Version{Major: uint64(max(m.daemon.assigners.epoch(name.service), highest.Epoch)), Minor: m.published},
+		Value:   value,
 	}
 	if _, err := m.daemon.peers.spread.Publish(item); err != nil {
 		m.log.Error().Err(err).Str("item", item.Name).Msg("map not published")
--- a/internal/daemon/host/requests.go
+++ b/internal/daemon/host/requests.go
@@ -28,7 +28,8 @@
 		metrics: d.maps.metrics, loads: d.loads,
 	}
 	r.router = &router.Router{
-		Host: d.Settings.Host, Clock: d.Timer, Config: d.configuration, Owners: d.maps, Claims: r.claims, Recorder: r,
+		Host: d.Settings.Host, Clock: d.Timer, Config: d.configuration, Owners: d.maps, Confirmations: d.unguarded,
+		Claims: r.claims, Recorder: r,
 		Hosts: d.configuration.fleetSize,
 	}
 	r.front = &front.Front{
--- /dev/null
+++ b/internal/daemon/host/unguarded.go
@@ -0,0 +1,170 @@
+package host
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"rosemarywick.example/rosemarywick/internal/core/document"
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/ownership/assigner"
+	"rosemarywick.example/rosemarywick/internal/upstream/grants"
+	"rosemarywick.example/rosemarywick/internal/upstream/probe"
+)
+
+const (
+	// candidateRole and candidates choose the daemons that may act for services whose servers check no orders.
+	candidateRole = "unguarded-assigner"
+	candidates    = 3
+)
+
+// unguarded runs the keyed services whose servers check no orders.
+type unguarded struct {
+	daemon *Daemon
+
+	mu sync.Mutex
+	// running is guarded by mu.
+	running map[fleet.ServiceName]*direct
+	// ctx is guarded by mu and nil unless run is running.
+	ctx   context.Context
+	tasks sync.WaitGroup
+}
+
+// direct is one such service.
+type direct struct {
+	edge   *grants.Direct
+	prober *probe.Prober
+	cancel context.CancelFunc
+}
+
+func newUnguarded(d *Daemon) *unguarded {
+	return &unguarded{daemon: d, running: make(map[fleet.ServiceName]*direct)}
+}
+
+// run keeps the services informed of candidates and live servers until ctx ends.
+func (u *unguarded) run(ctx context.Context) error {
+	u.mu.Lock()
+	u.ctx = ctx
+	u.mu.Unlock()
+	u.configure(u.daemon.configuration.Current())
+	ticks := u.daemon.Timer.Every(membersInterval)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ticks.C:
+			u.inform()
+		case <-ctx.Done():
+			u.mu.Lock()
+			u.ctx = nil
+			u.mu.Unlock()
+			u.tasks.Wait()
+			return nil
+		}
+	}
+}
+
+// configure starts and ends services as the document says.
+func (u *unguarded) configure(doc *document.Document) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.ctx == nil || doc == nil {
+		return
+	}
+	wanted := make(map[fleet.ServiceName]bool)
+	for i := range doc.Services {
+		service := &doc.Services[i]
+		if !service.Keyed() || service.Guard != fleet.GuardNone {
+			continue
+		}
+		wanted[service.Name] = true
+		if u.running[service.Name] == nil {
+			u.running[service.Name] = u.start(service)
+		}
+	}
+	for name, one := range u.running {
+		if !wanted[name] {
+			one.cancel()
+			delete(u.running, name)
+		}
+	}
+}
+
+// start begins a service. The caller holds mu.
+func (u *unguarded) start(service *document.Service) *direct {
+	d, name := u.daemon, service.Name
+	one := &direct{prober: &probe.Prober{Timer: d.Timer}}
+	one.edge = &grants.Direct{
+		Assigner: &assigner.Direct{
+			Host: d.Settings.Host.ID, Run: strconv.FormatUint(d.incarnation, 36), Partitions: service.Partitions,
+			Placer: &placer{partitions: service.Partitions, pins: func() []document.Pin { return d.configuration.pins(name) }},
+			Timing: assigner.DefaultDirectTiming(),
+		},
+		Confirmed: &assigner.Confirmed{Partitions: service.Partitions},
+		Service:   name, Table: d.table, Peers: d.peers, Publisher: d.maps, Timer: d.Timer, Log: d.Log,
+	}
+	ctx, cancel := context.WithCancel(u.ctx)
+	one.cancel = cancel
+	u.tasks.Go(func() { _ = one.edge.Run(ctx) })
+	u.tasks.Go(func() { _ = one.prober.Run(ctx) })
+	return one
+}
+
+// inform tells each service who may act for it and, where this daemon may, which servers are alive.
+func (u *unguarded) inform() {
+	doc := u.daemon.configuration.Current()
+	if doc == nil {
+		return
+	}
+	var hosts []fleet.HostID
+	candidate := false
+	for _, host := range u.daemon.peers.spread.Rank(candidateRole, candidates) {
+		hosts = append(hosts, host.ID)
+		candidate = candidate || host.ID == u.daemon.Settings.Host.ID
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for name, one := range u.running {
+		service := doc.Find(name)
+		if service == nil {
+			continue
+		}
+		one.edge.SetHosts(hosts)
+		if !candidate {
+			one.prober.Set(nil)
+			continue
+		}
+		one.prober.Set(upstreamsOf(service))
+		one.edge.SetServers(serversOf(one.prober.Alive()))
+	}
+}
+
+func serversOf(upstreams []fleet.Upstream) []assigner.Server {
+	servers := make([]assigner.Server, 0, len(upstreams))
+	for _, upstream := range upstreams {
+		servers = append(servers, assigner.Server{ID: upstream.ID, Domain: upstream.Place.Domain, Weight: 1})
+	}
+	slices.SortFunc(servers, func(a, b assigner.Server) int { return cmp.Compare(a.ID, b.ID) })
+	return servers
+}
+
+func (u *unguarded) find(service fleet.ServiceName) *grants.Direct {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if one := u.running[service]; one != nil {
+		return one.edge
+	}
+	return nil
+}
+
+// Confirmed returns the time until which the map of a service is confirmed; it is in the past if it is not.
+func (u *unguarded) Confirmed(service fleet.ServiceName) time.Time {
+	if edge := u.find(service); edge != nil {
+		if _, until, confirmed := edge.Locate(0); confirmed {
+			return until
+		}
+	}
+	return time.Time{}
+}
--- a/internal/routing/router/keyed.go
+++ b/internal/routing/router/keyed.go
@@ -69,19 +69,18 @@
 
 // look returns the assignment of the key, and if it cannot be used now, why and for how long.
 func (f *flight) look() (fleet.Assignment, time.Duration, cause.Cause) {
+	// The confirmation is read before the map: a map that was confirmed later may be used until the earlier end, but not
+	// the other way round.
+	until, why := f.confirmed()
 	assignment, ok := f.router.Owners.Locate(f.service.Name, f.key)
+	if why != cause.OK {
+		return assignment, trialAfter, why
+	}
 	if !ok || assignment.Owner == "" || assignment.Moving || f.service.upstreams[assignment.Owner] == nil {
 		return assignment, f.service.Timeout, cause.NoOwner
 	}
 	now := f.router.Clock.Now()
 	if f.service.Guard == fleet.GuardNone {
-		if f.router.Confirmations == nil {
-			return assignment, f.service.Timeout, cause.MapUnconfirmed
-		}
-		until := f.router.Confirmations.Confirmed(f.service.Name)
-		if !now.Before(until) {
-			return assignment, trialAfter, cause.MapUnconfirmed
-		}
 		f.confine(until)
 	}
 	if pause := f.service.holds.wait(now, assignment); pause > 0 {
@@ -90,6 +89,21 @@
 	return assignment, 0, cause.OK
 }
 
+// confirmed returns the time until which the map may be used if the servers of the service check no orders.
+func (f *flight) confirmed() (time.Time, cause.Cause) {
+	if f.service.Guard != fleet.GuardNone {
+		return time.Time{}, cause.OK
+	}
+	if f.router.Confirmations == nil {
+		return time.Time{}, cause.MapUnconfirmed
+	}
+	until := f.router.Confirmations.Confirmed(f.service.Name)
+	if !f.router.Clock.Now().Before(until) {
+		return until, cause.MapUnconfirmed
+	}
+	return until, cause.OK
+}
+
 // confine ends the request no later than the map is confirmed for a server that checks nothing.
 func (f *flight) confine(until time.Time) {
 	if until.Before(f.deadline) {
--- a/internal/upstream/grants/runner.go
+++ b/internal/upstream/grants/runner.go
@@ -21,8 +21,11 @@
 	tickInterval = 5 * time.Millisecond
 	// tableTimeout bounds one call of the table service, so that an outage does not hold up the next attempt.
 	tableTimeout = 2 * time.Second
-	// sendTimeout bounds the sending of one message, so that an unreachable host does not hold up the others for long.
+	// sendTimeout bounds the sending of one message. One that waits for longer is superseded by the next round.
 	sendTimeout = 500 * time.Millisecond
+	// reliefTimeout bounds how long a host that stops goes on acting until a deputy stands by. Replacing a lost deputy
+	// takes a second of silence, a write and two reads of the table.
+	reliefTimeout = 5 * time.Second
 )
 
 // Peers carries messages between the daemons. Messages may be lost, late or repeated.
@@ -116,9 +119,9 @@
 	return r.Assigner.Role(), r.Assigner.Epoch()
 }
 
-// Run runs the assigner until ctx ends, and then hands the role to the deputy.
+// Run runs the assigner until ctx ends, and then hands the role to the deputy once that stands by.
 func (r *Runner) Run(ctx context.Context) error {
-	work, cancel := context.WithCancel(ctx)
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	r.prepare(work)
 	r.Peers.Handle(topic(r.Assigner.Service), r.receive)
 	r.tasks.Go(func() { r.messages.run(work) })
@@ -127,21 +130,36 @@
 	}
 	r.tasks.Go(func() { rows.run(work, r.groupJobs) })
 	r.tasks.Go(func() { rows.run(work, r.placeJobs) })
+	r.tick(ctx, func() bool { return false })
+	r.step(r.Assigner.Retire)
+	relief, end := context.WithTimeout(work, reliefTimeout)
+	r.tick(relief, r.relieved)
+	end()
+	r.handOver(ctx)
+	cancel()
+	r.tasks.Wait()
+	return context.Cause(ctx)
+}
+
+// tick lets time pass until ctx ends or done holds.
+func (r *Runner) tick(ctx context.Context, done func() bool) {
 	ticks := r.Timer.Every(tickInterval)
 	defer ticks.Stop()
-	for {
+	for !done() {
 		select {
 		case <-ticks.C:
 			r.step(r.Assigner.Tick)
-			continue
 		case <-ctx.Done():
+			return
 		}
-		break
 	}
-	r.handOver(ctx)
-	cancel()
-	r.tasks.Wait()
-	return context.Cause(ctx)
+}
+
+// relieved reports whether the role can be handed over without a gap.
+func (r *Runner) relieved() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Assigner.Relieved(r.Timer.Now())
 }
 
 func (r *Runner) prepare(ctx context.Context) {
