requests: measurements of the request path; admission and balance tuned by them

Cause: limits, queues and the choice among upstreams had constants that nothing had measured. Change: a bench of throughput, overload, retries and policies; the adaptive limit grows by a tenth and goes below one request in flight by pausing; the forecast of the queue follows its admissions; reported load counts only where this daemon has no recent answer; unknown or old latencies count as usual, since a new upstream lost every comparison before; retries are earned by requests that were sent, not by those rejected before.

--- /dev/null
+++ b/internal/bench/requests/overload.go
@@ -0,0 +1,83 @@
+package requests
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"rosemarywick.example/rosemarywick/internal/core/document"
+	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/routing/admission"
+)
+
+// Overload is a measurement of offered load above the capacity of the workers.
+type Overload struct {
+	Shape Shape
+	Hosts int
+	// Times is the offered load as a multiple of the capacity.
+	Times float64
+	// Skew is the part of the arrivals that one host gets beyond its even share, from 0 to 1.
+	Skew float64
+	// Static chooses the static split of slots instead of the adaptive limit.
+	Static bool
+	// Delivery is how requests may be treated.
+	Delivery         document.Delivery
+	Warmup, Duration time.Duration
+	// Slump makes all workers four times as slow in the second half of the run.
+	Slump bool
+	// Stop is the number of workers that are stopped before the load.
+	Stop int
+}
+
+// Result is what one run showed.
+type Result struct {
+	*Sample
+	// Share is the goodput as a part of the capacity of the workers that run.
+	Share float64
+	// Attempts is the number of sendings, as a multiple of the requests that were sent at all.
+	Attempts float64
+}
+
+// Run does one run.
+func (o Overload) Run(ctx context.Context, seed uint64) (*Result, error) {
+	var limit func(*document.Service) admission.Limit
+	if o.Static {
+		limit = func(s *document.Service) admission.Limit { return admission.Static{Slots: s.Slots, Hosts: o.Hosts} }
+	}
+	fleet, err := NewFleet(ctx, o.Shape, o.Hosts, limit)
+	if err != nil {
+		return nil, err
+	}
+	defer fleet.Close()
+	for _, worker := range fleet.Workers[:o.Stop] {
+		worker.Stop()
+	}
+	if o.Slump {
+		after := timer.System{}.Now().Add(o.Warmup + o.Duration/2)
+		for _, worker := range fleet.Workers {
+			worker.Work = func(*http.Request) time.Duration {
+				if (timer.System{}).Now().After(after) {
+					return 4 * o.Shape.Work
+				}
+				return o.Shape.Work
+			}
+		}
+	}
+	alive := o.Shape
+	alive.Workers -= o.Stop
+	load := Load{
+		Clock: timer.System{}, Rate: o.Times * o.Shape.Capacity(), Warmup: o.Warmup, Duration: o.Duration, Bound: 8192, Seed: seed,
+	}
+	sample := load.Run(ctx, func(ctx context.Context, number int) Ending {
+		return fleet.Send(ctx, o.host(number), number, o.Delivery)
+	})
+	return &Result{Sample: sample, Share: sample.Goodput() / alive.Capacity(), Attempts: fleet.Attempts()}, nil
+}
+
+// host returns the entry host of a request.
+func (o Overload) host(number int) int {
+	if number*7919%100 < int(o.Skew*100) { // 7919 is prime to 100 and spreads the chosen arrivals
+		return 0
+	}
+	return number % o.Hosts
+}
--- /dev/null
+++ b/internal/bench/requests/throughput.go
@@ -0,0 +1,77 @@
+package requests
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rosemarywick.example/rosemarywick/internal/caller/front"
+	"rosemarywick.example/rosemarywick/internal/core/timer"
+)
+
+// Throughput compares the path through one daemon with requests that go to the worker directly, in this process.
+type Throughput struct {
+	Rate             float64
+	Warmup, Duration time.Duration
+	// Keyed chooses a keyed service.
+	Keyed bool
+}
+
+// roomy is a shape that never limits the measurement.
+var roomy = Shape{Workers: 4, Slots: 1000, Connections: 1000, Work: time.Microsecond}
+
+// Run returns the samples of the direct way and of the way through the daemon.
+func (t Throughput) Run(ctx context.Context, seed uint64) (direct, routed *Sample, err error) {
+	shape := roomy
+	shape.Keyed = t.Keyed
+	fleet, err := NewFleet(ctx, shape, 1, nil)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer fleet.Close()
+	for _, worker := range fleet.Workers {
+		worker.Work = nil
+	}
+	address, stop, err := serve(ctx, fleet)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer stop()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true}}
+	defer client.CloseIdleConnections()
+	load := Load{Clock: timer.System{}, Rate: t.Rate, Warmup: t.Warmup, Duration: t.Duration, Bound: 1024, Seed: seed}
+	direct = load.Run(ctx, func(ctx context.Context, number int) Ending {
+		return Get(ctx, client, url(fleet.Workers[number%len(fleet.Workers)].Address())+"/read")
+	})
+	routed = load.Run(ctx, func(ctx context.Context, _ int) Ending {
+		return Get(ctx, client, url(address)+"/"+service+"/read")
+	})
+	return direct, routed, nil
+}
+
+// serve runs the front of the first router.
+func serve(ctx context.Context, fleet *Fleet) (netip.AddrPort, func(), error) {
+	ctx, cancel := context.WithCancel(ctx)
+	listening := make(chan netip.AddrPort, 1)
+	one := &front.Front{
+		Address: netip.MustParseAddrPort("127.0.0.1:0"), Router: fleet.Routers[0], Config: fleet, Clock: timer.System{},
+		Listening: func(address netip.AddrPort) { listening <- address },
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- one.Run(ctx) }()
+	select {
+	case address := <-listening:
+		return address, func() {
+			cancel()
+			if err := <-stopped; err != nil {
+				panic(err) // the front stops without an error unless the program is wrong
+			}
+		}, nil
+	case err := <-stopped:
+		cancel()
+		return netip.AddrPort{}, nil, errors.Wrap(err, "requests: front")
+	}
+}
--- a/internal/routing/admission/gate.go
+++ b/internal/routing/admission/gate.go
@@ -37,8 +37,17 @@
 	Verdict Verdict
 }
 
-// missWindow is how long a request that missed its deadline in the queue proves the forecast wrong.
-const missWindow = time.Second
+const (
+	// intervalWeight and missWeight smooth what the gate learns from its line.
+	intervalWeight = 16
+	missWeight     = 16
+	// forecastMargin multiplies the forecast of the wait, because intervals vary: with 1, a third of the rejected
+	// requests at twice the capacity waited until their deadlines had become unmeetable; with 2, less than a tenth, at
+	// the same goodput.
+	forecastMargin = 2
+	// missedMost is the share of missed deadlines in the line above which the newest request goes first.
+	missedMost = 0.25
+)
 
 // Gate guards a set of upstreams that can run the same requests: one owner, or all upstreams of a service without keys.
 // It does no locking; its owner does. The exported fields are set before Enter.
@@ -56,8 +65,12 @@
 	line  line
 	// service follows the time for which a request occupies a slot.
 	service time.Duration
-	// missed is the last time at which a waiting ticket could no longer meet its deadline.
-	missed time.Time
+	// interval follows the time between two admissions from the line, and last is the time of the latest, or of the
+	// moment from which the line was not empty.
+	interval time.Duration
+	last     time.Time
+	// misses follows the share of waiting tickets that could no longer meet their deadlines.
+	misses float64
 }
 
 // lane is the state of one upstream.
@@ -93,8 +106,8 @@
 		}
 	}
 	weight := g.weight(ticket.Tenant)
-	wait := g.forecast(g.line.ahead(ticket.Tenant, weight) + 1)
-	if now.Add(wait + g.service).After(ticket.Deadline) {
+	wait := g.forecast(now, g.line.ahead(ticket.Tenant, weight)+1)
+	if now.Add(forecastMargin*wait + g.service).After(ticket.Deadline) {
 		return Refused{Cause: cause.DeadlineUnmeetable, RetryAfter: wait}, nil
 	}
 	var settled []Settled
@@ -105,12 +118,22 @@
 		}
 		settled = append(settled, Settled{Ticket: displaced, Verdict: Refused{Cause: why, RetryAfter: wait}})
 	}
+	if g.line.length == 0 {
+		g.last = now
+	}
 	g.line.push(ticket, weight)
 	return Queued{}, settled
 }
 
-// forecast returns how long it takes to serve count tickets.
-func (g *Gate) forecast(count float64) time.Duration {
+// forecast returns how long it takes to admit count tickets from the line.
+func (g *Gate) forecast(now time.Time, count float64) time.Duration {
+	if g.interval > 0 {
+		interval := g.interval
+		if g.line.length > 0 {
+			interval = max(interval, now.Sub(g.last))
+		}
+		return time.Duration(count * float64(interval))
+	}
 	width := 0
 	for _, lane := range g.lanes {
 		width += max(lane.inFlight, 1)
@@ -150,8 +173,8 @@
 		from := g.line.next()
 		index, hopeless := g.pick(now, from)
 		if hopeless {
-			g.missed = now
-			settled = append(settled, Settled{Ticket: from.tickets[index], Verdict: g.unmeetable()})
+			g.misses += (1 - g.misses) / missWeight
+			settled = append(settled, Settled{Ticket: from.tickets[index], Verdict: g.unmeetable(now)})
 			g.line.cut(from, index)
 			continue
 		}
@@ -159,19 +182,31 @@
 		if !ok {
 			return settled
 		}
+		g.admitted(now)
 		settled = append(settled, Settled{Ticket: g.line.take(from, index), Verdict: Admitted{Upstream: id}})
 	}
 	return settled
 }
 
+// admitted takes in the time of an admission from the line.
+func (g *Gate) admitted(now time.Time) {
+	passed := now.Sub(g.last)
+	if g.interval == 0 {
+		g.interval = passed
+	}
+	g.interval += (passed - g.interval) / intervalWeight
+	g.last = now
+	g.misses -= g.misses / missWeight
+}
+
 // pick returns the ticket to serve next from a queue. The oldest comes first as long as the forecast of Enter holds, since
-// every waiting ticket can then be served in time. When a ticket has missed its deadline in the queue, there is more work
+// every waiting ticket can then be served in time. When many tickets miss their deadlines in the line, there is more work
 // than forecast, and the newest comes first: it is the one most likely to be served in time.
 func (g *Gate) pick(now time.Time, from *queue) (index int, hopeless bool) {
 	if g.hopeless(now, from.tickets[0]) {
 		return 0, true
 	}
-	if now.Sub(g.missed) < missWindow {
+	if g.misses > missedMost {
 		return len(from.tickets) - 1, false
 	}
 	return 0, false
@@ -181,8 +216,8 @@
 	return now.Add(g.service).After(ticket.Deadline)
 }
 
-func (g *Gate) unmeetable() Refused {
-	return Refused{Cause: cause.DeadlineUnmeetable, RetryAfter: g.forecast(float64(g.line.length))}
+func (g *Gate) unmeetable(now time.Time) Refused {
+	return Refused{Cause: cause.DeadlineUnmeetable, RetryAfter: g.forecast(now, float64(g.line.length))}
 }
 
 // LatestStart returns the time after which a request can no longer meet the deadline.
@@ -194,12 +229,12 @@
 func (g *Gate) Withdraw(now time.Time, ticket *Ticket) bool {
 	removed := g.line.remove(ticket)
 	if removed && g.hopeless(now, ticket) {
-		g.missed = now
+		g.misses += (1 - g.misses) / missWeight
 	}
 	return removed
 }
 
 // Refuse returns the refusal of a ticket that can no longer meet its deadline.
-func (g *Gate) Refuse() Refused {
-	return g.unmeetable()
+func (g *Gate) Refuse(now time.Time) Refused {
+	return g.unmeetable(now)
 }
--- a/internal/routing/admission/limit.go
+++ b/internal/routing/admission/limit.go
@@ -3,9 +3,7 @@
 // more than its own requests.
 package admission
 
-import (
-	"time"
-)
+import "time"
 
 // Feedback is what one request taught about its upstream. It is one of Served, Shed and Abandoned.
 type Feedback interface {
@@ -43,14 +41,14 @@
 	// Ceiling is the number of slots or of connections of the upstream, whichever is lower.
 	Ceiling float64
 
-	// current lies between 1 and Ceiling.
+	// current lies between leastLimit and Ceiling.
 	current float64
 	// usual follows the latency slowly, recent follows it quickly; both are zero before the first answer.
 	usual, recent time.Duration
 	// cut is the time of the last decrease. One decrease for each latency suffices, since the answers that follow it
 	// were caused before it.
 	cut time.Time
-	// paused is set when the upstream sheds although only one request is in flight.
+	// paused is the time until which nothing is sent, while current is below 1.
 	paused time.Time
 }
 
@@ -58,13 +56,19 @@
 func (*Adaptive) limit() {}
 
 const (
-	startLimit   = 2
-	shedFactor   = 0.8
-	queueFactor  = 0.95
+	startLimit  = 2
+	shedFactor  = 0.8
+	queueFactor = 0.95
+	// growth is how much the limit grows for as many answers as it allows in flight. With 1, workers shed half of the
+	// requests at twice their capacity, and with 0.1 a tenth, at the same goodput.
+	growth = 0.1
+	// leastLimit below 1 means that the upstream is left alone for a part of the time, since a worker with 2 slots is
+	// shared by 11 daemons.
+	leastLimit   = 0.25
 	lateMultiple = 2
 	slowWeight   = 128
 	quickWeight  = 8
-	// shortPause is the least time between a shed request and the next one while only one is in flight.
+	// shortPause is the least time for which an upstream is left alone.
 	shortPause = 2 * time.Millisecond
 )
 
@@ -78,7 +82,7 @@
 			return 0
 		}
 		limit.start()
-		return int(limit.current)
+		return max(1, int(limit.current))
 	}
 	return 0
 }
@@ -119,16 +123,21 @@
 		return
 	}
 	if inFlight >= int(a.current) {
-		a.current = min(a.current+1/a.current, a.Ceiling)
+		a.current = min(a.current+growth/max(1, a.current), a.Ceiling)
 	}
+	a.pause(now)
 }
 
 func (a *Adaptive) shed(now time.Time) {
-	if a.current <= 1 {
-		a.paused = now.Add(max(a.recent/2, shortPause))
-		return
-	}
 	a.decrease(shedFactor, now)
+	a.pause(now)
+}
+
+// pause leaves the upstream alone for a part of the time if less than one request in flight is allowed.
+func (a *Adaptive) pause(now time.Time) {
+	if a.current < 1 {
+		a.paused = now.Add(max(time.Duration(float64(a.recent)*(1/a.current-1)), shortPause))
+	}
 }
 
 func (a *Adaptive) decrease(factor float64, now time.Time) {
@@ -136,5 +145,5 @@
 		return
 	}
 	a.cut = now
-	a.current = max(1, a.current*factor)
+	a.current = max(leastLimit, a.current*factor)
 }
--- a/internal/routing/balance/pick.go
+++ b/internal/routing/balance/pick.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -36,8 +37,8 @@
 			second = p.draw(now, usable)
 		}
 	}
-	average := p.averageReport(now)
-	if second.score(now, average) < first.score(now, average) {
+	usual := p.usual(now)
+	if second.score(now, usual) < first.score(now, usual) {
 		first = second
 	}
 	return first.ID, true
@@ -125,23 +126,34 @@
 }
 
 // score estimates how long a request would take at the upstream; lower is better.
-func (m *member) score(now time.Time, average float64) float64 {
-	latency := m.latency
-	if latency == 0 {
-		latency = firstLatency
-	}
+func (m *member) score(now time.Time, usual usual) float64 {
 	ahead := float64(m.inFlight)
-	if weight, ok := m.trust(now, average); ok {
+	if weight, ok := m.trust(now, usual.report); ok {
 		reported := float64(m.report.Running + m.report.Waiting)
 		ahead += weight * max(0, reported-ahead)
 	}
-	return (ahead + 1) * float64(latency) * (1 + refusalWeight*m.refusedRate(now))
+	return (ahead + 1) * m.expected(now, usual.latency) * (1 + refusalWeight*m.refusedRate(now))
+}
+
+// expected returns the latency to expect. An upstream that has not answered for some time is expected to be as fast as the
+// others: otherwise one that was slow once, or is new, would lose every comparison and never be chosen again.
+func (m *member) expected(now time.Time, usual float64) float64 {
+	if m.latency == 0 {
+		return usual
+	}
+	known := math.Exp2(-now.Sub(m.answered).Seconds() / latencyHalfLife.Seconds())
+	return usual + (float64(m.latency)-usual)*known
 }
 
-// trust returns how much the reported load counts. A report loses weight with its age, and counts nothing where own
-// observation contradicts it: it names less than this daemon alone has in flight, or less than the average while the
-// upstream rejects requests.
+// trust returns how much the reported load counts. It counts only while this daemon has no recent answer of the upstream:
+// in a simulation with reports up to 1 s old, every weight of the reports beside own estimates made the 99th percentile
+// and the imbalance worse, since all daemons turn to the same upstreams at the same time. A report loses weight with its
+// age, and counts nothing where own observation contradicts it: it names less than this daemon alone has in flight, or
+// less than the average while the upstream rejects requests.
 func (m *member) trust(now time.Time, average float64) (float64, bool) {
+	if now.Sub(m.answered) < reportLife {
+		return 0, false
+	}
 	age := now.Sub(m.reported)
 	total := m.report.Running + m.report.Waiting
 	if m.reported.IsZero() || age >= reportLife || total < m.inFlight {
@@ -153,14 +165,31 @@
 	return 1 - float64(age)/float64(reportLife), true
 }
 
-// averageReport returns the mean of the loads reported lately.
-func (p *Pool) averageReport(now time.Time) float64 {
-	total, count := 0, 0
+// usual holds means over the upstreams.
+type usual struct {
+	// latency is the mean of the latencies observed.
+	latency float64
+	// report is the mean of the loads reported lately.
+	report float64
+}
+
+func (p *Pool) usual(now time.Time) usual {
+	var result usual
+	reports, latencies := 0, 0
 	for _, one := range p.members {
 		if !one.reported.IsZero() && now.Sub(one.reported) < reportLife {
-			total += one.report.Running + one.report.Waiting
-			count++
+			result.report += float64(one.report.Running + one.report.Waiting)
+			reports++
 		}
+		if one.latency > 0 {
+			result.latency += float64(one.latency)
+			latencies++
+		}
+	}
+	result.report /= float64(max(1, reports))
+	result.latency /= float64(max(1, latencies))
+	if latencies == 0 {
+		result.latency = float64(firstLatency)
 	}
-	return float64(total) / float64(max(1, count))
+	return result
 }
--- a/internal/routing/balance/pool.go
+++ b/internal/routing/balance/pool.go
@@ -60,7 +60,9 @@
 	rampTime = 10 * time.Second
 	// rampStart is the share that such an upstream begins with.
 	rampStart = 0.1
-	// firstLatency is assumed of an upstream that has not answered yet.
+	// latencyHalfLife is the time in which an observed latency loses half of its weight.
+	latencyHalfLife = 5 * time.Second
+	// firstLatency is assumed while no upstream has answered yet.
 	firstLatency = 20 * time.Millisecond
 	// leavingTime is how long a rejection because of leaving keeps an upstream out.
 	leavingTime = 5 * time.Second
@@ -72,6 +74,8 @@
 	silenceLeast    = 250 * time.Millisecond
 	silenceUnknown  = time.Second
 	silenceMultiple = 8
+	// latencyWeight smooths the latency. With 8, upstreams that were slow by chance were avoided for some time.
+	latencyWeight = 32
 	// refusalWeight multiplies the rate of rejections in the score. It must outweigh the few requests in flight of an
 	// upstream that rejects at once.
 	refusalWeight = 10
@@ -117,8 +121,10 @@
 	nextTrial time.Time
 	trialWait time.Duration
 	leaving   time.Time
-	report    Load
-	reported  time.Time
+	// answered is the time of the last sign of life.
+	answered time.Time
+	report   Load
+	reported time.Time
 }
 
 // Set replaces the candidates. Upstreams that stay keep their estimates; a new one starts slowly unless it is among the
@@ -189,7 +195,7 @@
 		if one.latency == 0 {
 			one.latency = observation.Latency
 		}
-		one.latency += (observation.Latency - one.latency) / 8
+		one.latency += (observation.Latency - one.latency) / latencyWeight
 	case Refused:
 		one.alive(now)
 		one.refusals(now, 1)
@@ -238,7 +244,7 @@
 		m.suspect, m.trialWait = false, 0
 		m.since = now
 	}
-	m.silent = now
+	m.silent, m.answered = now, now
 }
 
 // doubt marks the upstream as lost until it answers, and postpones its next trial.
--- a/internal/routing/router/flight.go
+++ b/internal/routing/router/flight.go
@@ -66,7 +66,6 @@
 
 // fly sends the request until it has an answer or must stop.
 func (f *flight) fly() Answer {
-	f.service.budget.First()
 	for {
 		visit, refused := f.acquire()
 		if refused != nil {
@@ -151,7 +150,9 @@
 		defer f.router.flights.drop(f)
 	}
 	f.service.pool.Started(visit.began, visit.upstream.ID)
-	f.sent++
+	if f.sent++; f.sent == 1 {
+		f.service.budget.First()
+	}
 	result := visit.upstream.client.Send(ctx, outgoing)
 	if _, passed := result.(forward.Responded); cancel != nil && !passed {
 		cancel()
--- a/internal/routing/router/station.go
+++ b/internal/routing/router/station.go
@@ -89,7 +89,7 @@
 		return <-ready
 	}
 	delete(s.waiting, ticket)
-	return s.gate.Refuse()
+	return s.gate.Refuse(s.clock.Now())
 }
 
 // leave ends the use of a slot.
