peer/spread: the hosts of a connection take turns to send digests

Change: each host sends its digest every second round, in turn with its peer, instead of a response to each digest; digests are still compared once a second on each connection. A silent peer is suspected after 5 s instead of 3 s, which is two missed digests. A new case checks that nobody is suspected in a healthy fleet.

--- a/internal/bench/spread/measure.go
+++ b/internal/bench/spread/measure.go
@@ -11,6 +11,7 @@
 
 	"rosemarywick.example/rosemarywick/internal/core/timer"
 	"rosemarywick.example/rosemarywick/internal/peer/mesh"
+	"rosemarywick.example/rosemarywick/internal/peer/spread"
 )
 
 // headerBytes is the size of the IPv4 and UDP headers of a packet, which QUIC does not count.
@@ -63,6 +64,8 @@
 	MostBytes float64
 	// SentPackets is packets a second.
 	SentPackets float64
+	// Kinds holds the messages and bytes of each kind that one daemon sends in a second, before QUIC adds its own.
+	Kinds map[spread.Kind]KindCost
 	// Core is the share of one processor core, in the process as a whole divided by its daemons.
 	Core float64
 	// HeapBytes is the live heap after a collection, and ResidentBytes the memory obtained from the system for the
@@ -73,9 +76,14 @@
 	MostConnections int
 }
 
+// KindCost is the part of one kind of message.
+type KindCost struct {
+	Messages, Bytes float64
+}
+
 // Cost measures for a time in which versions are published at an interval; zero means none.
 func (f *Fleet) Cost(ctx context.Context, span, interval time.Duration, first uint64) (Cost, error) {
-	before, began, used := f.traffic(), time.Now(), processorTime()
+	before, kinds, began, used := f.traffic(), f.kinds(), time.Now(), processorTime()
 	published := uint64(0)
 	for time.Since(began) < span {
 		pause := span - time.Since(began)
@@ -92,7 +100,17 @@
 			published++
 		}
 	}
-	return f.cost(before, f.traffic(), time.Since(began).Seconds(), processorTime()-used), nil
+	seconds := time.Since(began).Seconds()
+	cost := f.cost(before, f.traffic(), seconds, processorTime()-used)
+	cost.Kinds = make(map[spread.Kind]KindCost)
+	for kind, sent := range f.kinds() {
+		share := 1 / seconds / float64(len(f.daemons))
+		cost.Kinds[kind] = KindCost{
+			Messages: float64(sent.Messages-kinds[kind].Messages) * share,
+			Bytes:    float64(sent.Bytes-kinds[kind].Bytes) * share,
+		}
+	}
+	return cost, nil
 }
 
 func (f *Fleet) cost(before, after []mesh.Traffic, seconds float64, used time.Duration) Cost {
@@ -128,6 +146,18 @@
 	return traffic
 }
 
+// kinds returns what all daemons have sent of each kind of message.
+func (f *Fleet) kinds() map[spread.Kind]spread.Sent {
+	total := make(map[spread.Kind]spread.Sent)
+	for _, d := range f.daemons {
+		for kind, sent := range d.runner.Sent() {
+			sum := total[kind]
+			total[kind] = spread.Sent{Messages: sum.Messages + sent.Messages, Bytes: sum.Bytes + sent.Bytes}
+		}
+	}
+	return total
+}
+
 func processorTime() time.Duration {
 	var usage syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
--- a/internal/peer/membership/view.go
+++ b/internal/peer/membership/view.go
@@ -56,10 +56,11 @@
 	Forget time.Duration
 }
 
-// DefaultTiming suspects after three missed digests and allows a paused host a few seconds to refute. A probe costs
-// three packets of 1,200 bytes when there is no response, which is 120 bytes a second at this interval.
+// DefaultTiming suspects after two missed digests, which a host sends to each peer every two seconds, and allows a
+// paused host a few seconds to refute. A probe costs three packets of 1,200 bytes when there is no response, which is
+// 120 bytes a second at this interval.
 var DefaultTiming = Timing{
-	Silence: 3 * time.Second, Confirm: 5 * time.Second, Claim: 15 * time.Second, Probe: 30 * time.Second,
+	Silence: 5 * time.Second, Confirm: 5 * time.Second, Claim: 15 * time.Second, Probe: 30 * time.Second,
 	Forget: 24 * time.Hour,
 }
 
--- a/internal/peer/spread/encode.go
+++ b/internal/peer/spread/encode.go
@@ -19,7 +19,7 @@
 	out := &wire.Spread{}
 	switch m := message.(type) {
 	case Root:
-		out.Body = &wire.Spread_Root{Root: &wire.Root{Items: m.Items, Adoptions: m.Adoptions, Reply: m.Reply}}
+		out.Body = &wire.Spread_Root{Root: &wire.Root{Items: m.Items, Adoptions: m.Adoptions}}
 	case Buckets:
 		out.Body = &wire.Spread_Buckets{Buckets: &wire.Buckets{Digests: m.Digests}}
 	case Summary:
@@ -74,7 +74,7 @@
 	switch body := in.GetBody().(type) {
 	case *wire.Spread_Root:
 		root := body.Root
-		return Root{Items: root.GetItems(), Adoptions: root.GetAdoptions(), Reply: root.GetReply()}, nil
+		return Root{Items: root.GetItems(), Adoptions: root.GetAdoptions()}, nil
 	case *wire.Spread_Buckets:
 		return Buckets{Digests: body.Buckets.GetDigests()}, nil
 	case *wire.Spread_Summary:
--- a/internal/peer/spread/faults_test.go
+++ b/internal/peer/spread/faults_test.go
@@ -220,6 +220,13 @@
 		name string
 		run  func(net *network)
 	}{
+		{"none: nobody is suspected", func(net *network) {
+			net.sleep(10 * time.Minute)
+			for i := range fleetSize {
+				record, _ := net.nodes["entry-00"].runner.Get("member/" + string(place(i).ID))
+				net.expect("suspicions and refutations of "+record.Name, record.Version.Minor, uint64(0))
+			}
+		}},
 		{"list wrong: a host that does not exist and one omitted", func(net *network) {
 			net.list.Misreport(fleet.Host{ID: "ghost", Peer: place(50).Peer}, hosts.Live)
 			net.list.Misreport(place(3), "")
--- a/internal/peer/spread/items.go
+++ b/internal/peer/spread/items.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -75,6 +76,18 @@
 	return r.View.Rank(role, count)
 }
 
+// Sent counts the messages of one kind and their bytes before the mesh adds its own.
+type Sent struct {
+	Messages, Bytes uint64
+}
+
+// Sent returns what has been sent of each kind of message.
+func (r *Runner) Sent() map[Kind]Sent {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.sent)
+}
+
 // Leave announces the end of this daemon. The caller keeps the mesh running until its peers have had time to read it.
 func (r *Runner) Leave() {
 	r.mu.Lock()
--- a/internal/peer/spread/message.go
+++ b/internal/peer/spread/message.go
@@ -59,12 +59,44 @@
 	message()
 }
 
+// Kind names the kinds of messages in figures.
+type Kind string
+
+// Kinds of messages.
+const (
+	KindRoot      Kind = "root"
+	KindBuckets   Kind = "buckets"
+	KindSummary   Kind = "summary"
+	KindOffer     Kind = "offer"
+	KindWant      Kind = "want"
+	KindItems     Kind = "items"
+	KindAdoptions Kind = "adoptions"
+)
+
+func kindOf(message Message) Kind {
+	switch message.(type) {
+	case Root:
+		return KindRoot
+	case Buckets:
+		return KindBuckets
+	case Summary:
+		return KindSummary
+	case Offer:
+		return KindOffer
+	case Want:
+		return KindWant
+	case Items:
+		return KindItems
+	case Adoptions:
+		return KindAdoptions
+	}
+	return ""
+}
+
 // Root is a digest of everything that the sender holds.
 type Root struct {
 	Items     uint64
 	Adoptions uint32
-	// Reply is set in the response to a Root, which gets no further response unless the digests differ.
-	Reply bool
 }
 
 // Buckets holds a digest for each bucket of names.
--- a/internal/peer/spread/receive.go
+++ b/internal/peer/spread/receive.go
@@ -11,7 +11,7 @@
 func (s *State) Receive(from fleet.HostID, message Message) (replies []Message, changed []Item) {
 	switch message := message.(type) {
 	case Root:
-		return s.receiveRoot(message), nil
+		return s.receiveRoot(from, message), nil
 	case Buckets:
 		return s.receiveBuckets(message), nil
 	case Summary:
@@ -28,19 +28,17 @@
 	return nil, nil
 }
 
-// receiveRoot answers the root of a peer, which also tells the peer that this daemon is alive. Where the items differ,
-// only the side that got a reply goes on, so that the exchange does not run twice.
-func (s *State) receiveRoot(theirs Root) (replies []Message) {
+// receiveRoot responds to the digest of a peer where it differs.
+func (s *State) receiveRoot(from fleet.HostID, theirs Root) (replies []Message) {
+	if p := s.peers[from]; p != nil {
+		p.turn = true
+	}
 	mine := s.Root()
 	if theirs.Adoptions != mine.Adoptions && s.adopted.quiet >= settleRounds {
 		replies = append(replies, s.allAdoptions())
 	}
-	switch {
-	case !theirs.Reply:
-		mine.Reply = true
-		return append(replies, mine)
-	case theirs.Items != mine.Items:
-		return append(replies, s.digests())
+	if theirs.Items != mine.Items {
+		replies = append(replies, s.digests())
 	}
 	return replies
 }
--- a/internal/peer/spread/runner.go
+++ b/internal/peer/spread/runner.go
@@ -71,6 +71,7 @@
 	links    map[fleet.HostID]*peerLink
 	watchers map[*Watcher]struct{}
 	adopted  uint64
+	sent     map[Kind]Sent
 	probing  fleet.Host
 	probeEnd time.Time
 	// run is nil unless Run is under way.
@@ -133,7 +134,8 @@
 // open makes the state. The caller holds mu.
 func (r *Runner) open() {
 	if r.state == nil {
-		r.state = NewState()
+		r.state = NewState(r.View.Self.ID)
+		r.sent = make(map[Kind]Sent)
 		r.links = make(map[fleet.HostID]*peerLink)
 		r.watchers = make(map[*Watcher]struct{})
 	}
@@ -158,19 +160,15 @@
 	}
 }
 
-// round lets the membership decide, and sends the digest to the peers with a higher identifier: those with a lower one
-// send theirs, and each responds with its own.
+// round lets the membership decide, and sends the digest to the peers whose turn it is.
 func (r *Runner) round() {
 	r.mu.Lock()
 	now := r.Clock.Now()
 	r.act(r.View.Tick(now))
-	r.state.Round()
 	r.retainAdoptions()
-	root := r.state.Root()
-	for id, link := range r.links {
-		if r.View.Self.ID < id {
-			link.reply(root)
-		}
+	due, root := r.state.Round(), r.state.Root()
+	for _, id := range due {
+		r.links[id].reply(root)
 	}
 	if host, due := r.View.Probe(now); due {
 		r.probing, r.probeEnd = host, now.Add(probeTime)
@@ -228,7 +226,9 @@
 	link := &peerLink{signal: make(chan struct{}, 1), cancel: func() {}}
 	r.links[id] = link
 	r.View.Connected(r.Clock.Now(), id, true)
-	link.reply(r.state.Connect(id))
+	for _, message := range r.state.Connect(id) {
+		link.reply(message)
+	}
 	r.startLocked(id, link)
 }
 
@@ -299,6 +299,11 @@
 	if err != nil {
 		return err
 	}
+	r.mu.Lock()
+	kind := kindOf(message)
+	sent := r.sent[kind]
+	r.sent[kind] = Sent{Messages: sent.Messages + 1, Bytes: sent.Bytes + uint64(len(payload))}
+	r.mu.Unlock()
 	return r.Transport.Send(ctx, to, Topic, payload)
 }
 
--- a/internal/peer/spread/state.go
+++ b/internal/peer/spread/state.go
@@ -32,12 +32,15 @@
 
 // State holds the items of one daemon and decides what to send to which peer. It is not safe for concurrent use.
 type State struct {
+	self    fleet.HostID
 	items   map[string]Item
 	buckets [bucketCount]uint64
 	peers   map[fleet.HostID]*peer
 	// wanted holds what has been asked for and has not arrived.
 	wanted map[string]*want
 
+	// round counts the digest intervals.
+	round   uint64
 	adopted adoption
 }
 
@@ -59,12 +62,14 @@
 	due map[string]struct{}
 	// adoptions holds the hosts whose adoption the peer is not known to have.
 	adoptions map[AdoptionKey]struct{}
+	// turn is set when the peer's digest has arrived since this daemon has last sent its own.
+	turn bool
 }
 
-// NewState returns a state without items or peers.
-func NewState() *State {
+// NewState returns the state of a daemon without items or peers.
+func NewState(self fleet.HostID) *State {
 	return &State{
-		items: make(map[string]Item), peers: make(map[fleet.HostID]*peer), wanted: make(map[string]*want),
+		self: self, items: make(map[string]Item), peers: make(map[fleet.HostID]*peer), wanted: make(map[string]*want),
 		adopted: adoption{hosts: make(map[AdoptionKey]uint64)},
 	}
 }
@@ -137,15 +142,19 @@
 	p.known[name] = version
 }
 
-// Connect adds a peer of which nothing is known. The caller sends it the Root that Connect returns.
-func (s *State) Connect(id fleet.HostID) Root {
+// Connect adds a peer of which nothing is known, and returns what to send to it. The host with the lower identifier
+// begins the exchange of digests, so that it does not run twice.
+func (s *State) Connect(id fleet.HostID) []Message {
 	s.peers[id] = &peer{
 		known: make(map[string]Version), due: make(map[string]struct{}), adoptions: make(map[AdoptionKey]struct{}),
 	}
 	for host := range s.adopted.hosts {
 		s.peers[id].adoptions[host] = struct{}{}
 	}
-	return s.Root()
+	if s.self < id {
+		return []Message{s.Root()}
+	}
+	return nil
 }
 
 // Disconnect removes a peer. What it was asked for is asked of others.
@@ -161,7 +170,7 @@
 	}
 }
 
-// Root returns the digest that is sent to each peer at every round.
+// Root returns the digest of everything that is held.
 func (s *State) Root() Root {
 	var sum [8 * bucketCount]byte
 	for i, bucket := range s.buckets {
@@ -170,9 +179,20 @@
 	return Root{Items: xxhash.Sum64(sum[:]), Adoptions: s.adopted.digest}
 }
 
-// Round notes that a digest interval has passed.
-func (s *State) Round() {
+// Round notes that a digest interval has passed, and returns the peers to which the digest is to be sent. The two hosts
+// of a connection take turns, so that digests are compared once in each interval and both hosts know that the other is
+// alive. A response to each digest instead would take two thirds more bytes.
+func (s *State) Round() []fleet.HostID {
+	s.round++
 	s.adopted.quiet++
+	var due []fleet.HostID
+	for id, p := range s.peers {
+		if s.self < id && s.round%2 == 0 || id < s.self && p.turn {
+			due = append(due, id)
+		}
+		p.turn = false
+	}
+	return due
 }
 
 // Tick notes that a short interval has passed. It returns what to ask of which peers, because the peers that were asked
