ownership/load: use the merged sketch reports of hotkeys

Cause: the sketch had been written twice at the same time; the other one merges reports with their error bounds and is the one that the placement measurements use. Change: one sketch and one decision; the load reports carry its counts.

--- a/internal/daemon/host/loads.go
+++ b/internal/daemon/host/loads.go
@@ -127,7 +127,15 @@
 		l.daemon.assigners.balance(service, nil, l.withPins(service, nil))
 		return
 	}
-	keys := hotkeys.Decide(sum.Keys, sum.Total/float64(servers), dedicated(current))
+	keys := dedicated(current)
+	for _, change := range (hotkeys.Policy{}).Decide(sum.Keys, keys, servers) {
+		switch change := change.(type) {
+		case hotkeys.Promotion:
+			keys = append(keys, change.Key)
+		case hotkeys.Demotion:
+			keys = slices.DeleteFunc(keys, func(key fleet.KeyHash) bool { return key == change.Key })
+		}
+	}
 	l.daemon.assigners.balance(service, sum.Partitions, l.withPins(service, keys))
 }
 
--- a/internal/ownership/hotkeys/decide.go
+++ b/internal/ownership/hotkeys/decide.go
@@ -7,40 +7,88 @@
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 )
 
+// Defaults of a Policy, as fractions of the mean load of a server.
 const (
-	// promoteShare is the part of one server's load from which on a key gets an entry of its own.
-	promoteShare = 0.10
-	// demoteShare is the part below which it loses the entry again. The distance keeps a key near one of the bounds from
-	// moving to and fro.
-	demoteShare = 0.05
-	// MaxEntries bounds the entries of a service; the design scale has 170 hot keys that change within minutes.
-	MaxEntries = 256
+	// DefaultPromote is the load above which a key gets an entry of its own.
+	DefaultPromote = 0.10
+	// DefaultDemote is the load below which it loses the entry. Half of the other bound keeps a key whose load varies
+	// around one of the two from changing back and forth.
+	DefaultDemote = 0.05
+	// DefaultMaxEntries bounds the entries of a service.
+	DefaultMaxEntries = 512
 )
 
-// Decide returns the keys that are to have an entry of their own, the hottest first. counts are the rates summed over
-// all daemons, serverLoad is the mean load of one server in requests a second, and current are the keys with an entry.
-func Decide(counts []Count, serverLoad float64, current []fleet.KeyHash) []fleet.KeyHash {
-	if serverLoad <= 0 {
-		return slices.Clone(current)
+// Policy holds the bounds of the decision. The zero value uses the defaults.
+type Policy struct {
+	// Promote and Demote are fractions of the mean load of a server; values of zero and below mean the defaults.
+	Promote, Demote float64
+	// MaxEntries bounds the number of dedicated entries; values of zero and below mean the default.
+	MaxEntries int
+}
+
+// Change is a decision on one key.
+type Change interface {
+	change()
+}
+
+// Promotion gives the key a dedicated entry.
+type Promotion struct {
+	Key fleet.KeyHash
+}
+
+// Demotion returns the key to its hash range.
+type Demotion struct {
+	Key fleet.KeyHash
+}
+
+func (Promotion) change() {}
+func (Demotion) change()  {}
+
+// Decide compares the merged counts with the dedicated entries that exist and returns the changes, demotions in the order
+// of entries first and promotions of the most loaded keys after them. A key is promoted only if even its lowest
+// possible load exceeds the bound, and demoted only if even its highest possible load is below the other one.
+func (p Policy) Decide(merged Report, entries []fleet.KeyHash, servers int) []Change {
+	if servers <= 0 || merged.Total <= 0 {
+		return nil
+	}
+	p = p.withDefaults()
+	mean := merged.Total / float64(servers)
+	weights := make(map[fleet.KeyHash]float64, len(merged.Counts))
+	for _, c := range merged.Counts {
+		weights[c.Key] = c.Weight
 	}
-	dedicated := make(map[fleet.KeyHash]bool, len(current))
-	for _, key := range current {
-		dedicated[key] = true
+	var changes []Change
+	kept := make(map[fleet.KeyHash]bool, len(entries))
+	for _, key := range entries {
+		if weights[key] < p.Demote*mean {
+			changes = append(changes, Demotion{Key: key})
+			continue
+		}
+		kept[key] = true
 	}
-	var hot []Count
-	for _, one := range counts {
-		// A key without an entry is judged by what it certainly has, since an entry that is not needed costs a move.
-		certain := one.Rate - one.Error
-		if certain >= promoteShare*serverLoad || dedicated[one.Key] && one.Rate >= demoteShare*serverLoad {
-			hot = append(hot, one)
+	counts := slices.Clone(merged.Counts)
+	slices.SortStableFunc(counts, func(x, y Count) int { return cmp.Compare(y.Weight-y.Error, x.Weight-x.Error) })
+	for _, c := range counts {
+		if c.Weight-c.Error <= p.Promote*mean || len(kept) >= p.MaxEntries {
+			break
+		}
+		if !kept[c.Key] {
+			kept[c.Key] = true
+			changes = append(changes, Promotion{Key: c.Key})
 		}
 	}
-	slices.SortFunc(hot, func(a, b Count) int {
-		return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Key, b.Key))
-	})
-	keys := make([]fleet.KeyHash, 0, min(len(hot), MaxEntries))
-	for _, one := range hot[:min(len(hot), MaxEntries)] {
-		keys = append(keys, one.Key)
+	return changes
+}
+
+func (p Policy) withDefaults() Policy {
+	if p.Promote <= 0 {
+		p.Promote = DefaultPromote
+	}
+	if p.Demote <= 0 {
+		p.Demote = DefaultDemote
+	}
+	if p.MaxEntries <= 0 {
+		p.MaxEntries = DefaultMaxEntries
 	}
-	return keys
+	return p
 }
--- a/internal/ownership/hotkeys/sketch.go
+++ b/internal/ownership/hotkeys/sketch.go
@@ -1,5 +1,6 @@
-// Package hotkeys finds the keys that take a large part of a server's load and decides which of them get an entry of
-// their own. It counts in bounded memory, reads no clock, and holds hashes and never keys.
+// Package hotkeys finds the keys of a service that carry so much load that they need an entry of their own in the map.
+// Daemons count keys in a sketch of bounded size, the assigner merges their reports, and a decision with hysteresis
+// promotes and demotes keys. Nothing here reads a clock.
 package hotkeys
 
 import (
@@ -12,144 +13,145 @@
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 )
 
+// Defaults of a Sketch.
 const (
-	// DefaultCapacity bounds the error of a count to 1/512 of all requests, which lies well below the share that makes a
-	// key hot.
-	DefaultCapacity = 512
-	// DefaultHalfLife lets the hottest keys of some minutes ago fade within a minute or two.
-	DefaultHalfLife = 30 * time.Second
-	// maxWeight is where weights are scaled down, far below the limits of a float64.
-	maxWeight = 1e100
+	// DefaultCounters is the number of keys that a sketch follows. A key with more than a 512th of the load is always
+	// among them, which is far below the share of a server that makes a key hot.
+	DefaultCounters = 512
+	// DefaultHalfLife is the time after which a request counts half.
+	DefaultHalfLife = 10 * time.Second
 )
 
-// Count is the estimated rate of one key.
+// Count is the estimated load of one key.
 type Count struct {
 	Key fleet.KeyHash
-	// Rate is in requests a second and is not above the true rate by more than Error.
-	Rate  float64
+	// Weight is the decayed number of requests. It is never below the true number.
+	Weight float64
+	// Error bounds by how much Weight may exceed the true number.
 	Error float64
 }
 
-// Sketch counts the most frequent keys by the space-saving algorithm (Metwally, Agrawal, El Abbadi: Efficient
-// Computation of Frequent and Top-k Elements in Data Streams, 2005) with counts that decay exponentially. It is not safe
-// for concurrent use. The exported fields are set before the first Add.
+// Sketch counts the most frequent keys with the space-saving algorithm and exponential decay. The fields must be set
+// before the first call and the zero value uses the defaults. A Sketch is not safe for concurrent use.
 type Sketch struct {
-	// Capacity is the number of counters; zero means DefaultCapacity.
-	Capacity int
-	// HalfLife is the time in which a count falls to half; zero means DefaultHalfLife.
+	// Counters bounds the number of keys that are followed.
+	Counters int
+	// HalfLife is the time after which a request counts half.
 	HalfLife time.Duration
 
-	// start is the time at which one request weighs 1. Later ones weigh more, which is the same as a decay of the earlier.
-	start    time.Time
-	counters map[fleet.KeyHash]*counter
-	order    smallestFirst
+	// New requests count more, by the factor scale, instead of all earlier ones less, so that time costs nothing.
+	origin time.Time
+	total  float64
+	heap   counterHeap
 }
 
-// counter is one key that is being counted.
-type counter struct {
-	key    fleet.KeyHash
-	weight float64
-	// inherited is the weight of the counter that was replaced, by which weight may be too high.
-	inherited float64
-	index     int
+// Report is what one daemon tells of the keys of one service at one time.
+type Report struct {
+	// Total is the decayed number of requests for all keys.
+	Total  float64
+	Counts []Count
 }
 
-// Add counts one request for a key.
-func (s *Sketch) Add(now time.Time, key fleet.KeyHash) {
-	weight := s.weight(now)
-	if found := s.counters[key]; found != nil {
-		found.weight += weight
-		heap.Fix(&s.order, found.index)
+// Add counts weight requests for the key at the given time.
+func (s *Sketch) Add(now time.Time, key fleet.KeyHash, weight float64) {
+	weight *= s.scale(now)
+	s.total += weight
+	if s.heap.position == nil {
+		s.heap.position = make(map[fleet.KeyHash]int)
+	}
+	if i, ok := s.heap.position[key]; ok {
+		s.heap.counts[i].Weight += weight
+		heap.Fix(&s.heap, i)
 		return
 	}
-	if len(s.order) < s.capacity() {
-		added := &counter{key: key, weight: weight}
-		s.counters[key] = added
-		heap.Push(&s.order, added)
+	if len(s.heap.counts) < s.counters() {
+		heap.Push(&s.heap, Count{Key: key, Weight: weight})
 		return
 	}
-	replaced := s.order[0]
-	delete(s.counters, replaced.key)
-	replaced.key, replaced.inherited = key, replaced.weight
-	replaced.weight += weight
-	s.counters[key] = replaced
-	heap.Fix(&s.order, 0)
+	s.heap.replaceLowest(key, weight)
 }
 
-// Top returns the keys with the highest rates, at most limit, the highest first.
-func (s *Sketch) Top(now time.Time, limit int) []Count {
-	if len(s.order) == 0 {
-		return nil
-	}
-	perSecond := math.Ln2 / s.halfLife().Seconds() / s.weight(now)
-	list := make([]Count, 0, len(s.order))
-	for _, one := range s.order {
-		list = append(list, Count{Key: one.key, Rate: one.weight * perSecond, Error: one.inherited * perSecond})
+// Report returns the counts at the given time, the highest first.
+func (s *Sketch) Report(now time.Time) Report {
+	scale := s.scale(now)
+	report := Report{Total: s.total / scale, Counts: slices.Clone(s.heap.counts)}
+	for i := range report.Counts {
+		report.Counts[i].Weight /= scale
+		report.Counts[i].Error /= scale
 	}
-	slices.SortFunc(list, func(a, b Count) int {
-		return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Key, b.Key))
-	})
-	return list[:min(limit, len(list))]
+	sortCounts(report.Counts)
+	return report
 }
 
-func (s *Sketch) capacity() int {
-	if s.Capacity <= 0 {
-		return DefaultCapacity
+func (s *Sketch) counters() int {
+	if s.Counters <= 0 {
+		return DefaultCounters
 	}
-	return s.Capacity
+	return s.Counters
 }
 
-func (s *Sketch) halfLife() time.Duration {
-	if s.HalfLife <= 0 {
-		return DefaultHalfLife
-	}
-	return s.HalfLife
-}
+// maxExponent bounds the scale to 2^32, so that old and new weights are added without a loss of precision.
+const maxExponent = 32
 
-// weight returns what one request weighs at a time, and keeps the weights within the range of a float64.
-func (s *Sketch) weight(now time.Time) float64 {
-	if s.counters == nil {
-		s.counters = make(map[fleet.KeyHash]*counter)
-		s.start = now
+// scale returns the factor by which a request at the given time counts more than one at the origin.
+func (s *Sketch) scale(now time.Time) float64 {
+	half := s.HalfLife
+	if half <= 0 {
+		half = DefaultHalfLife
 	}
-	weight := math.Exp2(now.Sub(s.start).Seconds() / s.halfLife().Seconds())
-	if weight < maxWeight {
-		return weight
+	if s.origin.IsZero() {
+		s.origin = now
 	}
-	for _, one := range s.order {
-		one.weight /= weight
-		one.inherited /= weight
+	exponent := float64(now.Sub(s.origin)) / float64(half)
+	if exponent > maxExponent {
+		s.rebase(now, math.Exp2(exponent))
+		return 1
 	}
-	s.start = now
-	return 1
+	// A clock that goes back must not make a request count more than a current one or divide by almost nothing.
+	return math.Exp2(max(exponent, 0))
 }
 
-// smallestFirst orders counters for package heap.
-type smallestFirst []*counter
-
-// Len is part of heap.Interface.
-func (s smallestFirst) Len() int { return len(s) }
-
-// Less is part of heap.Interface.
-func (s smallestFirst) Less(i, j int) bool { return s[i].weight < s[j].weight }
-
-// Swap is part of heap.Interface.
-func (s smallestFirst) Swap(i, j int) {
-	s[i], s[j] = s[j], s[i]
-	s[i].index, s[j].index = i, j
+// rebase makes now the origin.
+func (s *Sketch) rebase(now time.Time, scale float64) {
+	s.origin = now
+	s.total /= scale
+	for i := range s.heap.counts {
+		s.heap.counts[i].Weight /= scale
+		s.heap.counts[i].Error /= scale
+	}
 }
 
-// Push is part of heap.Interface.
-func (s *smallestFirst) Push(x any) {
-	added := x.(*counter)
-	added.index = len(*s)
-	*s = append(*s, added)
+// Merge adds up the reports of several daemons. A key that a full report does not mention may have had as many requests
+// there as the lowest count of that report, so that bound is added to both weight and error.
+func Merge(reports []Report, counters int) Report {
+	if counters <= 0 {
+		counters = DefaultCounters
+	}
+	var merged Report
+	var floors float64
+	sums := make(map[fleet.KeyHash]Count)
+	for _, r := range reports {
+		floor := 0.0
+		if len(r.Counts) >= counters {
+			floor = slices.MinFunc(r.Counts, func(x, y Count) int { return cmp.Compare(x.Weight, y.Weight) }).Weight
+		}
+		merged.Total += r.Total
+		floors += floor
+		for _, c := range r.Counts {
+			sum := sums[c.Key]
+			sums[c.Key] = Count{Key: c.Key, Weight: sum.Weight + c.Weight - floor, Error: sum.Error + c.Error - floor}
+		}
+	}
+	for _, c := range sums {
+		merged.Counts = append(merged.Counts, Count{Key: c.Key, Weight: c.Weight + floors, Error: c.Error + floors})
+	}
+	sortCounts(merged.Counts)
+	merged.Counts = merged.Counts[:min(counters, len(merged.Counts))]
+	return merged
 }
 
-// Pop is part of heap.Interface.
-func (s *smallestFirst) Pop() any {
-	last := len(*s) - 1
-	removed := (*s)[last]
-	*s = (*s)[:last]
-	return removed
+func sortCounts(counts []Count) {
+	slices.SortFunc(counts, func(x, y Count) int {
+		return cmp.Or(cmp.Compare(y.Weight, x.Weight), cmp.Compare(x.Key, y.Key))
+	})
 }
--- a/internal/ownership/load/encode.go
+++ b/internal/ownership/load/encode.go
@@ -29,7 +29,7 @@
 	}
 	for _, count := range report.Keys {
 		message.Keys = append(message.Keys, uint64(count.Key))
-		message.KeyRates = append(message.KeyRates, toMilli(count.Rate))
+		message.KeyRates = append(message.KeyRates, toMilli(count.Weight))
 		message.KeyErrors = append(message.KeyErrors, toMilli(count.Error))
 	}
 	content, err := proto.Marshal(message)
@@ -55,7 +55,7 @@
 	}
 	for i, key := range message.Keys {
 		report.Keys = append(report.Keys, hotkeys.Count{
-			Key: fleet.KeyHash(key), Rate: fromMilli(message.KeyRates[i]), Error: fromMilli(message.KeyErrors[i]),
+			Key: fleet.KeyHash(key), Weight: fromMilli(message.KeyRates[i]), Error: fromMilli(message.KeyErrors[i]),
 		})
 	}
 	return fleet.ServiceName(message.Service), report, nil
--- a/internal/ownership/load/meter.go
+++ b/internal/ownership/load/meter.go
@@ -40,7 +40,7 @@
 	Partitions []Rate
 	// Rest is the load of all other partitions together, in requests a second.
 	Rest float64
-	// Keys are the most frequent keys.
+	// Keys are the most frequent keys, with weights in requests a second.
 	Keys []hotkeys.Count
 }
 
@@ -62,7 +62,7 @@
 	defer m.mu.Unlock()
 	weight := m.weight(now)
 	m.weights[partition] += weight
-	m.sketch.Add(now, key)
+	m.sketch.Add(now, key, 1)
 }
 
 // Report returns the present rates.
@@ -77,13 +77,25 @@
 	slices.SortFunc(rates, func(a, b Rate) int {
 		return cmp.Or(cmp.Compare(b.PerSecond, a.PerSecond), cmp.Compare(a.Partition, b.Partition))
 	})
-	report := Report{Partitions: rates[:min(len(rates), maxPartitions)], Keys: m.sketch.Top(now, maxKeys)}
+	report := Report{Partitions: rates[:min(len(rates), maxPartitions)], Keys: m.keys(now)}
 	for _, rate := range rates[len(report.Partitions):] {
 		report.Rest += rate.PerSecond
 	}
 	return report
 }
 
+// keys returns the most frequent keys. The caller holds mu.
+func (m *Meter) keys(now time.Time) []hotkeys.Count {
+	perSecond := math.Ln2 / HalfLife.Seconds()
+	counts := m.sketch.Report(now).Counts
+	counts = counts[:min(len(counts), maxKeys)]
+	for i := range counts {
+		counts[i].Weight *= perSecond
+		counts[i].Error *= perSecond
+	}
+	return counts
+}
+
 // weight returns what one request weighs at a time. The caller holds mu.
 func (m *Meter) weight(now time.Time) float64 {
 	if m.weights == nil {
