ownership: faster first renewal after a takeover; fewer log lines in an outage

Change: two heartbeats in each round, and the list of holdings is asked for only along with the first renewal, so that long reports do not delay it. Members are recognised by answers of the present epoch only. The table's failures are logged when they begin. A scenario replaces all hosts one after another.

--- a/internal/ownership/assigner/cases_test.go
+++ b/internal/ownership/assigner/cases_test.go
@@ -87,6 +87,15 @@
 			s.startWorker(w)
 		}
 	}},
+	{"all hosts replaced one after another", 5, "", 0, 12 * second, func(s *sim) {
+		for i, d := range s.daemons {
+			s.after(time.Duration(i)*4*second, func() {
+				s.step(d, d.assigner.HandOver)
+				d.down = true
+				s.after(second, func() { s.startDaemon(d) })
+			})
+		}
+	}},
 	{"planned moves", 5, "", 50*ms + 100*ms, 2 * second, func(s *sim) { // Requests in flight take up to 100 ms to end.
 		s.shift++
 		s.daemon(assigner.RoleActing).assigner.SetLoads(nil)
--- a/internal/ownership/assigner/role.go
+++ b/internal/ownership/assigner/role.go
@@ -232,9 +232,10 @@
 	return a.leave()
 }
 
-// sendBeats sends the heartbeats of the round.
+// sendBeats sends the heartbeats, two in each round: after the loss of the holder the deputy's patience begins with the
+// last heartbeat, and with one in each round a takeover on a loaded machine left no time to renew the leases.
 func (a *Assigner) sendBeats() {
-	if a.now.Sub(a.watch.beat) < a.Timing.Round {
+	if a.now.Sub(a.watch.beat) < a.Timing.Round/2 {
 		return
 	}
 	a.watch.beat = a.now
--- a/internal/ownership/assigner/rounds.go
+++ b/internal/ownership/assigner/rounds.go
@@ -30,8 +30,7 @@
 	// heard is the last time at which the server answered, and acceptedAt the last at which it accepted.
 	heard      time.Time
 	acceptedAt time.Time
-	// seen is the incarnation in the last report, and current the same if the report belongs to this epoch.
-	seen    fleet.Incarnation
+	// current is the incarnation in the last report of this epoch.
 	current fleet.Incarnation
 	// leaseLeft is that of the last accepted report, and leaseEnd the same on the server's clock.
 	leaseLeft time.Duration
@@ -79,7 +78,7 @@
 func (a *Assigner) resetServers() {
 	for id, known := range a.servers {
 		*known = server{
-			spec: known.spec, configured: known.configured, member: lease.Member{Server: id}, seen: known.seen,
+			spec: known.spec, configured: known.configured, member: lease.Member{Server: id},
 			heard: known.heard, leaving: known.leaving, unlisted: true,
 			grants:  make(map[fleet.PartitionID]fleet.Fence),
 			revokes: make(map[fleet.PartitionID]struct{}),
@@ -145,16 +144,17 @@
 	order := fleet.Order{
 		Service: a.Service, Epoch: a.epoch, Sequence: known.sequence, Incarnation: known.member.Incarnation,
 	}
-	if a.omit == lease.RuleIncarnation && known.seen != "" {
-		order.Incarnation = known.seen
+	if a.omit == lease.RuleIncarnation && known.current != "" {
+		order.Incarnation = known.current
 	}
 	if order.Incarnation != "" {
 		order.Renewal = a.ledger.Renewal(known.member)
 		order.Grants = a.grantList(known.grants)
 		order.Revokes = sortedKeys(known.revokes)
 		order.Entries = a.entriesFor(known)
-		// A new list of entries changes what the server holds.
-		order.WantHoldings = known.unlisted || order.Entries != nil
+		// A new list of entries changes what the server holds. The list of holdings is long, and after a takeover it
+		// must not delay the first renewal.
+		order.WantHoldings = order.Entries != nil || (known.unlisted && a.ledger.Renewed(known.member))
 	}
 	known.outstanding, known.sentAt = true, a.now
 	known.sentStamp = a.ledger.Sent(known.member, order.Grants)
@@ -197,7 +197,7 @@
 		return a.leave()
 	}
 	known.outstanding, known.heard = false, now
-	known.seen, known.current = report.Incarnation, report.Incarnation
+	known.current = report.Incarnation
 	if report.Accepted() && a.counts(sent.member, report.Incarnation) {
 		a.accepted(known, sent, report)
 	}
--- a/internal/ownership/assigner/store.go
+++ b/internal/ownership/assigner/store.go
@@ -248,8 +248,8 @@
 			if found && a.ledger.Holds(member) {
 				members = append(members, member)
 			}
-		case entry.seen != "" && a.now.Sub(entry.heard) < a.Timing.ServerSilence:
-			members = append(members, lease.Member{Server: id, Incarnation: entry.seen})
+		case entry.current != "" && a.now.Sub(entry.heard) < a.Timing.ServerSilence:
+			members = append(members, lease.Member{Server: id, Incarnation: entry.current})
 		case found:
 			members = append(members, member)
 		}
--- a/internal/ownership/lease/ledger.go
+++ b/internal/ownership/lease/ledger.go
@@ -189,6 +189,12 @@
 	return nil
 }
 
+// Renewed reports whether a renewal was sent to a member in this epoch.
+func (l *Ledger) Renewed(member Member) bool {
+	entry := l.accounts[member]
+	return entry != nil && entry.renewed
+}
+
 // Unrenewed returns the stamp of the first reading of a member that has not been renewed in this epoch; zero if there is
 // none. Evidence beyond that stamp is wanted soon, since the lease stems from an earlier epoch.
 func (l *Ledger) Unrenewed(member Member) Stamp {
@@ -295,11 +301,6 @@
 	return l.Evidence() > free || l.Omit == RuleGrantEvidence
 }
 
-// Counts reports whether a member is listed in the group row or among the previous members.
-func (l *Ledger) Counts(member Member) bool {
-	return l.accounts[member] != nil
-}
-
 // compareMembers orders members by server and incarnation.
 func compareMembers(a, b Member) int {
 	return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Incarnation, b.Incarnation))
--- a/internal/upstream/grants/direct.go
+++ b/internal/upstream/grants/direct.go
@@ -85,11 +85,10 @@
 	work, cancel := context.WithCancel(ctx)
 	var tasks sync.WaitGroup
 	d.prepare()
-	rows := &rowStore{table: d.Table, service: d.Service, log: d.Log, decider: d.Assigner, step: d.step}
 	d.Peers.Handle(confirmTopic(d.Service), d.receive)
 	tasks.Go(func() { d.messages.run(work) })
-	tasks.Go(func() { rows.run(work, d.groupJobs) })
-	tasks.Go(func() { rows.run(work, d.placeJobs) })
+	tasks.Go(func() { d.rows().run(work, d.groupJobs) })
+	tasks.Go(func() { d.rows().run(work, d.placeJobs) })
 	tasks.Go(func() { d.ask(work) })
 	ticks := d.Timer.Every(tickInterval)
 	defer ticks.Stop()
@@ -102,10 +101,15 @@
 	}
 	cancel()
 	tasks.Wait()
-	d.handOver(ctx, rows)
+	d.handOver(ctx)
 	return context.Cause(ctx)
 }
 
+// rows returns a store for one goroutine.
+func (d *Direct) rows() *rowStore {
+	return &rowStore{table: d.Table, service: d.Service, log: d.Log, decider: d.Assigner, step: d.step}
+}
+
 func (d *Direct) prepare() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -115,7 +119,7 @@
 }
 
 // handOver gives up the authority with a last write, so that the next host need not wait for its end.
-func (d *Direct) handOver(ctx context.Context, rows *rowStore) {
+func (d *Direct) handOver(ctx context.Context) {
 	d.mu.Lock()
 	d.running = false
 	actions := d.Assigner.HandOver(d.Timer.Now())
@@ -125,7 +129,7 @@
 	for _, action := range actions {
 		switch action := action.(type) {
 		case assigner.WriteRow:
-			rows.writeRow(ctx, action)
+			d.rows().writeRow(ctx, action)
 		case assigner.ChangeRole:
 			logRole(d.Log, d.Service, d.Assigner.Host, action)
 		default:
--- a/internal/upstream/grants/rowstore.go
+++ b/internal/upstream/grants/rowstore.go
@@ -24,7 +24,7 @@
 	PlacementWritten(now time.Time, result assigner.WriteResult) []assigner.Action
 }
 
-// rowStore keeps the group row and the placement rows of one service in the table.
+// rowStore keeps the group row and the placement rows of one service in the table. It is used by one goroutine.
 type rowStore struct {
 	table   table.Store
 	service fleet.ServiceName
@@ -32,6 +32,8 @@
 	// decider is told the outcomes through step, which lets it take one step under its lock.
 	decider decider
 	step    func(decide func(now time.Time) []assigner.Action)
+	// failing is the failure that was logged last, so that an outage gives one line and not three each second.
+	failing string
 }
 
 // run carries out the reads and writes from jobs, one at a time.
@@ -83,6 +85,7 @@
 		return 0, assigner.Row{}, errors.Wrap(err, "grants: read group row")
 	}
 	if len(rows) == 0 {
+		s.warn("", nil)
 		return 0, assigner.Row{}, nil
 	}
 	content, err := decodeRow(rows[0].Value)
@@ -175,8 +178,14 @@
 	}
 }
 
-func (s *rowStore) warn(message string, err error) {
-	if err != nil && !errors.Is(err, context.Canceled) {
-		s.log.Warn().Err(err).Str("service", string(s.service)).Msg(message)
+// warn logs a failure unless it is the same as the last one, and notes a success.
+func (s *rowStore) warn(failure string, err error) {
+	if err == nil {
+		s.failing = ""
+		return
+	}
+	if s.failing != failure && !errors.Is(err, context.Canceled) {
+		s.failing = failure
+		s.log.Warn().Err(err).Str("service", string(s.service)).Msg(failure)
 	}
 }
--- a/internal/upstream/grants/runner.go
+++ b/internal/upstream/grants/runner.go
@@ -122,11 +122,12 @@
 	r.prepare(work)
 	r.Peers.Handle(topic(r.Assigner.Service), r.receive)
 	r.tasks.Go(func() { r.messages.run(work) })
-	rows := &rowStore{
-		table: r.Table, service: r.Assigner.Service, log: r.Log, decider: r.Assigner, step: r.step,
+	for _, jobs := range []chan assigner.Action{r.groupJobs, r.placeJobs} {
+		rows := &rowStore{
+			table: r.Table, service: r.Assigner.Service, log: r.Log, decider: r.Assigner, step: r.step,
+		}
+		r.tasks.Go(func() { rows.run(work, jobs) })
 	}
-	r.tasks.Go(func() { rows.run(work, r.groupJobs) })
-	r.tasks.Go(func() { rows.run(work, r.placeJobs) })
 	ticks := r.Timer.Every(tickInterval)
 	defer ticks.Stop()
 	for {
