ownership: a revocation that was overtaken no longer releases the next holding

The guard released the partition before it was granted anew, and the report of that release was taken for the end of the new holding. Change: the revocation is forgotten when the partition is lost or granted; a release counts only if the answered order revoked the partition; the guard does not report a release that a grant of the same order has overtaken, with a test. Hosts are ranked when the list changes and not in each step; hosts that only watch keep no partitions. Conclusion: the fault is closed at three places, each sufficient.

--- a/internal/ownership/assigner/assigner.go
+++ b/internal/ownership/assigner/assigner.go
@@ -126,13 +126,9 @@
 	a.started = true
 	a.watch.heard = now
 	a.ledger.Term, a.ledger.Drift, a.ledger.Omit = a.Timing.Term, a.Timing.Drift, a.omit
-	a.plan.slots = make(map[fleet.PartitionID]*slot)
 	a.plan.pending = make(map[fleet.PartitionID]struct{})
 	a.plan.changed = make(map[fleet.PartitionID]struct{})
 	a.plan.placed = make(map[int]*placementRow)
-	for p := range a.Partitions {
-		a.plan.slots[fleet.PartitionID(p)] = &slot{}
-	}
 	if a.servers == nil {
 		a.servers = make(map[fleet.UpstreamID]*server)
 	}
@@ -188,10 +184,22 @@
 	a.plan.known = a.plan.known && a.Role() != RoleWatching
 	a.changeRole(RoleActing, reason)
 	a.resetServers()
+	a.makeSlots()
 	a.plan.reset()
 	a.tickActing()
 }
 
+// makeSlots makes the slots of all hash ranges. Hosts that only watch need none.
+func (a *Assigner) makeSlots() {
+	if a.plan.slots != nil {
+		return
+	}
+	a.plan.slots = make(map[fleet.PartitionID]*slot, a.Partitions)
+	for p := range a.Partitions {
+		a.plan.slots[fleet.PartitionID(p)] = &slot{}
+	}
+}
+
 // newToken returns a token that no other write uses.
 func (a *Assigner) newToken() string {
 	a.row.writes++
--- a/internal/ownership/assigner/place.go
+++ b/internal/ownership/assigner/place.go
@@ -144,6 +144,7 @@
 // epoch takes precedence.
 func (a *Assigner) PlacementRead(now time.Time, rows []StoredPlacement) []Action {
 	a.enter(now)
+	a.makeSlots()
 	a.plan.reading, a.plan.known = false, true
 	a.plan.current = a.plan.current || (a.Role() == RoleActing && a.plan.readRun == a.run)
 	for _, row := range rows {
--- a/internal/ownership/assigner/plan.go
+++ b/internal/ownership/assigner/plan.go
@@ -193,6 +193,7 @@
 	for id, entry := range a.plan.slots {
 		if _, found := reported[id]; !found && entry.holder == member {
 			a.plan.drop(id, entry)
+			a.forgetRevoke(member.Server, id)
 		}
 	}
 }
@@ -277,9 +278,18 @@
 		return
 	}
 	entry.granting = server
+	a.forgetRevoke(server, id)
 	a.servers[server].grants[id] = a.nextFence()
 }
 
+// forgetRevoke ends the repetition of a revocation whose partition was lost in another way. An order must never revoke
+// and grant the same partition: the release would be taken for the end of the new holding.
+func (a *Assigner) forgetRevoke(id fleet.UpstreamID, partition fleet.PartitionID) {
+	if known := a.servers[id]; known != nil {
+		delete(known.revokes, partition)
+	}
+}
+
 // destination returns the server that gets a free partition: the wanted one, else its last owner, else its standby, else
 // the one with the fewest partitions.
 func (a *Assigner) destination(entry *slot) fleet.UpstreamID {
--- a/internal/ownership/assigner/role.go
+++ b/internal/ownership/assigner/role.go
@@ -15,7 +15,7 @@
 
 // watchState is what a host knows about the other hosts.
 type watchState struct {
-	// hosts are the live hosts, this one included.
+	// hosts are the live hosts, this one included, by their rendezvous rank for this service.
 	hosts []fleet.Host
 	// heard is the last time at which an acting assigner with a majority was heard.
 	heard time.Time
@@ -32,9 +32,16 @@
 	placements uint64
 }
 
-// SetHosts tells which hosts are alive.
+// SetHosts tells which hosts are alive. They are ranked here and not when time passes, since there are thousands.
 func (a *Assigner) SetHosts(hosts []fleet.Host) {
+	weights := make(map[fleet.HostID]uint64, len(hosts))
+	for _, host := range hosts {
+		weights[host.ID] = xxhash.Sum64String(string(a.Service) + "/" + string(host.ID))
+	}
 	a.watch.hosts = slices.Clone(hosts)
+	slices.SortFunc(a.watch.hosts, func(x, y fleet.Host) int {
+		return cmp.Or(cmp.Compare(weights[y.ID], weights[x.ID]), cmp.Compare(x.ID, y.ID))
+	})
 }
 
 // Received handles a message from the assigner on another host.
@@ -168,21 +175,12 @@
 	a.writeRow(next)
 }
 
-// order sorts the live hosts by their rendezvous rank for this service.
-func (a *Assigner) order() []fleet.Host {
-	hosts := slices.Clone(a.watch.hosts)
-	weight := func(host fleet.Host) uint64 { return xxhash.Sum64String(string(a.Service) + "/" + string(host.ID)) }
-	slices.SortFunc(hosts, func(x, y fleet.Host) int {
-		return cmp.Or(cmp.Compare(weight(y), weight(x)), cmp.Compare(x.ID, y.ID))
-	})
-	return hosts
-}
-
-// rank returns the place of this host among the live hosts, without the holder and the deputy.
+// rank returns the place of this host among the live hosts, without the holder and the deputy, up to the number of
+// watchers.
 func (a *Assigner) rank() int {
 	rank := 0
-	for _, host := range a.order() {
-		if host.ID == a.Host {
+	for _, host := range a.watch.hosts {
+		if host.ID == a.Host || rank == watchers {
 			break
 		}
 		if host.ID != a.row.content.Holder && host.ID != a.row.content.Deputy {
@@ -202,7 +200,7 @@
 	}
 	var best fleet.HostID
 	highest := 0
-	for _, host := range a.order() {
+	for _, host := range a.watch.hosts {
 		score := 1
 		if !slices.Contains(avoid, host.ID) {
 			score += 2
--- a/internal/ownership/assigner/rounds.go
+++ b/internal/ownership/assigner/rounds.go
@@ -248,7 +248,8 @@
 		a.plan.granted(known.member, grant)
 	}
 	for _, partition := range report.Released {
-		if _, ordered := known.revokes[partition]; !ordered {
+		// A release is meant for the holding that this order still revokes, and not for one granted since.
+		if _, ordered := known.revokes[partition]; !ordered || !slices.Contains(order.Revokes, partition) {
 			continue
 		}
 		delete(known.revokes, partition)
--- a/internal/ownership/lease/guard.go
+++ b/internal/ownership/lease/guard.go
@@ -149,6 +149,7 @@
 		g.holdings = make(map[fleet.PartitionID]*holding)
 	}
 	delete(g.released, grant.Partition)
+	g.unreported = slices.DeleteFunc(g.unreported, func(p fleet.PartitionID) bool { return p == grant.Partition })
 	held := g.holdings[grant.Partition]
 	if held == nil {
 		held = &holding{}
--- a/internal/ownership/lease/guard_test.go
+++ b/internal/ownership/lease/guard_test.go
@@ -104,6 +104,17 @@
 	}
 }
 
+// Guards against a release that is reported although the same order grants the partition again.
+func TestGuardGrantAfterRelease(t *testing.T) {
+	is := is.New(t)
+	g := newGuard()
+	g.Apply(0, order(1, 1, 0, 3))
+	both := order(1, 2, 0, 3)
+	both.Revokes = []fleet.PartitionID{3}
+	is.Equal(len(g.Apply(1*ms, both).Released), 0)
+	is.True(g.Holds(1*ms, 3))
+}
+
 // Guards against a hot key that is served by its hash range and by its entry at the same time, and requests of the key in
 // flight that the release of the entry does not wait for.
 func TestGuardEntries(t *testing.T) {
