--- a/internal/core/document/check.go
+++ b/internal/core/document/check.go
@@ -92,6 +92,11 @@
 		}
 		return
 	}
+	result.Authority = orDuration(raw.Authority, defaultAuthority)
+	c.duration(path+".authority", result.Authority, maxTimeout)
+	if result.Authority < minAuthority {
+		c.fail(path+".authority", "expected a duration of at least %s, not %s", minAuthority, result.Authority)
+	}
 	result.Partitions = orDefault(raw.Partitions, defaultPartitions)
 	c.upTo(path+".partitions", result.Partitions, MaxPartitions)
 	if result.Guard == "" {
--- a/internal/core/document/document.go
+++ b/internal/core/document/document.go
@@ -29,6 +29,9 @@
 	// Partitions is the number of hash ranges of a keyed service, from 1 to MaxPartitions.
 	Partitions int
 	Guard      fleet.Guard
+	// Authority is how long the assigner of a service whose servers check no orders may act without the table. A longer
+	// one bridges longer outages; the loss of the assigner and a server together waits as long.
+	Authority time.Duration
 	// Timeout is the deadline of a request whose caller names none.
 	Timeout time.Duration
 	// Target is the duration above which a complete answer counts as late and gets a record.
--- a/internal/core/document/parse.go
+++ b/internal/core/document/parse.go
@@ -17,14 +17,17 @@
 const (
 	MaxPartitions      = 65536
 	defaultPartitions  = 4096
+	defaultAuthority   = 30 * time.Second
 	defaultTimeout     = 2 * time.Second
 	defaultTarget      = 500 * time.Millisecond
 	defaultSlots       = 6
 	defaultConnections = 130
 	defaultQueueLimit  = 64
 	maxTimeout         = 10 * time.Minute
-	maxSlots           = 4096
-	maxConnections     = 65536
+	// minAuthority leaves time for two renewals that fail.
+	minAuthority   = 2 * time.Second
+	maxSlots       = 4096
+	maxConnections = 65536
 )
 
 type fileDocument struct {
@@ -38,6 +41,7 @@
 	Key         keyText           `toml:"key"`
 	Partitions  int               `toml:"partitions"`
 	Guard       guardText         `toml:"guard"`
+	Authority   tomlfile.Duration `toml:"authority"`
 	Timeout     tomlfile.Duration `toml:"timeout"`
 	Target      tomlfile.Duration `toml:"target"`
 	Slots       int               `toml:"slots"`
--- a/internal/daemon/dev/fleet.go
+++ b/internal/daemon/dev/fleet.go
@@ -38,6 +38,8 @@
 // Fleet is a development fleet. The exported fields are set before Run or Start.
 type Fleet struct {
 	Shape Shape
+	// Guard is that of the keyed service; empty means that its servers check orders.
+	Guard fleet.Guard
 	// Daemons is the number of daemons that run in this process at the start.
 	Daemons int
 	// SettingsFiles is the number of further settings files to write for daemons in processes of their own.
@@ -163,7 +165,7 @@
 	for _, one := range f.workers {
 		upstreams = append(upstreams, one.upstream)
 	}
-	text, err := f.deployment.document(upstreams)
+	text, err := f.deployment.document(upstreams, f.Guard)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/dev/fleet_test.go
+++ b/internal/daemon/dev/fleet_test.go
@@ -21,13 +21,7 @@
 // startFleet runs a fleet of three daemons until the test ends.
 func startFleet(t *testing.T, shape Shape) *Fleet {
 	t.Helper()
-	fleet := &Fleet{Shape: shape, Daemons: daemons, Timer: timer.System{}, Log: zerolog.Nop(), Out: io.Discard}
-	if testing.Verbose() {
-		fleet.Log = zerolog.New(zerolog.NewTestWriter(t)).Level(zerolog.InfoLevel).With().Timestamp().Logger()
-	}
-	if err := fleet.Start(t.Context()); err != nil {
-		t.Fatalf("fleet did not start: %v", err)
-	}
+	fleet := start(t, &Fleet{Shape: shape, Daemons: daemons})
 	for _, service := range fleet.deployment.services {
 		if service.key == "" {
 			continue
@@ -36,6 +30,19 @@
 			t.Error(err)
 		}
 	}
+	return fleet
+}
+
+// start runs a fleet until the test ends.
+func start(t *testing.T, fleet *Fleet) *Fleet {
+	t.Helper()
+	fleet.Timer, fleet.Log, fleet.Out = timer.System{}, zerolog.Nop(), io.Discard
+	if testing.Verbose() {
+		fleet.Log = zerolog.New(zerolog.NewTestWriter(t)).Level(zerolog.InfoLevel).With().Timestamp().Logger()
+	}
+	if err := fleet.Start(t.Context()); err != nil {
+		t.Fatalf("fleet did not start: %v", err)
+	}
 	t.Cleanup(func() {
 		if err := fleet.Stop(); err != nil {
 			t.Errorf("fleet ended with: %v", err)
--- a/internal/daemon/dev/operator.go
+++ b/internal/daemon/dev/operator.go
@@ -24,25 +24,33 @@
 
 // Operator returns a client of the operator API of a daemon with the role of changing things.
 func (f *Fleet) Operator(id fleet.HostID) (apiconnect.OperatorServiceClient, error) {
-	one, err := f.instance(id)
+	client, url, err := f.operatorHTTP(id)
 	if err != nil {
 		return nil, err
 	}
+	return apiconnect.NewOperatorServiceClient(client, url), nil
+}
+
+// operatorHTTP returns an HTTP client with the operator's certificate, and the URL of a daemon's operator address.
+func (f *Fleet) operatorHTTP(id fleet.HostID) (*http.Client, string, error) {
+	one, err := f.instance(id)
+	if err != nil {
+		return nil, "", err
+	}
 	certificate, err := tls.LoadX509KeyPair(f.operator.Certificate, f.operator.Key)
 	if err != nil {
-		return nil, errors.Wrap(err, "load certificate")
+		return nil, "", errors.Wrap(err, "load certificate")
 	}
 	authority, err := os.ReadFile(f.operator.Authority)
 	if err != nil {
-		return nil, errors.Wrap(err, "load authority")
+		return nil, "", errors.Wrap(err, "load authority")
 	}
 	roots := x509.NewCertPool()
 	roots.AppendCertsFromPEM(authority)
 	transport := &http.Transport{DisableKeepAlives: true, TLSClientConfig: &tls.Config{
 		MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{certificate}, RootCAs: roots,
 	}}
-	return apiconnect.NewOperatorServiceClient(&http.Client{Transport: transport},
-		"https://"+one.settings.Operators.String()), nil
+	return &http.Client{Transport: transport}, "https://" + one.settings.Operators.String(), nil
 }
 
 // WaitAssigner waits until all daemons name the same one, which still runs, as the assigner of a service.
--- a/internal/daemon/dev/shape.go
+++ b/internal/daemon/dev/shape.go
@@ -90,6 +90,8 @@
 	Name        string         `toml:"name"`
 	Key         string         `toml:"key,omitempty"`
 	Partitions  int            `toml:"partitions,omitempty"`
+	Guard       string         `toml:"guard,omitempty"`
+	Authority   string         `toml:"authority,omitempty"`
 	Slots       int            `toml:"slots"`
 	Connections int            `toml:"connections"`
 	Upstreams   []upstreamText `toml:"upstreams"`
@@ -114,18 +116,24 @@
 	Share int    `toml:"share"`
 }
 
+// devAuthority shows the end of the authority in an outage of the table within seconds.
+const devAuthority = "4s"
+
 // devPartitions keeps the map of a development fleet short enough to print.
 const devPartitions = 256
 
-// document writes the configuration for upstreams that are already listening.
-func (d *deployment) document(upstreams []fleet.Upstream) ([]byte, error) {
+// document writes the configuration for upstreams that are already listening. An empty guard leaves the default.
+func (d *deployment) document(upstreams []fleet.Upstream, guard fleet.Guard) ([]byte, error) {
 	text := documentText{Tenants: []tenantText{{Name: "interactive", Share: 4}, {Name: "batch", Share: 1}}}
 	for _, service := range d.services {
 		entry := serviceText{
 			Name: string(service.name), Key: service.key, Slots: d.slots, Connections: d.connections, Routes: service.routes,
 		}
 		if service.key != "" {
-			entry.Partitions = devPartitions
+			entry.Partitions, entry.Guard = devPartitions, string(guard)
+			if guard == fleet.GuardNone {
+				entry.Authority = devAuthority
+			}
 		}
 		for _, upstream := range upstreams {
 			if upstream.Service == service.name {
--- a/internal/daemon/dev/worker.go
+++ b/internal/daemon/dev/worker.go
@@ -80,7 +80,7 @@
 		Connections: f.deployment.connections, Listen: one.upstream.Address, Work: one.work,
 		Inject: func(*http.Request) upstream.Fault { one.arrived.Add(1); return upstream.FaultNone },
 	}
-	if one.shape.key != "" {
+	if one.shape.key != "" && f.Guard != fleet.GuardNone {
 		server = &grants.Server{Timer: f.Timer, Guard: &lease.Guard{
 			Service: one.upstream.Service, Partitions: devPartitions,
 			Incarnation: fleet.Incarnation(strconv.FormatInt(f.Timer.Now().UnixNano(), 36)),
--- a/internal/daemon/host/configuration.go
+++ b/internal/daemon/host/configuration.go
@@ -20,8 +20,9 @@
 	readers    = 3
 )
 
-// errIncompatible means that a document changes what must stay as it is while a service exists.
-var errIncompatible = errors.New("configuration: the number of partitions and the guard of a keyed service cannot change")
+// errIncompatible means that a document changes what must stay as it is while a service exists. A host that takes over
+// waits as long as the authority that it knows, so that another value on the former host would give two owners.
+var errIncompatible = errors.New("configuration: partitions, guard and authority of a keyed service cannot change")
 
 // configuration puts revisions into force on this daemon and passes them on.
 type configuration struct {
@@ -82,7 +83,7 @@
 		if next == nil || !old.Keyed() || !next.Keyed() {
 			continue
 		}
-		if next.Partitions != old.Partitions || next.Guard != old.Guard {
+		if next.Partitions != old.Partitions || next.Guard != old.Guard || next.Authority != old.Authority {
 			return errors.Wrapf(errIncompatible, "service %q", string(old.Name))
 		}
 	}
--- a/internal/ownership/assigner/place.go
+++ b/internal/ownership/assigner/place.go
@@ -87,7 +87,8 @@
 	}
 }
 
-// publish makes the changed assignments known. A partition without a holder is published when it has one again.
+// publish makes the changed assignments known. A hash range that lost its holder is published without an owner once, so
+// that routers stop trying the former one and the time without an owner is measured.
 func (a *Assigner) publish() {
 	if len(a.plan.changed) == 0 && len(a.plan.removed) == 0 {
 		return
@@ -96,12 +97,17 @@
 	a.plan.removed = nil
 	for _, id := range sortedKeys(a.plan.changed) {
 		entry := a.plan.slots[id]
-		if entry == nil || !entry.held() {
+		if entry == nil || !entry.held() && !entry.lost {
 			continue
 		}
-		list = append(list, fleet.Assignment{
+		assignment := fleet.Assignment{
 			Partition: id, Owner: entry.owner, Standby: entry.standby, Fence: entry.fence, Moving: entry.moving, Key: entry.key,
-		})
+		}
+		if entry.lost {
+			entry.lost, entry.fence = false, a.nextFence()
+			assignment.Owner, assignment.Fence = "", entry.fence
+		}
+		list = append(list, assignment)
 	}
 	clear(a.plan.changed)
 	if a.Role() == RoleActing && len(list) > 0 {
--- a/internal/ownership/assigner/plan.go
+++ b/internal/ownership/assigner/plan.go
@@ -76,6 +76,8 @@
 	released bool
 	// moving is set from the revocation to the grant.
 	moving bool
+	// lost is set from the loss of the holder until that is published.
+	lost bool
 	// rejoining is set while an unwanted hot-key entry is on its way to the holder of its hash range.
 	rejoining bool
 }
@@ -128,6 +130,10 @@
 	entry.holder, entry.free, entry.released = lease.Member{}, 0, false
 	p.setMoving(entry, false)
 	p.pend(id)
+	if entry.key == 0 {
+		entry.lost = true
+		p.changed[id] = struct{}{}
+	}
 }
 
 // released takes note that the holder released a partition to this epoch.
@@ -152,7 +158,7 @@
 
 // hold takes note that a member holds a partition.
 func (p *plan) hold(member lease.Member, id fleet.PartitionID, entry *slot, fence fleet.Fence) {
-	entry.holder, entry.owner, entry.fence = member, member.Server, fence
+	entry.holder, entry.owner, entry.fence, entry.lost = member, member.Server, fence, false
 	entry.free, entry.released = 0, false
 	p.setMoving(entry, false)
 	p.pend(id)
