platform/contract: reads beyond the limit

Cause: the suite checked the limit of writes only. Change: the overload case also reads beyond the limit of reads.

--- a/internal/platform/contract/table.go
+++ b/internal/platform/contract/table.go
@@ -180,8 +180,13 @@
 		changes[i] = table.Change{Name: string(rune('a' + i)), Write: true, Value: []byte("1")}
 	}
 	is.NoErr(store.Commit(t.Context(), changes...)) // uses up what the limit allows at once
+	rows, err := store.Scan(t.Context(), "")
+	is.NoErr(err)
+	is.Equal(len(rows), standin.MaxRows)
 	faults.SetOverload(standin.OverloadRejected)
 	is.True(errors.Is(store.Commit(t.Context(), write("z", 0, "")), table.ErrUnavailable))
+	_, err = store.Read(t.Context(), "z")
+	is.True(errors.Is(err, table.ErrUnavailable)) // reads have a limit of their own
 	faults.SetOverload(standin.OverloadDelayed)
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
 	defer cancel()
