--- a/internal/peer/spread/items.go
+++ b/internal/peer/spread/items.go
@@ -47,6 +47,7 @@
 	r.open()
 	r.adopted = max(r.adopted, version)
 	r.state.Adopt(r.key(r.View.Self.ID), r.adopted)
+	r.notePending()
 }
 
 // Adopted returns the highest configuration version that a member is known to have adopted; zero means none.
