ownership/placement: spread partitions without measured load

Cause: with measured load, partitions of a lost server that have no load did not change the fill of the server that received them, so all of them went to one. Change: a partition that is given to a server counts at least a tenth of the mean load of a partition. Conclusion: TestIdlePartitionsAreSpread fails without the change (300 idle partitions on one of three servers) and passes with it.

--- a/internal/ownership/placement/board.go
+++ b/internal/ownership/placement/board.go
@@ -32,6 +32,8 @@
 	room, fill []float64
 	// share is each server's part of the total weight.
 	share []float64
+	// floor is the least by which a partition that is given to a server adds to its fill.
+	floor float64
 }
 
 func newBoard(state State, policy Policy) *board {
@@ -185,7 +187,19 @@
 
 func (b *board) give(s *slot, server int) {
 	s.owner = server
-	b.fill[server] += s.size
+	b.fill[server] += max(s.size, b.floor)
+}
+
+// idleSize is the part of the mean load of a partition that one without load counts. Without it, all idle partitions
+// of a lost server could go to the one server that has the least load.
+const idleSize = 0.1
+
+func (b *board) setFloor() {
+	var total float64
+	for _, s := range b.slots {
+		total += s.size
+	}
+	b.floor = idleSize * total / float64(len(b.slots))
 }
 
 // entries returns the slots in the form of the caller.
--- a/internal/ownership/placement/placement.go
+++ b/internal/ownership/placement/placement.go
@@ -69,7 +69,9 @@
 		return b.entries()
 	}
 	homeless, excess := b.orphans(), []int(nil)
-	if !b.loaded {
+	if b.loaded {
+		b.setFloor()
+	} else {
 		excess = b.excess()
 	}
 	rest := b.toStandbys(homeless)
--- a/internal/ownership/placement/placement_test.go
+++ b/internal/ownership/placement/placement_test.go
@@ -186,6 +186,16 @@
 	})
 }
 
+// Guards against idle partitions of a lost server that all go to the server with the least load.
+func TestIdlePartitionsAreSpread(t *testing.T) {
+	is := is.New(t)
+	live := servers(3, 3)
+	state := placement.State{Partitions: 300, Servers: live, Load: map[fleet.PartitionID]float64{300: 100}}
+	state.Current = []placement.Entry{{Partition: 300, Owner: "s00"}}
+	owned := counts(placement.Policy{}.Place(state))
+	is.Equal([]int{owned["s00"], owned["s01"], owned["s02"]}, []int{1, 150, 150}) // the busy server takes none
+}
+
 func BenchmarkPlace(b *testing.B) {
 	all := servers(48, 11)
 	current := placement.Policy{}.Place(placement.State{Partitions: 65536, Servers: all})
