spec: check the ownership protocol with spin

Cause: rules G1 to G6 had no check against interleavings, and single guards may be missing or redundant without a visible effect. The design page is not changed here.

--- a/spec/ownership.pml
+++ b/spec/ownership.pml
@@ -1,8 +1,8 @@
 /*
  * The ownership protocol of docs/design.md (rules G1 to G6) for one partition. README.md describes the abstraction.
  *
- * Configurations are chosen with -D: ASSIGNERS, TERM and HORIZON (ticks), RESTARTS (of servers), and one of TAKEOVER,
- * THREE, CHANGE, LIVE; without one of these assigner 0 has epoch 1 and assigner 1 is the deputy with the reserved epoch 2.
+ * Configurations are chosen with -D: ASSIGNERS, TERM and HORIZON (ticks), RESTARTS (of servers), DELAYS (orders may be
+ * delayed), and one of TAKEOVER, THREE, CHANGE, LIVE; without one of these assigner 0 has epoch 1 and assigner 1 is the deputy with the reserved epoch 2.
  * Mutants are chosen with -DM_...; each removes one guard. Ticks are stored plus one wherever 0 has to mean "none".
  */
 #ifndef TERM
@@ -20,6 +20,9 @@
 #if defined(TAKEOVER) || defined(THREE)
 #define TABLE
 #endif
+#ifdef TAKEOVER
+#define PLACEMENT
+#endif
 
 #define SERVERS 3
 #define PAIRS (ASSIGNERS * SERVERS)
@@ -66,6 +69,10 @@
 bit late[PAIRS];
 byte lateReading[PAIRS], lateFlags[PAIRS];
 
+#ifdef M_REUSE
+bit reused;
+#endif
+
 /* The table row of the group, and the epoch that wrote the acknowledged placement. */
 byte rowEpoch, rowToken, rowInc, rowPreviousInc, placedEpoch;
 #ifdef M_ROW
@@ -115,8 +122,18 @@
 #define NOT_HOLDER(a, s) (!BIT(CONSIDERED(a), s) || knows[P(a, s)] == NOTHELD || \
 	(knows[P(a, s)] == MAYHOLD && EXPIRED(a, s)) || (knows[P(a, s)] == SILENT && SILENT_FREE(a)))
 
+/*
+ * A previous member that is no longer a member votes, but receives neither renewals nor grants: the next membership
+ * change forgets it.
+ */
+#ifdef M_REMOVED
+#define SERVED(a, s) 1
+#else
+#define SERVED(a, s) BIT(members[a], s)
+#endif
+
 /* G1 and G2. The last completed exchange gave the reading; one that is too old renews nothing. */
-#define READABLE(a, s) ((s) < 2 && seen[P(a, s)] > 0 && seen[P(a, s)] + TERM > now + 1)
+#define READABLE(a, s) ((s) < 2 && SERVED(a, s) && seen[P(a, s)] > 0 && seen[P(a, s)] + TERM > now + 1)
 #ifdef M_G1
 #define RENEWABLE(a, s) READABLE(a, s)
 #else
@@ -195,6 +212,20 @@
 	fi
 }
 
+/* A lease runs from the server's own reading, not from the arrival of the order. */
+#ifdef M_READING
+#define RENEWED(read) (now + TERM)
+#else
+#define RENEWED(read) (read - 1 + TERM)
+#endif
+
+/* A partition counts as held until the last request in flight has ended. */
+#ifdef M_DRAIN
+#define REPORTS_HELD(s) (hold[s] == HELD)
+#else
+#define REPORTS_HELD(s) (hold[s] != FREE)
+#endif
+
 /* The server accepts an order: epoch and sequence, renewal, then grant or revocation. */
 inline apply(a, s, read, flags)
 {
@@ -203,11 +234,11 @@
 	if
 	:: read > 0 && (hold[s] == FREE || leaseEnd[s] > now) ->
 		if
-		:: read - 1 + TERM > leaseEnd[s] && read - 1 + TERM > now -> leaseEnd[s] = read - 1 + TERM
+		:: RENEWED(read) > leaseEnd[s] && RENEWED(read) > now -> leaseEnd[s] = RENEWED(read)
 		:: else
 		fi
 #ifdef M_RESTORE
-	:: read > 0 && hold[s] != FREE && leaseEnd[s] <= now && read - 1 + TERM > now -> leaseEnd[s] = read - 1 + TERM
+	:: read > 0 && hold[s] != FREE && leaseEnd[s] <= now && RENEWED(read) > now -> leaseEnd[s] = RENEWED(read)
 #endif
 	:: else
 	fi;
@@ -216,7 +247,12 @@
 	:: (flags & GRANT) && leaseEnd[s] > now -> hold[s] = HELD; released[s] = 0
 	:: else
 	fi;
-#ifndef M_SEQUENCE
+#ifdef M_REUSE
+	if
+	:: reused && epoch[a] == 2	/* the sequence has started again: the delayed order of the first run is above it */
+	:: else -> late[P(a, s)] = 0; lateReading[P(a, s)] = 0; lateFlags[P(a, s)] = 0
+	fi;
+#elif !defined(M_SEQUENCE)
 	late[P(a, s)] = 0; lateReading[P(a, s)] = 0; lateFlags[P(a, s)] = 0;
 #endif
 	drop(0, s);
@@ -258,7 +294,7 @@
 		:: else
 		fi;
 		if
-		:: hold[s] != FREE -> knows[P(a, s)] = MAYHOLD
+		:: REPORTS_HELD(s) -> knows[P(a, s)] = MAYHOLD
 		:: else ->
 			knows[P(a, s)] = NOTHELD;
 			if
@@ -302,10 +338,21 @@
 /* An exchange that would change neither side is left out. */
 #define CHANGES(a, s) (seen[P(a, s)] <= now || RENEWS(a, s) || late[P(a, s)] || \
 	(knows[P(a, s)] == MAYHOLD && hold[s] == FREE))
-#define CAN_GRANT(a, s) (seen[P(a, s)] > 0 && GRANTABLE(a, s))
+#define CAN_GRANT(a, s) (SERVED(a, s) && seen[P(a, s)] > 0 && GRANTABLE(a, s))
 #define CAN_REVOKE(a, s) (seen[P(a, s)] > 0 && knows[P(a, s)] == MAYHOLD && hold[s] != DRAINING)
 #ifndef LIVE
 #define REACHABLE(a, s) 1
+#define CALM 1
+#else
+/* Once the faults are over, the deputy starts within a tick and an exchange with a reachable member takes less than one. */
+#define CALM (now < 1 || (running[1] && (!REACHABLE(1, 1) || SINCE(1, 1, now + 1)) && \
+	(!REACHABLE(1, 2) || SINCE(1, 2, now + 1))))
+/* Until tick 1 anything may happen; then assigner 0 and server 0 are lost, and no other fault follows. */
+#ifdef M_MAJORITY
+#define REACHABLE(a, s) (now < 1 || (a == 1 && s == 1))	/* server 2 is lost as well */
+#else
+#define REACHABLE(a, s) (now < 1 || (a == 1 && s != 0))
+#endif
 #endif
 
 /*
@@ -323,6 +370,8 @@
 	:: d_step { s < 2 && ONLINE(a, s) && CAN_GRANT(a, s) -> exchange(a, s, GRANT) }
 #ifndef LIVE
 	:: d_step { s < 2 && ONLINE(a, s) && CAN_REVOKE(a, s) -> exchange(a, s, REVOKE) }
+#endif
+#ifdef DELAYS
 	:: d_step { s < 2 && ONLINE(a, s) && !late[P(a, s)] && RENEWS(a, s) -> delay(a, s, 0) }
 	:: d_step { s < 2 && ONLINE(a, s) && !late[P(a, s)] && CAN_GRANT(a, s) -> delay(a, s, GRANT) }
 	:: d_step { late[P(a, s)] && ACCEPTS(a, s) -> apply(a, s, lateReading[P(a, s)], lateFlags[P(a, s)]) }
@@ -351,7 +400,7 @@
 	od
 }
 
-#ifdef TABLE
+#ifdef PLACEMENT
 /* The transaction that writes a placement row also checks the group row. */
 proctype Placement(byte a)
 {
@@ -362,7 +411,9 @@
 		}
 	od
 }
+#endif
 
+#ifdef TABLE
 /* A write of the group row on the version that was read; its answer may be lost, and the table may be down for any time. */
 proctype Takeover(byte a)
 {
@@ -391,9 +442,20 @@
 }
 #endif
 
+#ifdef M_REUSE
+inline forget(a, s)
+{
+	seen[P(a, s)] = 0; used[P(a, s)] = 0; knows[P(a, s)] = SILENT; gaveUp[P(a, s)] = 0
+}
+#endif
+
 proctype Deputy(byte a)
 {
 	d_step { start(a, 2, ALL, ALL, 0, 0) };
+#ifdef M_REUSE
+	/* The host restarts, reads in the row that it is the deputy, and uses the reserved epoch once more. */
+	d_step { accepted[a] = 0; forget(a, 0); forget(a, 1); forget(a, 2); reused = 1; update(a) };
+#endif
 #ifdef TABLE
 	/* The deputy writes the row afterwards. */
 	d_step { rowEpoch == 1 -> rowEpoch = 2; rowToken = a + 1 }
@@ -427,7 +489,7 @@
 proctype Clock()
 {
 	do
-	:: d_step { now < HORIZON ->
+	:: d_step { now < HORIZON && CALM ->
 		now++;
 		expire(0); expire(1);
 		update(0); update(1);
@@ -438,10 +500,20 @@
 	od
 }
 
+#ifdef LIVE
+/* Keeps a run without any other step infinite, so that the search for acceptance cycles considers it. */
+proctype Idle()
+{
+	do
+	:: now <= HORIZON	/* always true; spin refuses an unconditional loop */
+	od
+}
+#endif
+
 inline runAssigner(a)
 {
 	run Link(a, 0); run Link(a, 1); run Link(a, 2);
-#ifdef TABLE
+#ifdef PLACEMENT
 	run Placement(a)
 #endif
 }
@@ -455,16 +527,18 @@
 		start(0, 3, 6, ALL, 0, 0);
 		run NextChange();
 #else
-		start(0, 1, ALL, ALL, 0, 0);
-#endif
 #ifdef TAKEOVER
-		run Takeover(1); run Takeover(2);
-#endif
-#if !defined(TAKEOVER) && !defined(CHANGE)
+		run Takeover(0); run Takeover(1);
+#else
+		start(0, 1, ALL, ALL, 0, 0);
 		run Deputy(1);
 #endif
+#endif
 #ifdef THREE
 		run Takeover(2);
+#endif
+#ifdef LIVE
+		run Idle();
 #endif
 		run Clock(); run Router();
 		run Server(0); run Server(1); run Server(2);
@@ -475,3 +549,7 @@
 #endif
 	}
 }
+
+#ifdef LIVE
+ltl owned { <>[] (hold[1] == HELD && leaseEnd[1] > now) }
+#endif
