dev, ownership/assigner: tests of drains, freezes, outages and races; no move before a grant is possible

Cause: when a restarted server became a member again, about seven partitions were revoked for planned moves to it and had no owner for 395 to 412 ms (go test -race -run TestRollingReplacementOfServers ./internal/daemon/dev, 6 of 6 runs): nothing is granted in an epoch until every member has listed its holdings or its lease has ended, and the earlier run of the restarted server can only do the latter. Change: planned moves begin once grants are possible. TestRollingReplacementOfServers still fails in about one of five runs with keys that have no owner for more than 2 s; being looked into.

--- /dev/null
+++ b/internal/daemon/dev/faults_test.go
@@ -0,0 +1,150 @@
+package dev
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"rosemarywick.example/rosemarywick/internal/core/cause"
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+)
+
+// Guards against new work for an upstream that an operator has drained.
+func TestDrainedUpstreamGetsNoWork(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, Ceibal)
+	stop := f.steady(t)
+	const unkeyed = fleet.UpstreamID("archive-01")
+	keyed := f.Holder(catalogue, "18-de-julio")
+	for _, id := range []fleet.UpstreamID{unkeyed, keyed} {
+		version, err := f.drain(t, f.Hosts()[1], id)
+		is.NoErr(err)
+		f.inForce(t, version)
+	}
+	eventually(t, "the keys have moved", func() bool { return f.Holds(keyed) == 0 && !f.named(t.Context(), keyed) })
+	f.quiet(t, unkeyed, keyed)
+	answers := stop()
+	f.agree(t, answers...)
+	for i := range answers {
+		if !answers[i].Complete() {
+			t.Error(&answers[i])
+		}
+	}
+}
+
+// quiet fails the test if a request reaches one of the upstreams once those under way have ended, while hundreds are
+// answered elsewhere.
+func (f *Fleet) quiet(t *testing.T, ids ...fleet.UpstreamID) {
+	t.Helper()
+	is := is.New(t)
+	arrived := func() (sum int64) {
+		for _, id := range ids {
+			count, err := f.Arrived(id)
+			is.NoErr(err)
+			sum += count
+		}
+		return sum
+	}
+	read := func(count int) {
+		for i := range count {
+			path := fmt.Sprintf("/archive/days/%d", i)
+			is.Equal(f.get(t, i%len(f.Hosts()), path).Outcome, cause.Complete)
+			is.Equal(f.get(t, i%len(f.Hosts()), "/catalogue/plans/18-de-julio").Outcome, cause.Complete)
+		}
+	}
+	read(10) // those under way have ended
+	before := arrived()
+	read(100)
+	is.Equal(arrived(), before)
+}
+
+// Guards against new work for an upstream that states that it is leaving.
+func TestLeavingUpstreamGetsNoWork(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, Nadif)
+	const id = fleet.UpstreamID("documents-01")
+	fake, err := f.Worker(id)
+	is.NoErr(err)
+	fake.Drain(true)
+	ran := fake.Sent()
+	before, err := f.Arrived(id)
+	is.NoErr(err)
+	for i := range 150 {
+		answer := f.get(t, i%daemons, "/documents/receipts")
+		is.Equal(answer.Outcome, cause.Complete)
+		f.agree(t, answer)
+	}
+	is.Equal(fake.Sent(), ran) // it was given nothing to run
+	after, err := f.Arrived(id)
+	is.NoErr(err)
+	is.True(after-before <= daemons) // each daemon had to be told once
+}
+
+// Guards against a server that resumes after a pause and serves what it no longer owns, and against callers that are told
+// anything but what was run.
+func TestFrozenServerReturns(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, Ceibal)
+	const key = "18-de-julio"
+	frozen := f.Holder(catalogue, key)
+	var pending []<-chan Answer
+	for _, host := range f.Hosts() {
+		pending = append(pending, f.slow(t, host, http.MethodPost, "/catalogue/plans/"+key))
+	}
+	is.NoErr(f.FreezeUpstream(frozen))
+	for daemon := range daemons {
+		answer := f.get(t, daemon, "/catalogue/plans/"+key)
+		is.Equal(answer.Outcome, cause.Complete)
+		is.True(answer.Worker != frozen)
+		f.agree(t, answer)
+	}
+	old, err := f.worker(frozen)
+	is.NoErr(err)
+	partition := fleet.HashKey(key).Partition(devPartitions)
+	is.NoErr(f.ThawUpstream(frozen))
+	for _, one := range pending {
+		answer := <-one
+		f.agree(t, answer) // complete, not run or unknown, as it is
+		t.Log(&answer)
+	}
+	owner := f.Holder(catalogue, key)
+	is.True(owner != frozen || !old.present().server.Holds(partition))
+	direct, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+old.upstream.Address.String()+"/plans/"+key,
+		http.NoBody)
+	is.NoErr(err)
+	direct.Header.Set("Rosemarywick-Key-Hash", fmt.Sprintf("%016x", uint64(fleet.HashKey(key))))
+	response, err := callers.Do(direct)
+	is.NoErr(err)
+	_ = response.Body.Close()
+	is.Equal(response.StatusCode, http.StatusMisdirectedRequest) // asked directly, it serves nothing
+}
+
+// Guards against a request that runs twice because a caller sent it through two daemons.
+func TestSameIdempotencyKeyThroughAllDaemons(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, Nadif)
+	for round := range 20 {
+		answers := make(chan Answer, daemons+1)
+		call := Call{Method: http.MethodPost, Path: "/orders/new", IdempotencyKey: fmt.Sprint("order-", round), Timeout: 5 * time.Second}
+		for _, host := range f.Hosts() {
+			go func() { answers <- f.Send(t.Context(), host, call) }()
+		}
+		effects, complete := 0, 0
+		for range daemons {
+			answer := <-answers
+			f.agree(t, answer)
+			effects += f.Ran(answer.ID).Effects
+			if answer.Complete() && answer.Cause == cause.OK {
+				complete++
+			}
+		}
+		is.Equal(effects, 1)  // it ran once
+		is.Equal(complete, 1) // one caller got the answer
+		again := f.Send(t.Context(), f.Hosts()[round%daemons], call)
+		is.Equal(again.Cause, cause.DuplicateRequest)
+		is.Equal(f.Ran(again.ID).Effects, 0)
+	}
+}
--- /dev/null
+++ b/internal/daemon/dev/outage_test.go
@@ -0,0 +1,176 @@
+package dev
+
+import (
+	"net/http"
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+
+	"rosemarywick.example/rosemarywick/internal/core/cause"
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/operator/api"
+	"rosemarywick.example/rosemarywick/internal/operator/api/apiconnect"
+	platform "rosemarywick.example/rosemarywick/internal/platform/standin"
+)
+
+// client returns a client of the operator API of a daemon.
+func (f *Fleet) client(t *testing.T, host fleet.HostID) apiconnect.OperatorServiceClient {
+	t.Helper()
+	client, err := f.Operator(host)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return client
+}
+
+// drain changes the configuration through a daemon.
+func (f *Fleet) drain(t *testing.T, host fleet.HostID, id fleet.UpstreamID) (uint64, error) {
+	t.Helper()
+	request := connect.NewRequest(&api.DrainUpstreamRequest{Upstream: string(id), Author: "test"})
+	response, err := f.client(t, host).DrainUpstream(t.Context(), request)
+	if err != nil {
+		return 0, err
+	}
+	return response.Msg.GetRevision().GetVersion(), nil
+}
+
+// versions returns the version in force by the account of each daemon of itself.
+func (f *Fleet) versions(t *testing.T) map[fleet.HostID]uint64 {
+	t.Helper()
+	found := make(map[fleet.HostID]uint64)
+	for _, host := range f.Hosts() {
+		response, err := f.client(t, host).ListHosts(t.Context(), connect.NewRequest(&api.ListHostsRequest{}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, one := range response.Msg.GetHosts() {
+			if one.GetId() == string(host) {
+				found[host] = one.GetConfigVersion()
+			}
+		}
+	}
+	return found
+}
+
+// inForce waits until all daemons have the version in force.
+func (f *Fleet) inForce(t *testing.T, version uint64) {
+	t.Helper()
+	eventually(t, "the version is in force on all daemons", func() bool {
+		for _, at := range f.versions(t) {
+			if at != version {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against an outage of the table that stops requests, the replacement of a lost server or the start of a daemon,
+// against a request that could run twice meanwhile, and against a fleet that does not converge afterwards.
+func TestTableOutage(t *testing.T) {
+	for _, outage := range []platform.Outage{platform.OutageRefused, platform.OutageSilent} {
+		t.Run(string(outage), func(t *testing.T) {
+			is := is.New(t)
+			f := startFleet(t, Ceibal)
+			version := f.versions(t)[f.Hosts()[0]]
+			f.Platform().Table.SetOutage(outage)
+
+			lost := f.get(t, 0, f.deployment.example).Worker
+			is.NoErr(f.StopUpstream(lost))
+			added, err := f.AddDaemon(t.Context()) // it gets configuration and map from its peers
+			is.NoErr(err)
+			is.Equal(f.versions(t)[added], version)
+			for daemon, host := range f.Hosts() {
+				keyed, unkeyed := f.get(t, daemon, f.deployment.example), f.get(t, daemon, "/archive/days/today")
+				is.Equal(keyed.Outcome, cause.Complete) // the standby serves the key
+				is.True(keyed.Worker != lost)
+				is.Equal(unkeyed.Outcome, cause.Complete)
+				once := f.Send(t.Context(), host, Call{Method: http.MethodPost, Path: "/dispatch/plans", IdempotencyKey: "a"})
+				is.Equal(once.Outcome, cause.NotRun) // a duplicate could not be recognised
+				is.Equal(once.Cause, cause.ClaimUnavailable)
+				f.agree(t, keyed, unkeyed, once)
+			}
+			_, err = f.drain(t, added, "archive-01")
+			is.True(connect.CodeOf(err) == connect.CodeUnavailable) // the change was refused and not stored
+
+			f.Platform().Table.SetOutage(platform.OutageNone)
+			is.NoErr(f.RestartUpstream(t.Context(), lost))
+			is.NoErr(f.WaitBalanced(t.Context(), catalogue))
+			eventually(t, "the restarted server is a member", func() bool { return f.Holds(lost) > 0 })
+			next, err := f.drain(t, added, "archive-01")
+			is.NoErr(err)
+			is.Equal(next, version+1)
+			f.inForce(t, next)
+			once := f.Send(t.Context(), added, Call{Method: http.MethodPost, Path: "/dispatch/plans", IdempotencyKey: "a"})
+			is.Equal(once.Outcome, cause.Complete) // the rejected request left no claim
+			f.agree(t, once)
+		})
+	}
+}
+
+// Guards against an explanation that is lost with the daemon that decided, and against a search that hides that the
+// object store does not answer.
+func TestExplainThroughAnotherDaemon(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, Nadif)
+	hosts := f.Hosts()
+	explain := func() *api.ExplainResponse {
+		request := connect.NewRequest(&api.ExplainRequest{RequestId: "explained"})
+		response, err := f.client(t, hosts[1]).Explain(t.Context(), request)
+		is.NoErr(err)
+		return response.Msg
+	}
+	answer := f.Send(t.Context(), hosts[0], Call{Method: http.MethodGet, Path: "/nothing/here", ID: "explained"})
+	is.Equal(answer.Cause, cause.NoSuchService)
+	found := explain()
+	is.Equal(len(found.GetRecords()), 1) // in the ring of the other daemon
+	is.Equal(found.GetRecords()[0].GetHost(), string(hosts[0]))
+	is.Equal(found.GetRecords()[0].GetCause(), string(cause.NoSuchService))
+
+	is.NoErr(f.StopDaemon(hosts[0]))
+	found = explain()
+	is.Equal(len(found.GetRecords()), 1) // in a batch of the daemon that is gone
+	is.Equal(found.GetRecords()[0].GetHost(), string(hosts[0]))
+	is.True(found.GetBatches() > 0)
+
+	f.Platform().Objects.SetOutage(platform.OutageRefused)
+	is.True(explain().GetStoreError() != "")
+}
+
+// Guards against two operators who both believe that their change is in force, and against a version that goes back.
+func TestRacingChanges(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, Ceibal)
+	highest := f.versions(t)
+	for round := range 5 {
+		current, err := f.client(t, f.Hosts()[0]).GetConfig(t.Context(), connect.NewRequest(&api.GetConfigRequest{}))
+		is.NoErr(err)
+		errs := make(chan error, 2)
+		for _, host := range f.Hosts()[1:] {
+			go func() {
+				_, err := f.client(t, host).ApplyConfig(t.Context(), connect.NewRequest(&api.ApplyConfigRequest{
+					Text: current.Msg.GetRevision().GetText() + "# " + string(host) + "\n", Author: string(host),
+					ExpectedVersion: current.Msg.GetRevision().GetVersion(),
+				}))
+				errs <- err
+			}()
+		}
+		first, second := <-errs, <-errs
+		if first == nil {
+			first, second = second, first
+		}
+		is.NoErr(second)                                      // one change won
+		is.True(connect.CodeOf(first) == connect.CodeAborted) // the other was told that it lost
+		want := current.Msg.GetRevision().GetVersion() + 1    // each round stores one version
+		is.Equal(want, highest[f.Hosts()[0]]+uint64(round)+1) // and no more
+		eventually(t, "the winner is in force on all", func() bool {
+			done := true
+			for host, at := range f.versions(t) {
+				is.True(at <= want && at >= highest[host]) // never a lower version
+				done = done && at == want
+			}
+			return done
+		})
+	}
+}
--- a/internal/daemon/dev/rolling_test.go
+++ b/internal/daemon/dev/rolling_test.go
@@ -106,7 +106,9 @@
 	is := is.New(t)
 	f := startFleet(t, Ceibal)
 	stop, owners := f.steady(t), f.watch(t)
+	var replaced []time.Time
 	for _, id := range f.Upstreams(catalogue) {
+		replaced = append(replaced, time.Now())
 		is.NoErr(f.ReplaceUpstream(t.Context(), id))
 		eventually(t, "the new run holds keys", func() bool { return f.Holds(id) > 0 })
 	}
@@ -118,6 +120,14 @@
 			t.Error(&answers[i])
 		}
 	}
+	for _, gap := range watch.Gaps {
+		if gap.For > 300*time.Millisecond {
+			t.Logf("%+v", gap)
+		}
+	}
+	for i, at := range replaced {
+		t.Log("replaced", i, at.Format("05.000"))
+	}
 	is.Equal(watch.Doubles, 0) // no partition had two owners
 }
 
--- a/internal/daemon/dev/worker.go
+++ b/internal/daemon/dev/worker.go
@@ -8,10 +8,12 @@
 	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/operator/api"
 	"rosemarywick.example/rosemarywick/internal/ownership/lease"
 	"rosemarywick.example/rosemarywick/internal/upstream/grants"
 	upstream "rosemarywick.example/rosemarywick/internal/upstream/standin"
@@ -194,7 +196,7 @@
 	if err := f.LeaveUpstream(id); err != nil {
 		return err
 	}
-	for f.Holds(id) > 0 {
+	for f.Holds(id) > 0 || f.named(ctx, id) {
 		if err := timer.Wait(ctx, f.Timer, readyInterval); err != nil {
 			return errors.Wrapf(err, "dev: %s still holds partitions", id)
 		}
@@ -209,6 +211,21 @@
 	return f.RestartUpstream(ctx, id)
 }
 
+// named reports whether any daemon's map still names the upstream as an owner, or cannot be read.
+func (f *Fleet) named(ctx context.Context, id fleet.UpstreamID) bool {
+	for _, host := range f.Hosts() {
+		client, err := f.Operator(host)
+		if err != nil {
+			return true
+		}
+		list, err := client.ListPartitions(ctx, connect.NewRequest(&api.ListPartitionsRequest{Owner: string(id)}))
+		if err != nil || list.Msg.GetTotal() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // LeaveUpstream makes a keyed upstream ask the assigner to move its partitions away.
 func (f *Fleet) LeaveUpstream(id fleet.UpstreamID) error {
 	one, err := f.worker(id)
--- a/internal/ownership/assigner/plan.go
+++ b/internal/ownership/assigner/plan.go
@@ -221,6 +221,9 @@
 	if a.plan.moving >= maxMoves || !a.receives(entry.target) || holder.member != entry.holder {
 		return
 	}
+	if !a.ledger.Complete() {
+		return // No grant is made before that, so that the partition would have no owner until an earlier lease has ended.
+	}
 	holder.revokes[id] = struct{}{}
 	a.plan.setMoving(entry, true)
 	entry.fence = a.nextFence()
