--- a/internal/daemon/dev/rolling_test.go
+++ b/internal/daemon/dev/rolling_test.go
@@ -96,6 +96,7 @@
 	for _, gap := range watch.Gaps {
 		t.Logf("%+v", gap)
 	}
+	t.Logf("longest time between two looks %s", watch.Stalled)
 	is.Equal(watch.Unheld, 0)  // no partition was without an owner
 	is.Equal(watch.Doubles, 0) // no partition had two
 }
@@ -118,6 +119,7 @@
 			t.Error(&answers[i])
 		}
 	}
+	t.Logf("longest time without an owner %s, longest time between two looks %s", watch.Longest, watch.Stalled)
 	is.Equal(watch.Doubles, 0) // no partition had two owners
 }
 
