assigner: a late answer to a write does not put back an old row; orders are spread over the round

Change: an answer counts only while the row has the version that was written over, with a test. Orders to the servers are spread evenly over the round, so that a reading is about one round old when it is used instead of two. A grant under way protects a hot-key entry from removal; a revocation of a hash range does not extend to a new entry.

--- a/internal/ownership/assigner/cases_test.go
+++ b/internal/ownership/assigner/cases_test.go
@@ -207,3 +207,30 @@
 		})
 	}
 }
+
+// Guards against a late answer to a write that puts back a row which has been superseded, so that its epochs are handed
+// out twice.
+func TestLateAnswerOfWrite(t *testing.T) {
+	a := &assigner.Assigner{Host: "h0", Run: "1", Service: service, Partitions: partitions, Timing: assigner.DefaultTiming()}
+	now := time.Unix(0, 0)
+	writes := func(actions []assigner.Action) (rows []assigner.Row) {
+		for _, action := range actions {
+			if write, ok := action.(assigner.WriteRow); ok {
+				rows = append(rows, write.Row)
+			}
+		}
+		return rows
+	}
+	a.Tick(now)
+	a.RowRead(now, 0, assigner.Row{})
+	if rows := writes(a.Tick(now)); len(rows) != 1 || rows[0].Epoch != 1 {
+		t.Fatalf("first write: %v", rows)
+	}
+	a.RowRead(now, 2, assigner.Row{Epoch: 3, Reserve: 4, Holder: "h1", Deputy: "h2"})
+	a.RowWritten(now, assigner.WriteDone)
+	a.RowRead(now, 2, assigner.Row{Epoch: 3, Reserve: 4, Holder: "h1", Deputy: "h2"})
+	now = now.Add(10 * second)
+	if rows := writes(a.Tick(now)); len(rows) != 1 || rows[0].Epoch != 5 {
+		t.Fatalf("write after the other holder was lost: %v", rows)
+	}
+}
--- a/internal/ownership/assigner/entries.go
+++ b/internal/ownership/assigner/entries.go
@@ -78,7 +78,7 @@
 			continue
 		}
 		parent := a.plan.slots[entry.key.Partition(a.Partitions)]
-		if !parent.held() || parent.moving {
+		if !parent.held() || parent.moving || entry.granting != "" {
 			continue
 		}
 		if entry.holder != parent.holder || entry.moving {
--- a/internal/ownership/assigner/rounds.go
+++ b/internal/ownership/assigner/rounds.go
@@ -24,8 +24,9 @@
 	sequence fleet.Sequence
 	// outstanding is set from the sending of an order to its answer.
 	outstanding bool
-	// sentAt and sentStamp are those of the last order.
+	// sentAt and sentStamp are those of the last order, and dueAt is the time of the next one.
 	sentAt    time.Time
+	dueAt     time.Time
 	sentStamp lease.Stamp
 	// heard is the last time at which the server answered, and acceptedAt the last at which it accepted.
 	heard      time.Time
@@ -118,18 +119,28 @@
 	}
 }
 
-// sendOrders sends an order to each server that is due for one.
+// sendOrders sends an order to each server that is due for one. The servers are spread over the round: the reading of one
+// then has its evidence from the others before its own next order, and the lease that it gets is a round longer than if
+// all orders were sent at once. That is the time a deputy has for its first renewal.
 func (a *Assigner) sendOrders() {
-	for _, id := range a.serverOrder() {
+	ids := a.serverOrder()
+	for i, id := range ids {
 		known := a.servers[id]
-		pause := a.now.Sub(known.sentAt)
-		if known.outstanding || (pause < a.Timing.Round && (pause < minPause || !a.urgent(known))) {
-			continue
+		due := !a.now.Before(known.dueAt) || (a.now.Sub(known.sentAt) >= minPause && a.urgent(known))
+		if !known.outstanding && due {
+			known.dueAt = a.nextDue(a.Timing.Round * time.Duration(i) / time.Duration(len(ids)))
+			a.sendOrder(id, known)
 		}
-		a.sendOrder(id, known)
 	}
 }
 
+// nextDue returns the first time at the given phase of a round that is at least half a round away.
+func (a *Assigner) nextDue(phase time.Duration) time.Time {
+	start := a.beganAt.Add(phase)
+	rounds := (a.now.Sub(start) + a.Timing.Round*3/2) / a.Timing.Round
+	return start.Add(rounds * a.Timing.Round)
+}
+
 // urgent reports whether a server should get an order before its round.
 func (a *Assigner) urgent(known *server) bool {
 	if known.sentStamp <= a.wanted || len(known.grants) > 0 || len(known.revokes) > 0 {
--- a/internal/ownership/assigner/store.go
+++ b/internal/ownership/assigner/store.go
@@ -121,7 +121,9 @@
 	}
 	a.row.stale = true
 	a.readRow()
-	if result == WriteDone || (result == WriteUnknown && a.omit == lease.RuleUnknownWrite) {
+	done := result == WriteDone || (result == WriteUnknown && a.omit == lease.RuleUnknownWrite)
+	// If the row was read since, the answer is late and another write may have followed this one.
+	if done && a.row.version == write.Expected {
 		a.adopt(write.Row)
 	}
 	return a.leave()
--- a/internal/ownership/lease/entries.go
+++ b/internal/ownership/lease/entries.go
@@ -37,7 +37,7 @@
 	if parent == nil || g.holdings[partition] != nil {
 		return
 	}
-	entry := &holding{fence: parent.fence, key: key, revoked: parent.revoked}
+	entry := &holding{fence: parent.fence, key: key} // A revocation of the hash range does not extend to the entry.
 	g.holdings[partition] = entry
 	g.rehome(key, parent, partition, entry)
 }
