--- a/internal/ownership/assigner/cases_test.go
+++ b/internal/ownership/assigner/cases_test.go
@@ -228,7 +228,6 @@
 	}
 	a.RowRead(now, 2, assigner.Row{Epoch: 3, Reserve: 4, Holder: "h1", Deputy: "h2"})
 	a.RowWritten(now, assigner.WriteDone)
-	a.RowRead(now, 2, assigner.Row{Epoch: 3, Reserve: 4, Holder: "h1", Deputy: "h2"})
 	now = now.Add(10 * second)
 	if rows := writes(a.Tick(now)); len(rows) != 1 || rows[0].Epoch != 5 {
 		t.Fatalf("write after the other holder was lost: %v", rows)
--- a/internal/upstream/grants/direct.go
+++ b/internal/upstream/grants/direct.go
@@ -113,7 +113,8 @@
 func (d *Direct) prepare() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.groupJobs, d.placeJobs = make(chan assigner.Action, 2), make(chan assigner.Action, 2)
+	// One read and one write of each kind are outstanding, and as many of an epoch that ended in the meantime.
+	d.groupJobs, d.placeJobs = make(chan assigner.Action, 4), make(chan assigner.Action, 4)
 	d.messages = newOutbox(d.Peers, confirmTopic(d.Service))
 	d.running = true
 }
