grants: one goroutine for each host that is sent messages; a test of the measurement

Cause: on a loaded machine with the race detector a group of 4,096 partitions had no owners 15 s after its start (1 run of 5). All messages to other hosts went through one goroutine, so that the heartbeats to the deputy waited behind those to other hosts, the deputy took over, and each takeover added hosts to be told.

--- a/internal/bench/recovery/recovery.go
+++ b/internal/bench/recovery/recovery.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/core/timer"
@@ -63,9 +64,20 @@
 	Unserved int
 }
 
+// Setup says what is measured.
+type Setup struct {
+	// Partitions is the number of hash ranges.
+	Partitions int
+	// Log receives the log of the assigners.
+	Log zerolog.Logger
+}
+
+// DefaultPartitions is the default of the configuration.
+const DefaultPartitions = 4096
+
 // Run starts a group, does what kind says and returns how long partitions had no owner.
-func Run(ctx context.Context, kind Kind) (Result, error) {
-	w, err := newWorld(ctx)
+func (s Setup) Run(ctx context.Context, kind Kind) (Result, error) {
+	w, err := newWorld(ctx, s)
 	if err != nil {
 		return Result{}, err
 	}
--- a/internal/upstream/grants/direct.go
+++ b/internal/upstream/grants/direct.go
@@ -84,9 +84,8 @@
 func (d *Direct) Run(ctx context.Context) error {
 	work, cancel := context.WithCancel(ctx)
 	var tasks sync.WaitGroup
-	d.prepare()
+	d.prepare(newOutbox(work, &tasks, d.Peers, confirmTopic(d.Service)))
 	d.Peers.Handle(confirmTopic(d.Service), d.receive)
-	tasks.Go(func() { d.messages.run(work) })
 	tasks.Go(func() { d.rows().run(work, d.groupJobs) })
 	tasks.Go(func() { d.rows().run(work, d.placeJobs) })
 	tasks.Go(func() { d.ask(work) })
@@ -99,6 +98,7 @@
 		case <-ctx.Done():
 		}
 	}
+	d.messages.close()
 	cancel()
 	tasks.Wait()
 	d.handOver(ctx)
@@ -110,12 +110,12 @@
 	return &rowStore{table: d.Table, service: d.Service, log: d.Log, decider: d.Assigner, step: d.step}
 }
 
-func (d *Direct) prepare() {
+func (d *Direct) prepare(messages *outbox) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	// One read and one write of each kind are outstanding, and as many of an epoch that ended in the meantime.
 	d.groupJobs, d.placeJobs = make(chan assigner.Action, 4), make(chan assigner.Action, 4)
-	d.messages = newOutbox(d.Peers, confirmTopic(d.Service))
+	d.messages = messages
 	d.running = true
 }
 
--- a/internal/upstream/grants/peers.go
+++ b/internal/upstream/grants/peers.go
@@ -2,55 +2,84 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/ownership/assigner"
 )
 
-// mailbox is the number of messages to other hosts that may wait. More are dropped; the next round repeats them.
-const mailbox = 64
+// maxWaiting is the number of messages that may wait for one host. Older ones are dropped, since each round repeats them.
+const maxWaiting = 4
 
-// outbox sends the messages of one topic from a goroutine of its own, so that neither a decision nor the receiver of a
-// message waits for the network.
+// outbox sends the messages of one topic with one goroutine for each host that has any waiting, so that neither a
+// decision nor the messages to other hosts wait for a host that cannot be reached. With one goroutine for all hosts, a few
+// lost hosts delayed the heartbeats until the deputy took over.
 type outbox struct {
 	peers Peers
 	topic string
-	queue chan outgoing
-}
+	// ctx ends all sending.
+	ctx   context.Context
+	tasks *sync.WaitGroup
 
-// outgoing is a message to another host.
-type outgoing struct {
-	to      fleet.HostID
-	payload []byte
+	// mu guards the fields below.
+	mu sync.Mutex
+	// waiting has an entry for each host that has a goroutine.
+	waiting map[fleet.HostID][][]byte
+	closed  bool
 }
 
-func newOutbox(peers Peers, topic string) *outbox {
-	return &outbox{peers: peers, topic: topic, queue: make(chan outgoing, mailbox)}
+func newOutbox(ctx context.Context, tasks *sync.WaitGroup, peers Peers, topic string) *outbox {
+	return &outbox{peers: peers, topic: topic, ctx: ctx, tasks: tasks, waiting: make(map[fleet.HostID][][]byte)}
 }
 
-// post queues a message, and drops it if too many wait.
+// post queues a message.
 func (o *outbox) post(to fleet.HostID, payload []byte) {
-	select {
-	case o.queue <- outgoing{to: to, payload: payload}:
-	default:
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.closed {
+		return
+	}
+	waiting, active := o.waiting[to]
+	if len(waiting) == maxWaiting {
+		waiting = waiting[1:]
+	}
+	o.waiting[to] = append(waiting, payload)
+	if !active {
+		o.tasks.Go(func() { o.send(to) })
 	}
 }
 
-// run sends the messages. A failure is not reported, since the protocols expect messages to be lost.
-func (o *outbox) run(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case message := <-o.queue:
-			bounded, cancel := context.WithTimeout(ctx, sendTimeout)
-			_ = o.peers.Send(bounded, message.to, o.topic, message.payload)
-			cancel()
-		}
+// send sends what waits for one host. A failure is not reported, since the protocols expect messages to be lost.
+func (o *outbox) send(to fleet.HostID) {
+	for payload := o.next(to); payload != nil; payload = o.next(to) {
+		bounded, cancel := context.WithTimeout(o.ctx, sendTimeout)
+		_ = o.peers.Send(bounded, to, o.topic, payload)
+		cancel()
 	}
 }
 
+// next takes the message that has waited longest for a host. It returns nil, and the goroutine of the host ends, when
+// there is none.
+func (o *outbox) next(to fleet.HostID) []byte {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	waiting := o.waiting[to]
+	if len(waiting) == 0 || o.closed {
+		delete(o.waiting, to)
+		return nil
+	}
+	o.waiting[to] = waiting[1:]
+	return waiting[0]
+}
+
+// close drops what waits and refuses further messages.
+func (o *outbox) close() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.closed = true
+}
+
 // postMessage queues a message to the assigner on another host. The caller holds mu.
 func (r *Runner) postMessage(action assigner.SendMessage) {
 	payload, err := encodeMessage(action.Message)
--- a/internal/upstream/grants/runner.go
+++ b/internal/upstream/grants/runner.go
@@ -121,7 +121,6 @@
 	work, cancel := context.WithCancel(ctx)
 	r.prepare(work)
 	r.Peers.Handle(topic(r.Assigner.Service), r.receive)
-	r.tasks.Go(func() { r.messages.run(work) })
 	for _, jobs := range []chan assigner.Action{r.groupJobs, r.placeJobs} {
 		rows := &rowStore{
 			table: r.Table, service: r.Assigner.Service, log: r.Log, decider: r.Assigner, step: r.step,
@@ -140,6 +139,7 @@
 		break
 	}
 	r.handOver(ctx)
+	r.messages.close()
 	cancel()
 	r.tasks.Wait()
 	return context.Cause(ctx)
@@ -149,7 +149,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.senders = make(map[fleet.UpstreamID]chan assigner.SendOrder)
-	r.messages = newOutbox(r.Peers, topic(r.Assigner.Service))
+	r.messages = newOutbox(ctx, &r.tasks, r.Peers, topic(r.Assigner.Service))
 	// The decision has at most one read and one write of each kind outstanding.
 	r.groupJobs = make(chan assigner.Action, 2)
 	r.placeJobs = make(chan assigner.Action, 2)
