--- a/internal/upstream/grants/peers.go
+++ b/internal/upstream/grants/peers.go
@@ -9,78 +9,75 @@
 	"rosemarywick.example/rosemarywick/internal/ownership/assigner"
 )
 
-// mailbox is the number of messages to one host that may wait. More are dropped; the next round repeats them.
-const mailbox = 8
+// maxWaiting is the number of messages that may wait for one host. Older ones are dropped, since each round repeats them.
+const maxWaiting = 4
 
-// outbox sends the messages of one topic, so that neither a decision nor the receiver of a message waits for the network.
-// Each host has a goroutine of its own while messages wait for it, because a host that does not answer would hold up the
-// heartbeats to the others.
+// outbox sends the messages of one topic with one goroutine for each host that has any waiting, so that neither a
+// decision nor the messages to other hosts wait for a host that cannot be reached. With one goroutine for all hosts, a few
+// lost hosts delayed the heartbeats until the deputy took over.
 type outbox struct {
 	peers Peers
 	topic string
+	// ctx ends all sending.
+	ctx   context.Context
+	tasks *sync.WaitGroup
 
+	// mu guards the fields below.
 	mu sync.Mutex
-	// ctx is guarded by mu and nil unless run is running.
-	ctx context.Context
-	// waiting is guarded by mu and contains what is to be sent to each host. A host is listed while it has a goroutine.
+	// waiting has an entry for each host that has a goroutine.
 	waiting map[fleet.HostID][][]byte
-	senders sync.WaitGroup
+	closed  bool
 }
 
-func newOutbox(peers Peers, topic string) *outbox {
-	return &outbox{peers: peers, topic: topic, waiting: make(map[fleet.HostID][][]byte)}
+func newOutbox(ctx context.Context, tasks *sync.WaitGroup, peers Peers, topic string) *outbox {
+	return &outbox{peers: peers, topic: topic, ctx: ctx, tasks: tasks, waiting: make(map[fleet.HostID][][]byte)}
 }
 
-// post queues a message, and drops it if too many wait or the outbox does not run.
+// post queues a message.
 func (o *outbox) post(to fleet.HostID, payload []byte) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.ctx == nil {
+	if o.closed {
 		return
 	}
-	queue, sending := o.waiting[to]
-	if len(queue) < mailbox {
-		o.waiting[to] = append(queue, payload)
+	waiting, active := o.waiting[to]
+	if len(waiting) == maxWaiting {
+		waiting = waiting[1:]
 	}
-	if !sending {
-		ctx := o.ctx
-		o.senders.Go(func() { o.send(ctx, to) })
+	o.waiting[to] = append(waiting, payload)
+	if !active {
+		o.tasks.Go(func() { o.send(to) })
 	}
 }
 
-// run lets messages be sent until ctx ends, and waits for the last.
-func (o *outbox) run(ctx context.Context) {
-	o.mu.Lock()
-	o.ctx = ctx
-	o.mu.Unlock()
-	<-ctx.Done()
-	o.mu.Lock()
-	o.ctx = nil
-	o.mu.Unlock()
-	o.senders.Wait()
-}
-
-// send sends the messages that wait for one host. A failure is not reported, since the protocols expect messages to be
-// lost.
-func (o *outbox) send(ctx context.Context, to fleet.HostID) {
-	for payload, found := o.next(to); found; payload, found = o.next(to) {
-		bounded, cancel := context.WithTimeout(ctx, sendTimeout)
+// send sends what waits for one host. A failure is not reported, since the protocols expect messages to be lost.
+func (o *outbox) send(to fleet.HostID) {
+	for payload := o.next(to); payload != nil; payload = o.next(to) {
+		bounded, cancel := context.WithTimeout(o.ctx, sendTimeout)
 		_ = o.peers.Send(bounded, to, o.topic, payload)
 		cancel()
 	}
 }
 
-// next takes the first message that waits for a host. Once there is none, the host's goroutine ends.
-func (o *outbox) next(to fleet.HostID) ([]byte, bool) {
+// next takes the message that has waited longest for a host. It returns nil, and the goroutine of the host ends, when
+// there is none.
+func (o *outbox) next(to fleet.HostID) []byte {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	queue := o.waiting[to]
-	if len(queue) == 0 {
+	waiting := o.waiting[to]
+	if len(waiting) == 0 || o.closed {
 		delete(o.waiting, to)
-		return nil, false
+		return nil
 	}
-	o.waiting[to] = queue[1:]
-	return queue[0], true
+	o.waiting[to] = waiting[1:]
+	return waiting[0]
+}
+
+// close drops what waits and refuses further messages.
+func (o *outbox) close() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.closed = true
 }
 
 // postMessage queues a message to the assigner on another host. The caller holds mu.
