--- a/internal/bench/requests/throughput.go
+++ b/internal/bench/requests/throughput.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"time"
@@ -44,10 +45,10 @@
 	defer client.CloseIdleConnections()
 	load := Load{Clock: timer.System{}, Rate: t.Rate, Warmup: t.Warmup, Duration: t.Duration, Bound: 1024, Seed: seed}
 	direct = load.Run(ctx, func(ctx context.Context, number int) Ending {
-		return Get(ctx, client, url(fleet.Workers[number%len(fleet.Workers)].Address())+"/read")
+		return Get(ctx, client, url(fleet.Workers[number%len(fleet.Workers)].Address())+"/read", fmt.Sprint(number))
 	})
-	routed = load.Run(ctx, func(ctx context.Context, _ int) Ending {
-		return Get(ctx, client, url(address)+"/"+service+"/read")
+	routed = load.Run(ctx, func(ctx context.Context, number int) Ending {
+		return Get(ctx, client, url(address)+"/"+service+"/read", fmt.Sprint(number))
 	})
 	return direct, routed, nil
 }
--- a/internal/routing/admission/limit.go
+++ b/internal/routing/admission/limit.go
@@ -40,6 +40,9 @@
 type Adaptive struct {
 	// Ceiling is the number of slots or of connections of the upstream, whichever is lower.
 	Ceiling float64
+	// Fair is this daemon's even part of the slots. The limit begins there, or at 1, and late answers alone never lower
+	// it further, since they may be due to this host: a busy host otherwise left idle workers alone.
+	Fair float64
 
 	// current lies between leastLimit and Ceiling.
 	current float64
@@ -48,6 +51,8 @@
 	// cut is the time of the last decrease. One decrease for each latency suffices, since the answers that follow it
 	// were caused before it.
 	cut time.Time
+	// shedAt is the time at which the upstream shed last.
+	shedAt time.Time
 	// paused is the time until which nothing is sent, while current is below 1.
 	paused time.Time
 }
@@ -56,18 +61,23 @@
 func (*Adaptive) limit() {}
 
 const (
-	startLimit  = 2
 	shedFactor  = 0.8
 	queueFactor = 0.95
-	// growth is how much the limit grows for as many answers as it allows in flight. With 1, workers shed half of the
-	// requests at twice their capacity, and with 0.1 a tenth, at the same goodput.
-	growth = 0.1
+	// growth is how much the limit grows for as many answers as it allows in flight, and slowGrowth the same within calm
+	// after the upstream shed. With 1 for both, workers shed half of the requests at twice their capacity, and with 0.1 a
+	// tenth, at the same goodput.
+	growth     = 1.0
+	slowGrowth = 0.1
+	calm       = 10 * time.Second
 	// leastLimit below 1 means that the upstream is left alone for a part of the time, since a worker with 2 slots is
 	// shared by 11 daemons.
 	leastLimit   = 0.25
 	lateMultiple = 2
-	slowWeight   = 128
-	quickWeight  = 8
+	// lateSlack keeps scheduling delays of a busy host from counting as queueing at the upstream. Without it, upstreams
+	// that answer within a millisecond were left alone for no reason.
+	lateSlack   = 5 * time.Millisecond
+	slowWeight  = 128
+	quickWeight = 8
 	// shortPause is the least time for which an upstream is left alone.
 	shortPause = 2 * time.Millisecond
 )
@@ -105,7 +115,7 @@
 
 func (a *Adaptive) start() {
 	if a.current == 0 {
-		a.current = min(startLimit, a.Ceiling)
+		a.current = min(max(1, a.Fair), a.Ceiling)
 	}
 }
 
@@ -118,18 +128,23 @@
 	if a.recent < a.usual {
 		a.usual -= (a.usual - a.recent) / quickWeight
 	}
-	if a.recent > lateMultiple*a.usual {
-		a.decrease(queueFactor, now)
+	if a.recent > lateMultiple*a.usual+lateSlack {
+		a.decrease(queueFactor, max(1, a.Fair), now)
 		return
 	}
 	if inFlight >= int(a.current) {
-		a.current = min(a.current+growth/max(1, a.current), a.Ceiling)
+		step := growth
+		if now.Sub(a.shedAt) < calm {
+			step = slowGrowth
+		}
+		a.current = min(a.current+step/max(1, a.current), a.Ceiling)
 	}
 	a.pause(now)
 }
 
 func (a *Adaptive) shed(now time.Time) {
-	a.decrease(shedFactor, now)
+	a.shedAt = now
+	a.decrease(shedFactor, leastLimit, now)
 	a.pause(now)
 }
 
@@ -140,10 +155,11 @@
 	}
 }
 
-func (a *Adaptive) decrease(factor float64, now time.Time) {
+// decrease lowers the limit, but a limit below least already stays.
+func (a *Adaptive) decrease(factor, least float64, now time.Time) {
 	if now.Sub(a.cut) < a.recent {
 		return
 	}
 	a.cut = now
-	a.current = max(leastLimit, a.current*factor)
+	a.current = max(min(least, a.current), a.current*factor)
 }
--- a/internal/routing/balance/pool.go
+++ b/internal/routing/balance/pool.go
@@ -238,6 +238,15 @@
 	return m.refused * math.Exp2(-now.Sub(m.refusedAt).Seconds())
 }
 
+// Leaving keeps an upstream that is known to leave out until a time.
+func (p *Pool) Leaving(until time.Time, id fleet.UpstreamID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if one := p.byID[id]; one != nil && until.After(one.leaving) {
+		one.leaving = until
+	}
+}
+
 // alive takes in a sign of life.
 func (m *member) alive(now time.Time) {
 	if m.suspect {
--- a/internal/routing/retry/retry_test.go
+++ b/internal/routing/retry/retry_test.go
@@ -29,6 +29,7 @@
 		{"rejected", pay, forward.Rejected{}, retry.Again{Cause: cause.UpstreamRefused}},
 		{"rejected keyed", keyed, forward.Rejected{}, retry.Again{Cause: cause.UpstreamRefused}},
 		{"draining", push, forward.Rejected{Draining: true}, retry.Again{Cause: cause.UpstreamDraining}},
+		{"draining keyed", keyed, forward.Rejected{Draining: true}, retry.AwaitMap{Cause: cause.UpstreamDraining}},
 		{"not sent", pay, forward.NotSent{}, retry.Again{Cause: cause.UpstreamUnreachable}},
 		{"not sent keyed", keyed, forward.NotSent{}, retry.AwaitMap{Cause: cause.UpstreamUnreachable}},
 		{"not owner", keyed, forward.NotOwner{}, retry.AwaitMap{Cause: cause.NotOwner}},
--- a/internal/routing/retry/verdict.go
+++ b/internal/routing/retry/verdict.go
@@ -74,6 +74,9 @@
 	case forward.Responded:
 		return Pass{Answer: result}
 	case forward.Rejected:
+		if result.Draining { // a keyed server that is leaving rejects until its keys have moved
+			return awaitOr(request, again, why)
+		}
 		return again
 	case forward.NotOwner:
 		return awaitOr(request, again, why)
--- a/internal/routing/router/flight.go
+++ b/internal/routing/router/flight.go
@@ -180,6 +180,7 @@
 		seen, learned = balance.Refused{}, admission.Shed{}
 		if result.Draining {
 			seen = balance.Leaving{}
+			f.service.holds.denied(now, visit.assignment)
 		}
 	case forward.NotOwner:
 		seen = balance.Answered{Latency: now.Sub(visit.began)}
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -133,6 +133,14 @@
 	}
 }
 
+// Leaving keeps an upstream of a service without keys out until a time, because another part of the daemon learned that it
+// leaves. What an upstream says itself when it rejects a request is noticed without this.
+func (r *Router) Leaving(name fleet.ServiceName, id fleet.UpstreamID, until time.Time) {
+	if service := r.service(name); service != nil {
+		service.pool.Leaving(until, id)
+	}
+}
+
 // Close closes the idle connections to all upstreams.
 func (r *Router) Close() {
 	r.mu.Lock()
--- a/internal/routing/router/service.go
+++ b/internal/routing/router/service.go
@@ -105,7 +105,10 @@
 	if r.NewLimit != nil {
 		return r.NewLimit(declared)
 	}
-	return &admission.Adaptive{Ceiling: float64(min(declared.Slots, max(leastConnections, declared.Connections/r.hosts())))}
+	connections := max(leastConnections, declared.Connections/r.hosts())
+	return &admission.Adaptive{
+		Ceiling: float64(min(declared.Slots, connections)), Fair: float64(declared.Slots) / float64(r.hosts()),
+	}
 }
 
 func (r *Router) hosts() int {
--- a/internal/routing/router/station.go
+++ b/internal/routing/router/station.go
@@ -46,17 +46,18 @@
 	ready := make(chan admission.Verdict, 1)
 	s.waiting[ticket] = ready
 	latest := s.gate.LatestStart(ticket.Deadline)
+	again := resettle * time.Duration(len(s.waiting))
 	s.mu.Unlock()
-	return s.wait(ctx, ticket, ready, latest)
+	return s.wait(ctx, ticket, ready, latest, again)
 }
 
 func (s *station) wait(
-	ctx context.Context, ticket *admission.Ticket, ready <-chan admission.Verdict, latest time.Time,
+	ctx context.Context, ticket *admission.Ticket, ready <-chan admission.Verdict, latest time.Time, interval time.Duration,
 ) admission.Verdict {
 	wake := s.clock.After(latest.Sub(s.clock.Now()))
 	defer wake.Stop()
 	// A limit that pauses has no request in flight whose end would settle the line.
-	again := s.clock.Every(resettle)
+	again := s.clock.Every(interval)
 	defer again.Stop()
 	for {
 		select {
@@ -72,7 +73,7 @@
 	}
 }
 
-// resettle is how often a waiting request looks whether a paused limit has opened again.
+// resettle is how often one of the waiting requests looks whether a paused limit has opened again.
 const resettle = 20 * time.Millisecond
 
 func (s *station) settle() {
