--- a/internal/daemon/host/configuration.go
+++ b/internal/daemon/host/configuration.go
@@ -51,12 +51,7 @@
 
 // reads reports whether this daemon is among those that read the table for all.
 func (c *configuration) reads() bool {
-	for _, member := range c.daemon.peers.spread.Rank(readerRole, readers) {
-		if member.ID == c.daemon.Settings.Host.ID {
-			return true
-		}
-	}
-	return false
+	return c.daemon.peers.hasRole(readerRole, readers)
 }
 
 // apply puts a document into force, or refuses it and leaves everything as it was.
--- a/internal/daemon/host/loads.go
+++ b/internal/daemon/host/loads.go
@@ -12,8 +12,14 @@
 	"rosemarywick.example/rosemarywick/internal/ownership/load"
 )
 
-// loadTopic carries the load reports to the assigner of a service.
-const loadTopic = "load"
+const (
+	// loadTopic carries the load reports to the assigner of a service.
+	loadTopic = "load"
+	// reporterRole and reporters choose the daemons that report. The load balancer spreads requests evenly, so that some
+	// daemons are a sample of all; 2,200 reports of 3 KB every 10 s would be too much for the assigner.
+	reporterRole = "load-reporter"
+	reporters    = 32
+)
 
 // loads meters what this daemon forwards for each keyed service, reports it to the service's assigner, and, where this
 // daemon is the assigner, lets the sums decide on hot keys and moves.
@@ -59,8 +65,8 @@
 	for {
 		select {
 		case <-ticks.C:
-			for _, service := range l.daemon.maps.services() {
-				l.report(ctx, service)
+			if l.daemon.peers.hasRole(reporterRole, reporters) {
+				l.reportAll(ctx)
 			}
 			for service := range l.daemon.assigners.acting() {
 				l.use(service)
@@ -71,6 +77,12 @@
 	}
 }
 
+func (l *loads) reportAll(ctx context.Context) {
+	for _, service := range l.daemon.maps.services() {
+		l.report(ctx, service)
+	}
+}
+
 // report sends this daemon's report of a service to the assigner.
 func (l *loads) report(ctx context.Context, service fleet.ServiceName) {
 	report := l.meter(service).Report(l.daemon.Timer.Now())
--- a/internal/daemon/host/peers.go
+++ b/internal/daemon/host/peers.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"sync"
 
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
@@ -42,6 +43,11 @@
 	return p
 }
 
+// hasRole reports whether this daemon is among the first count members by their rank for a role.
+func (p *peers) hasRole(role string, count int) bool {
+	return slices.ContainsFunc(p.spread.Rank(role, count), func(member fleet.Host) bool { return member.ID == p.mesh.Host.ID })
+}
+
 // Send sends a message of a topic that was registered with Handle on the other host.
 func (p *peers) Send(ctx context.Context, to fleet.HostID, topic string, payload []byte) error {
 	message := make([]byte, 0, len(topic)+1+len(payload))
