routing, daemon/host: show operators what a daemon observes of upstreams

Cause: 'upstreams' showed state, requests in flight, queue and limit as unknown or zero. Change: views of the pool, the gate and the router, translated for the operator API.

--- a/internal/daemon/host/operators.go
+++ b/internal/daemon/host/operators.go
@@ -14,6 +14,7 @@
 	"rosemarywick.example/rosemarywick/internal/operator/config"
 	"rosemarywick.example/rosemarywick/internal/operator/rpc"
 	"rosemarywick.example/rosemarywick/internal/ownership/assigner"
+	"rosemarywick.example/rosemarywick/internal/routing/balance"
 )
 
 // operators serves the operator API and the metrics, and answers what they show from the parts of the daemon.
@@ -132,19 +133,31 @@
 	for _, assignment := range assignments {
 		owned[assignment.Owner]++
 	}
+	observed := o.daemon.requests.router.Upstreams(service.Name)
 	var list []rpc.Upstream
 	for _, one := range service.Upstreams {
-		view := rpc.Upstream{
-			Upstream: one, Service: service.Name, Guard: service.Guard, State: rpc.UpstreamUnknown, Partitions: owned[one.ID],
-		}
-		if one.Drained {
-			view.State = rpc.UpstreamDraining
-		}
-		list = append(list, view)
+		seen := observed[one.ID]
+		list = append(list, rpc.Upstream{
+			Upstream: one, Service: service.Name, Guard: service.Guard, State: stateOf(seen.Health), InFlight: seen.InFlight,
+			Queued: seen.Queued, Limit: seen.Limit, Partitions: owned[one.ID],
+		})
 	}
 	return list
 }
 
+func stateOf(health balance.Health) rpc.UpstreamState {
+	switch health {
+	case balance.Healthy:
+		return rpc.UpstreamHealthy
+	case balance.Unhealthy:
+		return rpc.UpstreamUnhealthy
+	case balance.Draining:
+		return rpc.UpstreamDraining
+	case balance.Unseen:
+	}
+	return rpc.UpstreamUnknown
+}
+
 // announceInterval is how often a daemon looks whether it became an assigner and tells the others.
 const announceInterval = 500 * time.Millisecond
 
--- /dev/null
+++ b/internal/routing/router/view.go
@@ -0,0 +1,46 @@
+package router
+
+import (
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/routing/balance"
+)
+
+// UpstreamView is what this daemon observes of one upstream.
+type UpstreamView struct {
+	balance.View
+
+	// Queued counts the requests that wait in this daemon, for this server or, for a service without keys, for any upstream
+	// of the service.
+	Queued int
+	// Limit is the number of requests that this daemon may have in flight at the upstream.
+	Limit int
+}
+
+// Upstreams returns what this daemon observes of the upstreams of a service; it is empty for an unknown service.
+func (r *Router) Upstreams(name fleet.ServiceName) map[fleet.UpstreamID]UpstreamView {
+	service := r.service(name)
+	if service == nil {
+		return nil
+	}
+	views := make(map[fleet.UpstreamID]UpstreamView, len(service.upstreams))
+	for id, view := range service.pool.Views(r.Clock.Now()) {
+		one := service.upstreams[id]
+		if one == nil {
+			continue
+		}
+		door := service.lobby
+		if one.door != nil {
+			door = one.door
+		}
+		queued, limit := door.view(id)
+		views[id] = UpstreamView{View: view, Queued: queued, Limit: limit}
+	}
+	return views
+}
+
+// view returns the number of waiting requests and the limit of an upstream.
+func (s *station) view(id fleet.UpstreamID) (queued, limit int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.Waiting(), s.gate.LimitOf(id, s.clock.Now())
+}
