admission: an empty line is open again after a long interval; draining teaches nothing about slots

Cause: after a freeze of an upstream the forecast stayed long, and since only admissions from the line correct it, requests were rejected as soon as no slot was free. Rejections of a draining worker lowered the limit as shed requests do. Change: the forecast of an empty line uses the requests in flight alone; a test of it; draining counts as no feedback; the callers of the mixed run pause after a rejection.

--- a/internal/caller/front/mixed_test.go
+++ b/internal/caller/front/mixed_test.go
@@ -73,6 +73,9 @@
 		callers.Go(func() {
 			for i := first; i < count; i += 48 {
 				samples[i] = rig.mixed(i)
+				if samples[i].got.outcome == cause.NotRun { // otherwise callers spend the run on a frozen worker
+					_ = timer.Wait(t.Context(), timer.System{}, 10*time.Millisecond)
+				}
 			}
 		})
 	}
--- a/internal/routing/admission/admission_test.go
+++ b/internal/routing/admission/admission_test.go
@@ -59,6 +59,18 @@
 	is.True(refused.RetryAfter >= 40*time.Millisecond) // the five ahead
 }
 
+// Guards against one long interval, such as a freeze of the upstream, after which nobody is let into the line again.
+func TestForecastRecovers(t *testing.T) {
+	is := is.New(t)
+	gate, now := newGate(1, 100), start
+	gate.Enter(now, ticket("", time.Hour))
+	gate.Enter(now, ticket("", time.Hour))
+	now = now.Add(time.Minute) // the upstream was frozen
+	is.True(serve(gate, &now) != nil)
+	verdict, _ := gate.Enter(now, ticket("", now.Sub(start)+100*time.Millisecond))
+	is.Equal(verdict, admission.Verdict(admission.Queued{}))
+}
+
 // Guards against a tenant that fills the line and takes the slots of the others.
 func TestFairShare(t *testing.T) {
 	is := is.New(t)
--- a/internal/routing/admission/gate.go
+++ b/internal/routing/admission/gate.go
@@ -127,12 +127,10 @@
 
 // forecast returns how long it takes to admit count tickets from the line.
 func (g *Gate) forecast(now time.Time, count float64) time.Duration {
-	if g.interval > 0 {
-		interval := g.interval
-		if g.line.length > 0 {
-			interval = max(interval, now.Sub(g.last))
-		}
-		return time.Duration(count * float64(interval))
+	// Into an empty line a ticket is let by the time of the requests in flight alone: only admissions from the line
+	// correct the interval, and one long interval would otherwise keep the line empty for good.
+	if g.interval > 0 && g.line.length > 0 {
+		return time.Duration(count * float64(max(g.interval, now.Sub(g.last))))
 	}
 	width := 0
 	for _, lane := range g.lanes {
--- a/internal/routing/router/flight.go
+++ b/internal/routing/router/flight.go
@@ -179,7 +179,7 @@
 	case forward.Rejected:
 		seen, learned = balance.Refused{}, admission.Shed{}
 		if result.Draining {
-			seen = balance.Leaving{}
+			seen, learned = balance.Leaving{}, admission.Abandoned{} // says nothing of the slots
 			f.service.holds.denied(now, visit.assignment)
 		}
 	case forward.NotOwner:
