--- a/internal/bench/rolling/run/main.go
+++ b/internal/bench/rolling/run/main.go
@@ -11,12 +11,17 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"rosemarywick.example/rosemarywick/internal/bench/rolling"
 	"rosemarywick.example/rosemarywick/internal/daemon/dev"
 )
 
+// shownFailures bounds the failed requests of one run that are printed.
+const shownFailures = 3
+
 func main() {
+	zerolog.TimeFieldFormat = time.RFC3339Nano
 	if err := run(context.Background(), os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
@@ -28,6 +33,8 @@
 	runs := flags.Int("runs", 20, "runs of each scenario at most")
 	span := flags.Duration("span", 90*time.Second, "time for each scenario, after which no further run begins")
 	daemons := flags.Int("daemons", 4, "number of daemons")
+	only := flags.String("scenario", "", "the only scenario to measure (default all)")
+	logged := flags.Bool("log", false, "write the log of the daemons to standard error")
 	shape := flags.String("shape", string(dev.Ceibal), "deployment; the services of ceibal are used")
 	if err := flags.Parse(arguments); err != nil {
 		return errors.Wrap(err, "arguments")
@@ -36,7 +43,13 @@
 	_, _ = fmt.Fprintln(table, "scenario\truns\trequests\trejected\tby stopping daemon\tcut\tcontradictions\ttwo owners\t"+
 		"silence ms\tworst\tunowned ms\tworst\tslowest ms\tworst\tlast work ms\tworst\tstall ms\tworst\t")
 	for _, scenario := range rolling.Scenarios() {
-		bench := &rolling.Bench{Shape: dev.Shape(*shape), Daemons: *daemons}
+		if *only != "" && *only != string(scenario) {
+			continue
+		}
+		bench := &rolling.Bench{Shape: dev.Shape(*shape), Daemons: *daemons, Log: zerolog.Nop()}
+		if *logged {
+			bench.Log = zerolog.New(os.Stderr).With().Timestamp().Logger()
+		}
 		results, err := measure(ctx, bench, scenario, *runs, *span)
 		if err != nil {
 			return errors.Wrapf(err, "%s", scenario)
@@ -64,6 +77,14 @@
 		if err != nil {
 			return nil, errors.CombineErrors(err, bench.Stop())
 		}
+		for i, failure := range result.Failures {
+			if i < shownFailures {
+				_, _ = fmt.Fprintf(os.Stderr, "%s, run %d: %s\n", scenario, len(results)+1, failure)
+			}
+		}
+		if result.Gap.For > 0 {
+			bench.Log.Info().Str("gap", fmt.Sprintf("%+v", result.Gap)).Msg("run ended")
+		}
 		results = append(results, result)
 	}
 	return results, bench.Stop()
