--- a/internal/ownership/load/totals.go
+++ b/internal/ownership/load/totals.go
@@ -1,7 +1,6 @@
 package load
 
 import (
-	"math"
 	"time"
 
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
@@ -11,9 +10,9 @@
 const (
 	// reportLife is how long the last report of a daemon counts; three reports may be lost.
 	reportLife = 4 * Interval
-	// minRequests is the number of requests for each server within the half-life below which chance differs from
-	// server to server by more than 3%, so that no load is stated.
-	minRequests = 1000
+	// minRequests is the number of requests for each server from which on servers are told apart: with fewer, chance
+	// alone makes loads differ by more than the 5% that the cap allows.
+	minRequests = 500
 )
 
 // Totals adds up the reports of all daemons for one service. It is not safe for concurrent use.
@@ -37,6 +36,8 @@
 
 // Sum is the load of a service over all daemons.
 type Sum struct {
+	// Requests is the decayed number of requests from which the loads were taken.
+	Requests float64
 	// Total is in requests a second.
 	Total float64
 	// Partitions is the load of each partition in requests a second.
@@ -47,7 +48,7 @@
 
 // Significant reports whether enough requests were measured to tell the servers apart.
 func (s *Sum) Significant(servers int) bool {
-	return servers > 0 && s.Total*HalfLife.Seconds()/math.Ln2 >= minRequests*float64(servers)
+	return servers > 0 && s.Requests >= minRequests*float64(servers)
 }
 
 // Sum adds up the reports that still count. Load that a daemon did not attribute is spread evenly over the hash ranges.
@@ -61,6 +62,7 @@
 			continue
 		}
 		rest += one.report.Rest
+		sum.Requests += one.report.Requests
 		for _, rate := range one.report.Partitions {
 			sum.Partitions[rate.Partition] += rate.PerSecond
 			sum.Total += rate.PerSecond
