--- /dev/null
+++ b/Makefile
@@ -0,0 +1,22 @@
+# Commands that a newcomer needs. .ci/run is what CI runs.
+
+.PHONY: run test check measure
+
+# Runs a fleet with fakes in one process until it is interrupted.
+run:
+	go run ./cmd/rosemarywick dev --shape ceibal
+
+test:
+	.ci/test
+
+check:
+	.ci/run
+
+# Reruns every measurement and prints its table, in under 10 minutes. See docs/measurements.md.
+measure:
+	go run ./internal/bench/slopes/command
+	go run ./internal/bench/recovery/command -runs 20
+	go run ./internal/bench/placement/command -part all -seeds 5 -parallel 8
+	go run ./internal/bench/spread/command -changes 20 -span 8s
+	go run ./internal/bench/requests/command -runs 3 -duration 2s
+	go run ./internal/bench/rolling/command -runs 10 -span 20s
