routing, daemon/host: an upstream that leaves gets no trial requests

Cause: an upstream known only by its own draining rejections got a new request every 5 s, while the promise is none after 3 s.

--- a/internal/daemon/host/host.go
+++ b/internal/daemon/host/host.go
@@ -122,6 +122,7 @@
 	stages.run(stageFleet, d.requests.archive.Run)
 	stages.run(stageFleet, d.requests.claims.Run)
 	stages.run(stageFleet, d.requests.router.Run)
+	stages.run(stageFleet, d.requests.returns)
 	stages.run(stageFleet, d.operators.serve)
 	stages.run(stageRoles, d.assigners.run)
 	stages.run(stageFleet, d.unguarded.run)
--- a/internal/daemon/host/requests.go
+++ b/internal/daemon/host/requests.go
@@ -1,8 +1,11 @@
 package host
 
 import (
+	"github.com/rs/zerolog"
+
 	"rosemarywick.example/rosemarywick/internal/caller/front"
 	"rosemarywick.example/rosemarywick/internal/core/cause"
+	"rosemarywick.example/rosemarywick/internal/core/timer"
 	"rosemarywick.example/rosemarywick/internal/observe/metrics"
 	"rosemarywick.example/rosemarywick/internal/observe/records"
 	"rosemarywick.example/rosemarywick/internal/routing/once"
@@ -18,6 +21,10 @@
 	front   *front.Front
 	metrics *metrics.Metrics
 	loads   *loads
+
+	configuration *configuration
+	timer         timer.Service
+	log           zerolog.Logger
 }
 
 func newRequests(d *Daemon) *requests {
@@ -25,7 +32,7 @@
 		ring:    &records.Ring{Capacity: records.DefaultCapacity},
 		archive: &records.Archive{Host: d.Settings.Host.ID, Store: d.objects, Timer: d.Timer, Log: d.Log},
 		claims:  &once.Table{Store: d.table, Clock: d.Timer, Host: d.Settings.Host.ID},
-		metrics: d.maps.metrics, loads: d.loads,
+		metrics: d.maps.metrics, loads: d.loads, configuration: d.configuration, timer: d.Timer, log: d.Log,
 	}
 	r.router = &router.Router{
 		Host: d.Settings.Host, Clock: d.Timer, Config: d.configuration, Owners: d.maps, Confirmations: d.unguarded,
--- a/internal/routing/balance/pool.go
+++ b/internal/routing/balance/pool.go
@@ -64,8 +64,9 @@
 	latencyHalfLife = 5 * time.Second
 	// firstLatency is assumed while no upstream has answered yet.
 	firstLatency = 20 * time.Millisecond
-	// leavingTime is how long a rejection because of leaving keeps an upstream out.
-	leavingTime = 5 * time.Second
+	// leavingTime is how long a rejection because of leaving keeps an upstream out, unless it is reported to be back. An
+	// upstream that leaves must get no new work after 3 s, not even a trial every few seconds.
+	leavingTime = time.Minute
 	// trialEvery and trialMost bound the time between two trials of a suspected upstream.
 	trialEvery = 500 * time.Millisecond
 	trialMost  = 8 * time.Second
@@ -247,6 +248,15 @@
 	}
 }
 
+// Rejoined takes in that an upstream which was leaving takes work again. It starts slowly.
+func (p *Pool) Rejoined(now time.Time, id fleet.UpstreamID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if one := p.byID[id]; one != nil {
+		one.leaving, one.since = time.Time{}, now
+	}
+}
+
 // alive takes in a sign of life.
 func (m *member) alive(now time.Time) {
 	if m.suspect {
--- a/internal/routing/balance/pool_test.go
+++ b/internal/routing/balance/pool_test.go
@@ -59,6 +59,13 @@
 		{"alike", soon, func(*balance.Pool, []balance.Candidate) {}, 150, 500},
 		{"drained", soon, func(p *balance.Pool, c []balance.Candidate) { c[0].Drained = true; p.Set(start, c) }, 0, 0},
 		{"leaving", soon, func(p *balance.Pool, _ []balance.Candidate) { see(p, start, "0", balance.Leaving{}) }, 0, 0},
+		{"leaving for some time", start.Add(30 * time.Second), func(p *balance.Pool, _ []balance.Candidate) {
+			see(p, start, "0", balance.Leaving{})
+		}, 0, 0},
+		{"left and is back", soon, func(p *balance.Pool, _ []balance.Candidate) {
+			see(p, start, "0", balance.Leaving{})
+			p.Rejoined(start, "0")
+		}, 1, 100},
 		{"unreachable", soon, func(p *balance.Pool, _ []balance.Candidate) { see(p, start, "0", balance.Unreachable{}) }, 0, 0},
 		{"sheds", soon, func(p *balance.Pool, _ []balance.Candidate) { see(p, start, "0", refusals...) }, 0, 0},
 		{"shed long ago", start.Add(time.Minute), func(p *balance.Pool, _ []balance.Candidate) { see(p, start, "0", refusals...) }, 150, 500},
--- a/internal/routing/router/view.go
+++ b/internal/routing/router/view.go
@@ -44,3 +44,10 @@
 	defer s.mu.Unlock()
 	return s.gate.Waiting(), s.gate.LimitOf(id, s.clock.Now())
 }
+
+// Rejoined takes in that an upstream which was leaving takes work again.
+func (r *Router) Rejoined(name fleet.ServiceName, id fleet.UpstreamID) {
+	if service := r.service(name); service != nil {
+		service.pool.Rejoined(r.Clock.Now(), id)
+	}
+}
--- a/internal/upstream/probe/prober.go
+++ b/internal/upstream/probe/prober.go
@@ -121,7 +121,7 @@
 	for {
 		select {
 		case <-ticks.C:
-			p.note(one, p.answers(ctx, one.upstream.Address))
+			p.note(one, Healthy(ctx, p.Transport, one.upstream.Address))
 		case <-ctx.Done():
 			return
 		}
@@ -138,15 +138,16 @@
 	}
 }
 
-// answers reports whether the upstream answered in time that it is healthy.
-func (p *Prober) answers(ctx context.Context, address netip.AddrPort) bool {
+// Healthy reports whether the upstream at address answers in time that it takes work. A nil transport stands for the
+// default of net/http.
+func Healthy(ctx context.Context, transport http.RoundTripper, address netip.AddrPort) bool {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+Path, nil)
 	if err != nil {
 		return false
 	}
-	client := http.Client{Transport: p.Transport}
+	client := http.Client{Transport: transport}
 	response, err := client.Do(request)
 	if err != nil {
 		return false
