--- a/internal/routing/router/service.go
+++ b/internal/routing/router/service.go
@@ -12,11 +12,13 @@
 	"rosemarywick.example/rosemarywick/internal/upstream/forward"
 )
 
-// service is the state of one service under one document. What is learned is shared with the states of later documents.
+// service is the state of one service under one document. It is not changed once requests use it. What is learned is shared with the states of later documents.
 type service struct {
 	*document.Service
 	version   uint64
 	upstreams map[fleet.UpstreamID]*upstream
+	// lobby admits to any upstream of a service without keys.
+	lobby *station
 	*learned
 }
 
@@ -24,9 +26,7 @@
 type learned struct {
 	pool   *balance.Pool
 	budget *retry.Budget
-	// lobby admits to any upstream of a service without keys.
-	lobby *station
-	holds *holds
+	holds  *holds
 }
 
 // upstream is one upstream of a service.
@@ -43,7 +43,7 @@
 func (r *Router) renew(before *service, declared *document.Service, current *document.Document) *service {
 	next := &service{Service: declared, version: current.Version, upstreams: make(map[fleet.UpstreamID]*upstream)}
 	if before != nil && before.Keyed() == declared.Keyed() {
-		next.learned = before.learned
+		next.learned, next.lobby = before.learned, before.lobby
 	} else {
 		next.learned = &learned{pool: &balance.Pool{Local: r.Host.Place}, budget: &retry.Budget{}, holds: newHolds()}
 	}
