--- a/internal/routing/router/service.go
+++ b/internal/routing/router/service.go
@@ -12,7 +12,8 @@
 	"rosemarywick.example/rosemarywick/internal/upstream/forward"
 )
 
-// service is the state of one service under one document. It is not changed once requests use it. What is learned is shared with the states of later documents.
+// service is the state of one service under one document. It is not changed once requests use it. What is learned is
+// shared with the states of later documents.
 type service struct {
 	*document.Service
 	version   uint64
