daemon/host: a removed hot-key entry is not without an owner

Cause: found in the read-through. The removal of an entry is published without an owner, and the map handed it to the metrics as a loss, so that partitions_without_owner stayed at 1 and unavailable time rose from then on; the function that ends the measurement of an entry existed and was not called. Change: maps.merge calls it. The announcements of assigners stand in one file.

--- a/internal/daemon/host/announcements.go
+++ b/internal/daemon/host/announcements.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"time"
 
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/ownership/assigner"
 	"rosemarywick.example/rosemarywick/internal/peer/spread"
 )
 
 // assignerPrefix begins the names of the items that say which host acts as the assigner of a service.
 const assignerPrefix = "assigner/"
 
+// announceInterval is how often a daemon looks whether it became an assigner and tells the others.
+const announceInterval = 500 * time.Millisecond
+
 // announce tells the other daemons for which services this one acts as assigner, until ctx ends.
 func (a *assigners) announce(ctx context.Context) error {
 	ticks := a.daemon.Timer.Every(announceInterval)
@@ -46,3 +51,16 @@
 	}
 	return services
 }
+
+// acting returns the services for which this daemon acts as assigner, with its epochs.
+func (a *assigners) acting() map[fleet.ServiceName]fleet.Epoch {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	roles := make(map[fleet.ServiceName]fleet.Epoch)
+	for name, one := range a.running {
+		if role, epoch := one.runner.Role(); role == assigner.RoleActing {
+			roles[name] = epoch
+		}
+	}
+	return roles
+}
--- a/internal/daemon/host/maps.go
+++ b/internal/daemon/host/maps.go
@@ -136,6 +136,11 @@
 	close(m.changed)
 	m.changed = make(chan struct{})
 	for _, assignment := range applied {
+		if assignment.Key != 0 && assignment.Owner == "" {
+			// The entry was removed. Its key is served from the hash range and is not without an owner.
+			m.metrics.ForgetPartition(service, assignment.Partition)
+			continue
+		}
 		m.metrics.ObserveAssignment(service, assignment)
 	}
 	return applied
--- a/internal/daemon/host/operators.go
+++ b/internal/daemon/host/operators.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync/atomic"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -13,7 +12,6 @@
 	"rosemarywick.example/rosemarywick/internal/observe/records"
 	"rosemarywick.example/rosemarywick/internal/operator/config"
 	"rosemarywick.example/rosemarywick/internal/operator/rpc"
-	"rosemarywick.example/rosemarywick/internal/ownership/assigner"
 	"rosemarywick.example/rosemarywick/internal/routing/balance"
 )
 
@@ -157,19 +155,3 @@
 	}
 	return rpc.UpstreamUnknown
 }
-
-// announceInterval is how often a daemon looks whether it became an assigner and tells the others.
-const announceInterval = 500 * time.Millisecond
-
-// acting returns the services for which this daemon acts as assigner, with its epochs.
-func (a *assigners) acting() map[fleet.ServiceName]fleet.Epoch {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	roles := make(map[fleet.ServiceName]fleet.Epoch)
-	for name, one := range a.running {
-		if role, epoch := one.runner.Role(); role == assigner.RoleActing {
-			roles[name] = epoch
-		}
-	}
-	return roles
-}
