--- /dev/null
+++ b/internal/caller/front/faults_test.go
@@ -0,0 +1,50 @@
+package front_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"rosemarywick.example/rosemarywick/internal/core/cause"
+	"rosemarywick.example/rosemarywick/internal/upstream/standin"
+)
+
+// Guards against a caller who is told something else than what the only worker did. Each fault happens at every attempt.
+func TestFaults(t *testing.T) {
+	cases := []struct {
+		fault   standin.Fault
+		path    string
+		outcome cause.Outcome
+		cause   cause.Cause
+		effects int
+	}{
+		{standin.FaultNone, "/work/push", cause.Complete, cause.OK, 1},
+		{standin.FaultNone, "/stock/push", cause.Complete, cause.OK, 1},
+		{standin.FaultShed, "/work/push", cause.NotRun, cause.RetryBudget, 0},
+		{standin.FaultNotOwner, "/stock/push", cause.NotRun, cause.RetryBudget, 0},
+		{standin.FaultResetDuring, "/work/push", cause.Unknown, cause.UpstreamReset, 0},
+		{standin.FaultResetAfter, "/work/push", cause.Unknown, cause.UpstreamReset, 0},
+		{standin.FaultLost, "/work/push", cause.Unknown, cause.UpstreamReset, 1},
+		{standin.FaultLost, "/work/pay", cause.Unknown, cause.UpstreamReset, 1},
+		{standin.FaultTruncate, "/work/push", cause.Unknown, cause.AnswerCut, 1},
+		{standin.FaultSlow, "/work/push", cause.Complete, cause.OK, 1},
+		{standin.FaultSilent, "/work/push", cause.Unknown, cause.DeadlinePassed, 1},
+	}
+	for _, test := range cases {
+		t.Run(string(test.fault)+test.path, func(t *testing.T) {
+			is := is.New(t)
+			rig := newRig(t, 1, 1, func(w *standin.Worker) { w.Inject = func(*http.Request) standin.Fault { return test.fault } })
+			id := "r-1"
+			got := rig.call(0, http.MethodPost, test.path, id, "Key", "k", "Idempotency-Key", "i")
+			is.NoErr(got.err)
+			is.Equal(got.outcome, test.outcome)
+			is.Equal(got.cause, test.cause)
+			is.Equal(rig.ran(id).Effects, test.effects)
+			if test.outcome == cause.Complete {
+				is.Equal(strings.TrimSpace(string(got.body)), "ran "+id) // the caller's own answer
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/caller/front/front.go
@@ -0,0 +1,139 @@
+// Package front is the HTTP interface to callers. It reads a request and its headers, hands it to the router, and writes
+// the answer so that the caller can tell a complete answer from one that is not.
+package front
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"rosemarywick.example/rosemarywick/internal/core/document"
+	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/routing/router"
+)
+
+// Router routes one request.
+type Router interface {
+	Do(ctx context.Context, request *router.Request) router.Answer
+}
+
+// Configuration is the configuration in force.
+type Configuration interface {
+	Current() *document.Document
+}
+
+// Limits and defaults of the connection to a caller.
+const (
+	defaultBodyLimit   = 1 << 20
+	defaultStopTimeout = 30 * time.Second
+	headerTimeout      = 10 * time.Second
+	idleTimeout        = 2 * time.Minute
+	maxTimeout         = 10 * time.Minute
+)
+
+// Front serves callers. The exported fields are set before Run or Handler.
+type Front struct {
+	// Address is where callers connect; the port may be zero.
+	Address netip.AddrPort
+	Router  Router
+	Config  Configuration
+	Clock   timer.Service
+	Log     zerolog.Logger
+	// BodyLimit bounds the body of a request, which is kept in memory so that it can be sent again. Zero means 1 MiB.
+	BodyLimit int64
+	// StopTimeout bounds how long Run waits for the requests in flight. Zero means 30 s.
+	StopTimeout time.Duration
+	// Listening is called with the address that callers can connect to, if it is set.
+	Listening func(netip.AddrPort)
+
+	setup   sync.Once
+	handler http.Handler
+	table   tables
+
+	mu sync.Mutex
+	// inFlight is guarded by mu.
+	inFlight int
+	// idle is guarded by mu; it is set when the front stops and closed when nothing is in flight any more.
+	idle chan struct{}
+}
+
+// Run serves callers until ctx ends. It then rejects new requests, waits for those in flight, and returns.
+func (f *Front) Run(ctx context.Context) error {
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", f.Address.String())
+	if err != nil {
+		return errors.Wrap(err, "front: listen")
+	}
+	if f.Listening != nil {
+		f.Listening(listener.Addr().(*net.TCPAddr).AddrPort())
+	}
+	server := &http.Server{Handler: f.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "front: serve")
+	case <-ctx.Done():
+	}
+	f.stop()
+	return errors.Wrap(server.Close(), "front: close")
+}
+
+// Handler returns the handler that Run serves.
+func (f *Front) Handler() http.Handler {
+	f.setup.Do(func() { f.handler = f.routes() })
+	return f.handler
+}
+
+// stop rejects new requests and waits for those in flight.
+func (f *Front) stop() {
+	limit := f.StopTimeout
+	if limit == 0 {
+		limit = defaultStopTimeout
+	}
+	idle := f.close()
+	wake := f.Clock.After(limit)
+	defer wake.Stop()
+	select {
+	case <-idle:
+	case <-wake.C:
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.Log.Warn().Int("in-flight", f.inFlight).Dur("waited", limit).Msg("stopped with requests in flight")
+	}
+}
+
+func (f *Front) close() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.idle = make(chan struct{})
+	if f.inFlight == 0 {
+		close(f.idle)
+	}
+	return f.idle
+}
+
+// begin counts a request, and returns false if the front is stopping.
+func (f *Front) begin() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.idle != nil {
+		return false
+	}
+	f.inFlight++
+	return true
+}
+
+func (f *Front) finish() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.inFlight--
+	if f.idle != nil && f.inFlight == 0 {
+		close(f.idle)
+	}
+}
--- /dev/null
+++ b/internal/routing/admission/gate.go
@@ -0,0 +1,205 @@
+package admission
+
+import (
+	"time"
+
+	"rosemarywick.example/rosemarywick/internal/core/cause"
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+)
+
+// Verdict is the answer to a ticket. It is one of Admitted, Queued and Refused.
+type Verdict interface {
+	verdict()
+}
+
+// Admitted gives the ticket a slot at an upstream. Leave follows.
+type Admitted struct {
+	Upstream fleet.UpstreamID
+}
+
+// Queued makes the ticket wait; it is settled later, or withdrawn.
+type Queued struct{}
+
+// Refused rejects the ticket.
+type Refused struct {
+	Cause cause.Cause
+	// RetryAfter is when a repetition is expected to find room.
+	RetryAfter time.Duration
+}
+
+func (Admitted) verdict() {}
+func (Queued) verdict()   {}
+func (Refused) verdict()  {}
+
+// Settled is a waiting ticket that got its verdict.
+type Settled struct {
+	Ticket  *Ticket
+	Verdict Verdict
+}
+
+// missWindow is how long a request that missed its deadline in the queue proves the forecast wrong.
+const missWindow = time.Second
+
+// Gate guards a set of upstreams that can run the same requests: one owner, or all upstreams of a service without keys.
+// It does no locking; its owner does. The exported fields are set before Enter.
+type Gate struct {
+	// Room bounds the tickets that wait.
+	Room int
+	// NewLimit returns the limit of an upstream.
+	NewLimit func(fleet.UpstreamID) Limit
+	// Choose returns the upstream to use among those that are free, or false if none can be used.
+	Choose func(now time.Time, ticket *Ticket, free func(fleet.UpstreamID) bool) (fleet.UpstreamID, bool)
+	// Weight returns the share of a tenant. Nil gives all tenants the same.
+	Weight func(fleet.TenantName) int
+
+	lanes map[fleet.UpstreamID]*lane
+	line  line
+	// service follows the time for which a request occupies a slot.
+	service time.Duration
+	// missed is the last time at which a waiting ticket could no longer meet its deadline.
+	missed time.Time
+}
+
+// lane is the state of one upstream.
+type lane struct {
+	limit    Limit
+	inFlight int
+}
+
+func (g *Gate) lane(id fleet.UpstreamID) *lane {
+	if g.lanes == nil {
+		g.lanes = make(map[fleet.UpstreamID]*lane)
+	}
+	result := g.lanes[id]
+	if result == nil {
+		result = &lane{limit: g.NewLimit(id)}
+		g.lanes[id] = result
+	}
+	return result
+}
+
+func (g *Gate) weight(tenant fleet.TenantName) int {
+	if g.Weight == nil {
+		return 1
+	}
+	return g.Weight(tenant)
+}
+
+// Enter admits, queues or refuses a ticket. A ticket that waits may be settled at once because it displaced another.
+func (g *Gate) Enter(now time.Time, ticket *Ticket) (Verdict, []Settled) {
+	if g.line.length == 0 {
+		if id, ok := g.choose(now, ticket); ok {
+			return Admitted{Upstream: id}, nil
+		}
+	}
+	weight := g.weight(ticket.Tenant)
+	wait := g.forecast(g.line.ahead(ticket.Tenant, weight) + 1)
+	if now.Add(wait + g.service).After(ticket.Deadline) {
+		return Refused{Cause: cause.DeadlineUnmeetable, RetryAfter: wait}, nil
+	}
+	var settled []Settled
+	if g.line.length >= g.Room {
+		displaced, why := g.line.displace(ticket, weight)
+		if displaced == nil {
+			return Refused{Cause: why, RetryAfter: wait}, nil
+		}
+		settled = append(settled, Settled{Ticket: displaced, Verdict: Refused{Cause: why, RetryAfter: wait}})
+	}
+	g.line.push(ticket, weight)
+	return Queued{}, settled
+}
+
+// forecast returns how long it takes to serve count tickets.
+func (g *Gate) forecast(count float64) time.Duration {
+	width := 0
+	for _, lane := range g.lanes {
+		width += max(lane.inFlight, 1)
+	}
+	return time.Duration(count * float64(g.service) / float64(max(1, width)))
+}
+
+func (g *Gate) choose(now time.Time, ticket *Ticket) (fleet.UpstreamID, bool) {
+	id, ok := g.Choose(now, ticket, func(id fleet.UpstreamID) bool {
+		lane := g.lane(id)
+		return lane.inFlight < Size(lane.limit, now)
+	})
+	if ok {
+		g.lane(id).inFlight++
+	}
+	return id, ok
+}
+
+// Leave ends the use of a slot and settles the tickets that can go on or can no longer meet their deadline.
+func (g *Gate) Leave(now time.Time, id fleet.UpstreamID, feedback Feedback) []Settled {
+	lane := g.lane(id)
+	Learn(lane.limit, lane.inFlight, feedback, now)
+	lane.inFlight--
+	if served, ok := feedback.(Served); ok {
+		if g.service == 0 {
+			g.service = served.Latency
+		}
+		g.service += (served.Latency - g.service) / quickWeight
+	}
+	return g.Settle(now)
+}
+
+// Settle admits waiting tickets while there is room.
+func (g *Gate) Settle(now time.Time) []Settled {
+	var settled []Settled
+	for g.line.length > 0 {
+		from := g.line.next()
+		index, hopeless := g.pick(now, from)
+		if hopeless {
+			g.missed = now
+			settled = append(settled, Settled{Ticket: from.tickets[index], Verdict: g.unmeetable()})
+			g.line.cut(from, index)
+			continue
+		}
+		id, ok := g.choose(now, from.tickets[index])
+		if !ok {
+			return settled
+		}
+		settled = append(settled, Settled{Ticket: g.line.take(from, index), Verdict: Admitted{Upstream: id}})
+	}
+	return settled
+}
+
+// pick returns the ticket to serve next from a queue. The oldest comes first as long as the forecast of Enter holds, since
+// every waiting ticket can then be served in time. When a ticket has missed its deadline in the queue, there is more work
+// than forecast, and the newest comes first: it is the one most likely to be served in time.
+func (g *Gate) pick(now time.Time, from *queue) (index int, hopeless bool) {
+	if g.hopeless(now, from.tickets[0]) {
+		return 0, true
+	}
+	if now.Sub(g.missed) < missWindow {
+		return len(from.tickets) - 1, false
+	}
+	return 0, false
+}
+
+func (g *Gate) hopeless(now time.Time, ticket *Ticket) bool {
+	return now.Add(g.service).After(ticket.Deadline)
+}
+
+func (g *Gate) unmeetable() Refused {
+	return Refused{Cause: cause.DeadlineUnmeetable, RetryAfter: g.forecast(float64(g.line.length))}
+}
+
+// LatestStart returns the time after which a request can no longer meet the deadline.
+func (g *Gate) LatestStart(deadline time.Time) time.Time {
+	return deadline.Add(-g.service)
+}
+
+// Withdraw takes a waiting ticket out. It returns false if the ticket was settled before.
+func (g *Gate) Withdraw(now time.Time, ticket *Ticket) bool {
+	removed := g.line.remove(ticket)
+	if removed && g.hopeless(now, ticket) {
+		g.missed = now
+	}
+	return removed
+}
+
+// Refuse returns the refusal of a ticket that can no longer meet its deadline.
+func (g *Gate) Refuse() Refused {
+	return g.unmeetable()
+}
--- /dev/null
+++ b/internal/routing/admission/limit.go
@@ -0,0 +1,140 @@
+// Package admission decides how many requests one daemon sends to an upstream at the same time, which requests wait for
+// that, in which order, and which are rejected early. An upstream's slots are shared by all daemons, and no daemon sees
+// more than its own requests.
+package admission
+
+import (
+	"time"
+)
+
+// Feedback is what one request taught about its upstream. It is one of Served, Shed and Abandoned.
+type Feedback interface {
+	feedback()
+}
+
+// Served means that the upstream answered.
+type Served struct {
+	Latency time.Duration
+}
+
+// Shed means that the upstream stated that it did not run the request.
+type Shed struct{}
+
+// Abandoned means that no answer came; it teaches nothing about the upstream's capacity.
+type Abandoned struct{}
+
+func (Served) feedback()    {}
+func (Shed) feedback()      {}
+func (Abandoned) feedback() {}
+
+// Limit bounds the requests of this daemon in flight at one upstream. It is one of *Adaptive and Static.
+type Limit interface {
+	limit()
+}
+
+// Static is a fixed limit: the upstream's slots divided by the number of daemons, and at least one.
+type Static struct {
+	Slots, Hosts int
+}
+
+// Adaptive is a limit that grows while it binds and the upstream answers, and shrinks when the upstream sheds or answers
+// much later than usual.
+type Adaptive struct {
+	// Ceiling is the number of slots or of connections of the upstream, whichever is lower.
+	Ceiling float64
+
+	// current lies between 1 and Ceiling.
+	current float64
+	// usual follows the latency slowly, recent follows it quickly; both are zero before the first answer.
+	usual, recent time.Duration
+	// cut is the time of the last decrease. One decrease for each latency suffices, since the answers that follow it
+	// were caused before it.
+	cut time.Time
+	// paused is set when the upstream sheds although only one request is in flight.
+	paused time.Time
+}
+
+func (Static) limit()    {}
+func (*Adaptive) limit() {}
+
+const (
+	startLimit   = 2
+	shedFactor   = 0.8
+	queueFactor  = 0.95
+	lateMultiple = 2
+	slowWeight   = 128
+	quickWeight  = 8
+	// shortPause is the least time between a shed request and the next one while only one is in flight.
+	shortPause = 2 * time.Millisecond
+)
+
+// Size returns how many requests the limit allows in flight at the time.
+func Size(limit Limit, now time.Time) int {
+	switch limit := limit.(type) {
+	case Static:
+		return max(1, limit.Slots/max(1, limit.Hosts))
+	case *Adaptive:
+		if now.Before(limit.paused) {
+			return 0
+		}
+		limit.start()
+		return int(limit.current)
+	}
+	return 0
+}
+
+// Learn changes the limit by what a request taught. inFlight counts that request too.
+func Learn(limit Limit, inFlight int, feedback Feedback, now time.Time) {
+	adaptive, ok := limit.(*Adaptive)
+	if !ok {
+		return
+	}
+	adaptive.start()
+	switch feedback := feedback.(type) {
+	case Served:
+		adaptive.served(inFlight, feedback.Latency, now)
+	case Shed:
+		adaptive.shed(now)
+	case Abandoned:
+	}
+}
+
+func (a *Adaptive) start() {
+	if a.current == 0 {
+		a.current = min(startLimit, a.Ceiling)
+	}
+}
+
+func (a *Adaptive) served(inFlight int, latency time.Duration, now time.Time) {
+	if a.usual == 0 {
+		a.usual, a.recent = latency, latency
+	}
+	a.recent += (latency - a.recent) / quickWeight
+	a.usual += (latency - a.usual) / slowWeight
+	if a.recent < a.usual {
+		a.usual -= (a.usual - a.recent) / quickWeight
+	}
+	if a.recent > lateMultiple*a.usual {
+		a.decrease(queueFactor, now)
+		return
+	}
+	if inFlight >= int(a.current) {
+		a.current = min(a.current+1/a.current, a.Ceiling)
+	}
+}
+
+func (a *Adaptive) shed(now time.Time) {
+	if a.current <= 1 {
+		a.paused = now.Add(max(a.recent/2, shortPause))
+		return
+	}
+	a.decrease(shedFactor, now)
+}
+
+func (a *Adaptive) decrease(factor float64, now time.Time) {
+	if now.Sub(a.cut) < a.recent {
+		return
+	}
+	a.cut = now
+	a.current = max(1, a.current*factor)
+}
--- /dev/null
+++ b/internal/routing/admission/line.go
@@ -0,0 +1,150 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"rosemarywick.example/rosemarywick/internal/core/cause"
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+)
+
+// Ticket is a request that asks for a slot. The exported fields are set before Enter.
+type Ticket struct {
+	Tenant   fleet.TenantName
+	Arrived  time.Time
+	Deadline time.Time
+	// Avoid names the upstream of the attempt before; it is used only if no other is free.
+	Avoid fleet.UpstreamID
+	// Repeatable is set for a request that may be sent to an upstream that is suspected to be lost.
+	Repeatable bool
+}
+
+// line holds the waiting tickets, a queue for each tenant.
+type line struct {
+	// length counts the tickets of all queues.
+	length int
+	queues map[fleet.TenantName]*queue
+	// clock is the virtual time of the fair share: the lowest pass served last.
+	clock float64
+}
+
+// queue holds the waiting tickets of one tenant, oldest first.
+type queue struct {
+	tickets []*Ticket
+	// pass is the virtual time at which the tenant is served next; it rises by 1/weight with each ticket served.
+	pass   float64
+	weight float64
+}
+
+func (l *line) push(ticket *Ticket, weight int) {
+	if l.queues == nil {
+		l.queues = make(map[fleet.TenantName]*queue)
+	}
+	own := l.queues[ticket.Tenant]
+	if own == nil {
+		own = &queue{}
+		l.queues[ticket.Tenant] = own
+	}
+	own.weight = float64(max(1, weight))
+	if len(own.tickets) == 0 {
+		own.pass = max(own.pass, l.clock)
+	}
+	own.tickets = append(own.tickets, ticket)
+	l.length++
+}
+
+// next returns the queue of the tenant that is furthest below its share, or nil.
+func (l *line) next() *queue {
+	var best *queue
+	for _, candidate := range l.queues {
+		if len(candidate.tickets) > 0 && (best == nil || candidate.pass < best.pass) {
+			best = candidate
+		}
+	}
+	return best
+}
+
+// take removes the ticket at index from a queue and charges the tenant for it.
+func (l *line) take(from *queue, index int) *Ticket {
+	ticket := from.tickets[index]
+	l.clock = from.pass
+	from.pass += 1 / from.weight
+	l.cut(from, index)
+	return ticket
+}
+
+func (l *line) cut(from *queue, index int) {
+	copy(from.tickets[index:], from.tickets[index+1:])
+	from.tickets[len(from.tickets)-1] = nil
+	from.tickets = from.tickets[:len(from.tickets)-1]
+	l.length--
+}
+
+// remove takes a ticket out of the line and reports whether it was there.
+func (l *line) remove(ticket *Ticket) bool {
+	own := l.queues[ticket.Tenant]
+	if own == nil {
+		return false
+	}
+	for i, other := range own.tickets {
+		if other == ticket {
+			l.cut(own, i)
+			l.forget(ticket.Tenant, own)
+			return true
+		}
+	}
+	return false
+}
+
+// forget drops the empty queue of a tenant that owes nothing, so that the map stays small.
+func (l *line) forget(tenant fleet.TenantName, own *queue) {
+	if len(own.tickets) == 0 && own.pass <= l.clock {
+		delete(l.queues, tenant)
+	}
+}
+
+// ahead returns how many tickets are served before a new one of the tenant, by the fair shares.
+func (l *line) ahead(tenant fleet.TenantName, weight int) float64 {
+	mine, weights := 0.0, float64(max(1, weight))
+	for name, other := range l.queues {
+		if name == tenant {
+			mine = float64(len(other.tickets))
+		} else if len(other.tickets) > 0 {
+			weights += other.weight
+		}
+	}
+	return min(float64(l.length), mine*weights/float64(max(1, weight)))
+}
+
+// most returns the queue that exceeds its share of the line by the most.
+func (l *line) most() *queue {
+	var result *queue
+	highest := math.Inf(-1)
+	for _, candidate := range l.queues {
+		if part := float64(len(candidate.tickets)) / candidate.weight; part > highest {
+			highest, result = part, candidate
+		}
+	}
+	return result
+}
+
+// displace makes room in a full line: the newest ticket of the tenant that is furthest above its share gives way, unless
+// the new ticket's own tenant is that one.
+func (l *line) displace(ticket *Ticket, weight int) (*Ticket, cause.Cause) {
+	over := l.most()
+	mine := 0
+	if own := l.queues[ticket.Tenant]; own != nil {
+		mine = len(own.tickets)
+	}
+	switch {
+	case over == nil || over == l.queues[ticket.Tenant] && len(l.queues) == 1:
+		return nil, cause.QueueFull
+	case float64(mine+1)/float64(max(1, weight)) > float64(len(over.tickets))/over.weight:
+		return nil, cause.QueueFull
+	case over == l.queues[ticket.Tenant]:
+		return nil, cause.TenantShare
+	}
+	last := over.tickets[len(over.tickets)-1]
+	l.cut(over, len(over.tickets)-1)
+	return last, cause.TenantShare
+}
--- /dev/null
+++ b/internal/routing/retry/verdict.go
@@ -0,0 +1,140 @@
+// Package retry decides what follows one sending of a request: pass the answer on, send again, wait for a newer map, or
+// tell the caller what is known. It exists apart from the router so that the rules can be tested without connections.
+package retry
+
+import (
+	"rosemarywick.example/rosemarywick/internal/core/cause"
+	"rosemarywick.example/rosemarywick/internal/core/document"
+	"rosemarywick.example/rosemarywick/internal/upstream/forward"
+)
+
+// Verdict is what follows one sending. It is one of Pass, Again, AwaitMap and Stop.
+type Verdict interface {
+	verdict()
+}
+
+// Pass hands the answer to the caller.
+type Pass struct {
+	Answer forward.Responded
+}
+
+// Again sends the request once more, to another upstream if there is one.
+type Again struct {
+	// Cause says what went wrong with the sending before.
+	Cause cause.Cause
+}
+
+// AwaitMap sends a keyed request again when the map names a newer assignment.
+type AwaitMap struct {
+	// Cause says what went wrong with the sending before.
+	Cause cause.Cause
+}
+
+// Stop tells the caller what is known.
+type Stop struct {
+	Outcome cause.Outcome
+	Cause   cause.Cause
+}
+
+func (Pass) verdict()     {}
+func (Again) verdict()    {}
+func (AwaitMap) verdict() {}
+func (Stop) verdict()     {}
+
+// Request is what the rules need to know of a request.
+type Request struct {
+	Delivery document.Delivery
+	Keyed    bool
+	// CallerGone and Expired say why an attempt ended on this side.
+	CallerGone, Expired bool
+}
+
+// Decide returns what follows a sending. Every verdict that sends again takes a token from the budget.
+func Decide(request Request, result forward.Result, budget *Budget) Verdict {
+	verdict := rule(request, result)
+	switch verdict := verdict.(type) {
+	case Pass, Stop:
+		return verdict
+	case Again, AwaitMap:
+		if budget.Take() {
+			return verdict
+		}
+	}
+	return Stop{Outcome: Outcome(result), Cause: cause.RetryBudget}
+}
+
+func rule(request Request, result forward.Result) Verdict {
+	why := Cause(request, result)
+	stop := Stop{Outcome: Outcome(result), Cause: why}
+	again := Verdict(Again{Cause: why})
+	if request.CallerGone || request.Expired {
+		again = stop
+	}
+	switch result := result.(type) {
+	case forward.Responded:
+		return Pass{Answer: result}
+	case forward.Rejected:
+		return again
+	case forward.NotOwner:
+		return awaitOr(request, again, why)
+	case forward.NotSent:
+		return awaitOr(request, again, why)
+	case forward.Lost, forward.Truncated:
+		if request.Delivery == document.Idempotent {
+			return again
+		}
+	}
+	return stop
+}
+
+// awaitOr waits for the map instead of sending a keyed request to the same server at once.
+func awaitOr(request Request, again Verdict, why cause.Cause) Verdict {
+	if _, stopped := again.(Stop); request.Keyed && !stopped {
+		return AwaitMap{Cause: why}
+	}
+	return again
+}
+
+// Outcome returns what is known about the effect of a sending that brought no answer.
+func Outcome(result forward.Result) cause.Outcome {
+	switch result.(type) {
+	case forward.Rejected, forward.NotOwner, forward.NotSent:
+		return cause.NotRun
+	case forward.Responded:
+		return cause.Complete
+	}
+	return cause.Unknown
+}
+
+// Cause returns the cause that describes the result of a sending.
+func Cause(request Request, result forward.Result) cause.Cause {
+	local := cause.NotOwner // the attempt was given up because the map names another owner
+	switch {
+	case request.CallerGone:
+		local = cause.CallerGone
+	case request.Expired:
+		local = cause.DeadlinePassed
+	}
+	switch result := result.(type) {
+	case forward.Responded:
+		return cause.OK
+	case forward.Rejected:
+		if result.Draining {
+			return cause.UpstreamDraining
+		}
+		return cause.UpstreamRefused
+	case forward.NotOwner:
+		return cause.NotOwner
+	case forward.NotSent:
+		if result.Local {
+			return local
+		}
+		return cause.UpstreamUnreachable
+	case forward.Lost:
+		if result.Local {
+			return local
+		}
+		return cause.UpstreamReset
+	}
+	return cause.AnswerCut
+}
--- /dev/null
+++ b/internal/routing/router/router.go
@@ -0,0 +1,170 @@
+// Package router takes one request along the straight path from its caller to an upstream and back: owner or choice of
+// upstream, admission, sending, verdict, and a record of what was decided. It exists so that every front end answers
+// callers by the same rules.
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"rosemarywick.example/rosemarywick/internal/core/cause"
+	"rosemarywick.example/rosemarywick/internal/core/document"
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/routing/admission"
+	"rosemarywick.example/rosemarywick/internal/routing/balance"
+	"rosemarywick.example/rosemarywick/internal/routing/once"
+)
+
+// Owners is the map of the keyed services as this daemon knows it.
+type Owners interface {
+	// Locate returns the assignment of a key, and false if the service has no map yet.
+	Locate(service fleet.ServiceName, key fleet.KeyHash) (fleet.Assignment, bool)
+	// Changed returns a channel that is closed at the next change of any map.
+	Changed() <-chan struct{}
+}
+
+// Confirmations says until when a map may be used for servers that check nothing.
+type Confirmations interface {
+	// Confirmed returns the time until which the assigner confirmed the map of a service.
+	Confirmed(service fleet.ServiceName) time.Time
+}
+
+// Configuration is the configuration in force.
+type Configuration interface {
+	// Current returns the current document, which is never changed. It is nil until one is known.
+	Current() *document.Document
+}
+
+// Claims records idempotency keys.
+type Claims interface {
+	// Claim takes the key for a request, or says why not.
+	Claim(ctx context.Context, key once.Key, request fleet.RequestID) once.Verdict
+	// Finish records what became of a claimed request. It does not wait for the table.
+	Finish(key once.Key, ending once.Ending)
+}
+
+// Recorder keeps records for operators.
+type Recorder interface {
+	Record(record cause.Record)
+}
+
+// Router routes requests. The exported fields are set before Run; Run must be running while Do is used.
+type Router struct {
+	Host   fleet.Host
+	Clock  timer.Service
+	Config Configuration
+	// Owners may be nil if no service has keys.
+	Owners Owners
+	// Confirmations may be nil if no keyed service has the guard "none"; requests to such a service are rejected then.
+	Confirmations Confirmations
+	// Claims may be nil; requests with an idempotency key for an at-most-once route are rejected then.
+	Claims Claims
+	// Recorder may be nil.
+	Recorder Recorder
+	// Hosts returns the number of daemons that share the upstreams. Nil stands for one.
+	Hosts func() int
+	// NewLimit makes the limit of this daemon for one upstream. Nil stands for an adaptive limit.
+	NewLimit func(service *document.Service) admission.Limit
+
+	mu sync.Mutex
+	// services is guarded by mu and built from document.
+	services map[fleet.ServiceName]*service
+	document *document.Document
+
+	flights flights
+}
+
+// Run abandons attempts at servers that lost the partition of a repeatable request, until ctx ends.
+func (r *Router) Run(ctx context.Context) error {
+	if r.Owners == nil {
+		<-ctx.Done()
+		return nil
+	}
+	for {
+		changed := r.Owners.Changed()
+		r.flights.superseded(r.Owners)
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// Do routes one request. The answer must be copied or closed. ctx ends when the caller goes away.
+func (r *Router) Do(ctx context.Context, request *Request) Answer {
+	now := r.Clock.Now()
+	flight := &flight{router: r, request: request, caller: ctx, started: now}
+	flight.record = cause.Record{
+		Request: request.ID, Host: r.Host.ID, Service: request.Service, Tenant: request.Tenant, Started: now,
+	}
+	flight.service = r.service(request.Service)
+	if flight.service == nil {
+		return flight.refuse(refusal{outcome: cause.NotRun, cause: cause.NoSuchService})
+	}
+	flight.record.ConfigVersion = flight.service.version
+	timeout := request.Timeout
+	if timeout <= 0 {
+		timeout = flight.service.Timeout
+	}
+	flight.deadline = now.Add(timeout)
+	var cancel context.CancelFunc
+	flight.ctx, cancel = context.WithDeadline(ctx, flight.deadline)
+	flight.cancel = cancel
+	if flight.service.Keyed() {
+		if request.Key == "" {
+			return flight.refuse(refusal{outcome: cause.NotRun, cause: cause.MissingKey})
+		}
+		flight.key = fleet.HashKey(request.Key)
+		flight.record.Key = flight.key
+	}
+	if refused := flight.claim(); refused != nil {
+		return flight.refuse(*refused)
+	}
+	return flight.fly()
+}
+
+// Reported takes in the load that an upstream reported at a time.
+func (r *Router) Reported(name fleet.ServiceName, id fleet.UpstreamID, load balance.Load, at time.Time) {
+	if service := r.service(name); service != nil {
+		service.pool.Reported(at, id, load)
+	}
+}
+
+// Close closes the idle connections to all upstreams.
+func (r *Router) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, service := range r.services {
+		for _, upstream := range service.upstreams {
+			upstream.client.Close()
+		}
+	}
+}
+
+// service returns the state of a service under the current configuration, or nil.
+func (r *Router) service(name fleet.ServiceName) *service {
+	current := r.Config.Current()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if current != r.document {
+		r.adopt(current)
+	}
+	return r.services[name]
+}
+
+// adopt builds the services of a new document and keeps the estimates of those that stay. The caller holds mu.
+func (r *Router) adopt(current *document.Document) {
+	before := r.services
+	r.services = make(map[fleet.ServiceName]*service)
+	r.document = current
+	if current == nil {
+		return
+	}
+	for i := range current.Services {
+		name := current.Services[i].Name
+		r.services[name] = r.renew(before[name], &current.Services[i], current)
+	}
+}
--- /dev/null
+++ b/internal/upstream/standin/worker.go
@@ -0,0 +1,213 @@
+// Package standin is a fake worker that speaks HTTP on loopback. Tests and measurements use it to inject the faults that
+// real workers show and to compare what a caller was told with what the worker really ran.
+package standin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/core/timer"
+)
+
+// Ownership decides which partitions a worker may serve. It is nil for a worker that checks nothing.
+type Ownership interface {
+	// Admit reports whether a request for the partition may begin. Done follows each admitted request.
+	Admit(partition fleet.PartitionID) bool
+	// Held reports whether the partition is still held at the moment when the effect is applied.
+	Held(partition fleet.PartitionID) bool
+	// Done says that an admitted request has ended.
+	Done(partition fleet.PartitionID)
+}
+
+// Run counts what a worker did with one request.
+type Run struct {
+	// Started counts how often the request got a slot.
+	Started int
+	// Effects counts how often the request took effect.
+	Effects int
+}
+
+// Worker is one fake worker. The exported fields are set before Start.
+type Worker struct {
+	ID    fleet.UpstreamID
+	Clock timer.Service
+	// Slots is the number of requests that run at the same time; Queue is the number that may wait for a slot before
+	// the worker sheds; Connections limits open connections. Zero means no limit, except that Queue zero means none.
+	Slots, Queue, Connections int
+	// Work returns how long a request occupies its slot. Nil means no time.
+	Work func(r *http.Request) time.Duration
+	// ColdStart is the period after Start in which each request takes four times as long.
+	ColdStart time.Duration
+	Ownership Ownership
+	// Inject returns the fault of a request. Nil means none.
+	Inject func(r *http.Request) Fault
+	// Report changes the load that the worker reports. Nil reports it as it is.
+	Report func(Load) Load
+	// Unhealthy makes the health endpoint report a failure, whatever the truth.
+	Unhealthy bool
+	// Listen is the address to listen on; an invalid one stands for a free port of 127.0.0.1.
+	Listen netip.AddrPort
+
+	server  *http.Server
+	address netip.AddrPort
+	slots   chan struct{}
+	started time.Time
+	open    atomic.Int64
+	waiting atomic.Int64
+	running atomic.Int64
+	drain   atomic.Bool
+	resets  atomic.Int64
+
+	mu sync.Mutex
+	// runs is guarded by mu.
+	runs map[fleet.RequestID]Run
+	// frozen is guarded by mu; it is closed when the worker resumes and nil while it is not frozen.
+	frozen chan struct{}
+}
+
+// Start listens and serves until Stop.
+func (w *Worker) Start(ctx context.Context) error {
+	listen := w.Listen
+	if !listen.IsValid() {
+		listen = netip.MustParseAddrPort("127.0.0.1:0")
+	}
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", listen.String())
+	if err != nil {
+		return errors.Wrap(err, "standin: listen")
+	}
+	w.address = listener.Addr().(*net.TCPAddr).AddrPort()
+	w.Listen = w.address
+	if w.Clock == nil {
+		w.Clock = timer.System{}
+	}
+	w.started = w.Clock.Now()
+	if w.Slots > 0 {
+		w.slots = make(chan struct{}, w.Slots)
+	}
+	w.mu.Lock()
+	if w.runs == nil {
+		w.runs = make(map[fleet.RequestID]Run)
+	}
+	w.mu.Unlock()
+	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Minute}
+	go func() { _ = w.server.Serve(&acceptor{Listener: listener, worker: w}) }()
+	return nil
+}
+
+// Stop closes the listener and all connections, as a crash does.
+func (w *Worker) Stop() {
+	w.Thaw()
+	_ = w.server.Close()
+}
+
+// Address returns the address that Start listened on.
+func (w *Worker) Address() netip.AddrPort {
+	return w.address
+}
+
+// Drain makes the worker reject new requests because it is leaving.
+func (w *Worker) Drain(on bool) {
+	w.drain.Store(on)
+}
+
+// ResetAccepts makes the worker reset the next count connections right after accepting them.
+func (w *Worker) ResetAccepts(count int64) {
+	w.resets.Store(count)
+}
+
+// Freeze makes the worker answer nothing until Thaw.
+func (w *Worker) Freeze() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.frozen == nil {
+		w.frozen = make(chan struct{})
+	}
+}
+
+// Thaw resumes a frozen worker, which does not notice that time has passed.
+func (w *Worker) Thaw() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.frozen != nil {
+		close(w.frozen)
+		w.frozen = nil
+	}
+}
+
+// Ran returns what happened to a request here.
+func (w *Worker) Ran(id fleet.RequestID) Run {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs[id]
+}
+
+// Sent returns the number of requests that got a slot, repetitions included.
+func (w *Worker) Sent() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	total := 0
+	for _, run := range w.runs {
+		total += run.Started
+	}
+	return total
+}
+
+// Connected returns the number of open connections.
+func (w *Worker) Connected() int {
+	return int(w.open.Load())
+}
+
+// acceptor applies the connection limit and the resets of a worker.
+type acceptor struct {
+	net.Listener
+	worker *Worker
+}
+
+// Accept returns the next connection that the worker keeps.
+func (a *acceptor) Accept() (net.Conn, error) {
+	for {
+		conn, err := a.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		over := a.worker.Connections > 0 && a.worker.open.Load() >= int64(a.worker.Connections)
+		if over || a.worker.resets.Add(-1) >= 0 {
+			reset(conn)
+			continue
+		}
+		a.worker.open.Add(1)
+		return &counted{Conn: conn, open: &a.worker.open}, nil
+	}
+}
+
+// counted lowers the number of open connections when it is closed.
+type counted struct {
+	net.Conn
+	open *atomic.Int64
+	once sync.Once
+}
+
+// Close closes the connection.
+func (c *counted) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+func reset(conn net.Conn) {
+	if c, ok := conn.(*counted); ok {
+		defer func() { _ = c.Close() }()
+		conn = c.Conn
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
