--- a/internal/routing/retry/budget.go
+++ b/internal/routing/retry/budget.go
@@ -10,27 +10,28 @@
 	reserve = 50
 )
 
-// Budget bounds the retries of one service to a tenth of its first attempts. The zero value is an empty budget.
+// Budget bounds the retries of one service to a tenth of its first attempts, beyond a reserve. The zero value has its
+// whole reserve, so that a daemon that has just started can retry too.
 type Budget struct {
 	mu sync.Mutex
-	// tokens is guarded by mu and lies between 0 and reserve.
-	tokens float64
+	// spent is guarded by mu and lies between 0 and reserve.
+	spent float64
 }
 
 // First counts a first attempt.
 func (b *Budget) First() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(b.tokens+share, reserve)
+	b.spent = max(b.spent-share, 0)
 }
 
 // Take takes the token of one retry, and returns false if there is none.
 func (b *Budget) Take() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.tokens < 1 {
+	if b.spent+1 > reserve {
 		return false
 	}
-	b.tokens--
+	b.spent++
 	return true
 }
--- a/internal/routing/retry/verdict.go
+++ b/internal/routing/retry/verdict.go
@@ -49,13 +49,15 @@
 	CallerGone, Expired bool
 }
 
-// Decide returns what follows a sending. Every verdict that sends again takes a token from the budget.
+// Decide returns what follows a sending. Sending again takes a token from the budget. Waiting for the map takes none:
+// the router holds back the requests for a server or partition that is known to be useless, so that at most one trial
+// for each follows in 100 ms.
 func Decide(request Request, result forward.Result, budget *Budget) Verdict {
 	verdict := rule(request, result)
 	switch verdict := verdict.(type) {
-	case Pass, Stop:
+	case Pass, Stop, AwaitMap:
 		return verdict
-	case Again, AwaitMap:
+	case Again:
 		if budget.Take() {
 			return verdict
 		}
--- a/internal/routing/router/flight.go
+++ b/internal/routing/router/flight.go
@@ -70,7 +70,7 @@
 	for {
 		visit, refused := f.acquire()
 		if refused != nil {
-			return f.refuse(*refused)
+			return f.refuse(f.explain(*refused))
 		}
 		result := f.send(visit)
 		if retry.Outcome(result) == cause.Unknown {
@@ -89,6 +89,15 @@
 	}
 }
 
+// explain names the failed attempt as the cause if the deadline leaves no time for another one.
+func (f *flight) explain(refused refusal) refusal {
+	late := refused.cause == cause.DeadlineUnmeetable || refused.cause == cause.DeadlinePassed
+	if late && len(f.record.Attempts) > 0 {
+		refused.cause = f.lastCause()
+	}
+	return refused
+}
+
 func (f *flight) facts() retry.Request {
 	return retry.Request{
 		Delivery: f.request.Delivery, Keyed: f.service.Keyed(),
