--- a/internal/daemon/host/configuration.go
+++ b/internal/daemon/host/configuration.go
@@ -7,7 +7,6 @@
 	"github.com/cockroachdb/errors"
 
 	"rosemarywick.example/rosemarywick/internal/core/document"
-	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/operator/config"
 	"rosemarywick.example/rosemarywick/internal/peer/spread"
 )
@@ -131,17 +130,3 @@
 func (c *configuration) fleetSize() int {
 	return max(1, len(c.daemon.peers.spread.Members()))
 }
-
-// upstream returns a declared upstream of the document in force.
-func (c *configuration) upstream(service fleet.ServiceName, id fleet.UpstreamID) (document.Upstream, bool) {
-	if doc := c.Current(); doc != nil {
-		if found := doc.Find(service); found != nil {
-			for _, one := range found.Upstreams {
-				if one.ID == id {
-					return one, true
-				}
-			}
-		}
-	}
-	return document.Upstream{}, false
-}
--- a/internal/daemon/host/host.go
+++ b/internal/daemon/host/host.go
@@ -162,8 +162,9 @@
 	ctx := s.parents[of]
 	s.groups[of].Go(func() error {
 		err := task(ctx)
-		if ctx.Err() != nil {
-			return nil
+		stopped := ctx.Err() != nil
+		if stopped {
+			return nil //nolint:nilerr // a task that was stopped returns its context's error
 		}
 		if err == nil {
 			err = errors.New("host: task ended early")
--- a/internal/operator/rpc/configuration.go
+++ b/internal/operator/rpc/configuration.go
@@ -74,13 +74,11 @@
 	if problem != nil {
 		return &api.CheckConfigResponse{Problem: problem.Error()}
 	}
-	response := &api.CheckConfigResponse{
-		Valid: true, Services: uint32(len(doc.Services)), Tenants: uint32(len(doc.Tenants)), Pins: uint32(len(doc.Pins)),
+	size := config.SizeOf(doc)
+	return &api.CheckConfigResponse{
+		Valid: true, Services: uint32(size.Services), Upstreams: uint32(size.Upstreams), Tenants: uint32(size.Tenants),
+		Pins: uint32(size.Pins),
 	}
-	for i := range doc.Services {
-		response.Upstreams += uint32(len(doc.Services[i].Upstreams))
-	}
-	return response
 }
 
 // ApplyConfig stores a document as the next version.
@@ -166,7 +164,9 @@
 	default:
 		return nil, invalid("expected a text or a version to compare with")
 	}
-	return connect.NewResponse(&api.DiffConfigResponse{
-		Version: before.Version, Diff: config.Diff(fmt.Sprintf("version %d", before.Version), name, before.Text, text),
-	}), nil
+	diff, err := config.Diff(fmt.Sprintf("version %d", before.Version), name, before.Text, text)
+	if err != nil {
+		return nil, translate(err)
+	}
+	return connect.NewResponse(&api.DiffConfigResponse{Version: before.Version, Diff: diff}), nil
 }
