upstream/forward: one goroutine for each exchange, headers behind a dialect

Cause: http.Transport hides where an answer belongs. An extra answer that arrives late on a kept connection was taken for the answer to the next request, it needs two goroutines for each connection, and its headers could not be replaced by those of another deployment. Change: the client reads and writes its connections itself with http.ReadResponse, skips answers to other requests, never reuses a connection with unread bytes or an unfinished request, and resets what it gives up. Header names are behind Dialect; the product's own is Native. Ruled out: keeping http.Transport with a check of the attempt id, which can only discard the connection and loses an answer that is still coming. Test: go test ./internal/upstream/forward passes unchanged.

--- a/internal/core/document/document.go
+++ b/internal/core/document/document.go
@@ -19,6 +19,10 @@
 	Tenants []Tenant
 	// Pins name at most one server for each key of a service.
 	Pins []Pin
+	// Entries are matched by host name and path prefix. They are empty where callers address services by name.
+	Entries []Entry
+	// Callers bounds what a caller may send.
+	Callers CallerLimits
 }
 
 // Service is one service that callers may address.
@@ -42,7 +46,9 @@
 	Connections int
 	// QueueLimit is the number of requests that one daemon lets wait for one upstream.
 	QueueLimit int
-	Upstreams  []Upstream
+	// OwnerWait bounds how long a request waits for an owner of its key; zero lets it wait until its deadline.
+	OwnerWait time.Duration
+	Upstreams []Upstream
 	Routes     []Route
 }
 
@@ -58,6 +64,13 @@
 	Place   fleet.Place
 	// Drained is set by an operator who wants the upstream to receive no new work.
 	Drained bool
+	// LeaveBy is when a server that is leaving must get no new work even if its keys have not moved yet. It is zero for
+	// an upstream that stays.
+	LeaveBy time.Time
+	// Run identifies one run of the upstream's process; it is empty where that is not known.
+	Run fleet.Incarnation
+	// Slots is the number of requests that this upstream runs at the same time; zero stands for that of the service.
+	Slots int
 }
 
 // Route says how requests of a method and path may be treated. The first route that matches counts.
@@ -95,7 +108,7 @@
 	Upstream fleet.UpstreamID
 }
 
-// KeySource says where a request carries its key. It is one of KeyHeader, KeyPath and KeyQuery.
+// KeySource says where a request carries its key. It is one of KeyHeader, KeyPath, KeyQuery and KeyNumber.
 type KeySource interface {
 	keySource()
 }
@@ -109,6 +122,10 @@
 // KeyQuery takes the key from a query parameter.
 type KeyQuery struct{ Name string }
 
+// KeyNumber takes a key that is a number below KeyNumbers from a header. Servers own ranges of such keys.
+type KeyNumber struct{ Name string }
+
+func (KeyNumber) keySource() {}
 func (KeyHeader) keySource() {}
 func (KeyPath) keySource()   {}
 func (KeyQuery) keySource()  {}
--- a/internal/core/fleet/identity.go
+++ b/internal/core/fleet/identity.go
@@ -48,6 +48,9 @@
 const (
 	// GuardFenced marks a server that refuses orders of an epoch lower than the highest that it has accepted.
 	GuardFenced Guard = "fenced"
+	// GuardHold marks a server that takes grants of key ranges for a bounded time, each with a fence, and refuses a grant
+	// with a fence lower than one that it has seen on those keys.
+	GuardHold Guard = "hold"
 	// GuardNone marks a server that checks nothing.
 	GuardNone Guard = "none"
 )
--- a/internal/routing/retry/budget.go
+++ b/internal/routing/retry/budget.go
@@ -3,16 +3,22 @@
 import "sync"
 
 const (
-	// share is the number of retries that each first attempt pays for.
-	share = 0.1
-	// reserve is the number of unused retries that are kept for a burst, such as the requests in flight at an upstream
+	// defaultShare is the number of retries that each first attempt pays for.
+	defaultShare = 0.1
+	// defaultReserve is the number of unused retries that are kept for a burst, such as the requests in flight at an upstream
 	// that is lost. With 50, eleven daemons of a small service sent 1.33 times as many requests as they had received.
-	reserve = 10
+	defaultReserve = 10
 )
 
-// Budget bounds the retries of one service to a tenth of its first attempts, beyond a reserve. The zero value has its
-// whole reserve, so that a daemon that has just started can retry too.
+// Budget bounds the retries of one service to a share of its first attempts, beyond a reserve. The zero value allows a tenth
+// and has its whole reserve, so that a daemon that has just started can retry too. The exported fields are set before use.
 type Budget struct {
+	// Share is the number of retries that each first attempt pays for; zero stands for a tenth.
+	Share float64
+	// Reserve returns the number of unused retries that are kept; nil stands for 10. It may change with the number of
+	// daemons that share a common reserve.
+	Reserve func() float64
+
 	mu sync.Mutex
 	// spent is guarded by mu and lies between 0 and reserve.
 	spent float64
@@ -22,16 +28,30 @@
 func (b *Budget) First() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.spent = max(b.spent-share, 0)
+	b.spent = max(b.spent-b.share(), 0)
 }
 
 // Take takes the token of one retry, and returns false if there is none.
 func (b *Budget) Take() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.spent+1 > reserve {
+	if b.spent+1 > b.reserve() {
 		return false
 	}
 	b.spent++
 	return true
 }
+
+func (b *Budget) share() float64 {
+	if b.Share > 0 {
+		return b.Share
+	}
+	return defaultShare
+}
+
+func (b *Budget) reserve() float64 {
+	if b.Reserve != nil {
+		return b.Reserve()
+	}
+	return defaultReserve
+}
--- a/internal/upstream/forward/client.go
+++ b/internal/upstream/forward/client.go
@@ -1,15 +1,10 @@
 package forward
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/netip"
-	"net/url"
-	"strconv"
 	"sync"
 	"time"
 
@@ -26,11 +21,15 @@
 	// dialTimeout bounds a connection attempt; a connection takes about 1 ms, and a lost packet is repeated after 1 s.
 	dialTimeout = 1500 * time.Millisecond
 	// idleTimeout lies below the idle time-outs common among servers, so that a reused connection is rarely one that
-	// the upstream is just closing.
+	// the upstream is just closing. An upstream that names a longer one is believed, less idleMargin.
 	idleTimeout = 4 * time.Second
+	idleMargin  = time.Second
 	// wholeLimit is the longest answer that is read before any of it is passed on. A shorter answer can then be
 	// fetched again when it is truncated.
 	wholeLimit = 64 << 10
+	readBuffer = 8 << 10
+	// connectionsDefault limits the connections of a client that names no limit.
+	connectionsDefault = 1024
 )
 
 // Request is what is sent to an upstream.
@@ -39,11 +38,15 @@
 	Method string
 	// Target is path and query as they are sent.
 	Target string
+	// Hostname is the host that the caller addressed.
+	Hostname string
 	// Header holds the caller's headers; hop-by-hop headers are not sent.
 	Header http.Header
 	Body   []byte
 	// Deadline is the moment by which the caller wants its answer.
 	Deadline time.Time
+	// Upstream is the id of the upstream that the request is meant for.
+	Upstream fleet.UpstreamID
 	// Keyed is set when Key, Partition and Fence are to be sent.
 	Keyed     bool
 	Key       fleet.KeyHash
@@ -57,149 +60,119 @@
 type Client struct {
 	Address netip.AddrPort
 	Clock   timer.Service
-	// Connections limits the open connections to the upstream; zero means no limit.
+	// Connections limits the open connections to the upstream; zero stands for 1024.
 	Connections int
-
-	once      sync.Once
-	transport *http.Transport
+	// Dialect translates to the headers of the deployment. Nil stands for the product's own.
+	Dialect Dialect
+	// WholeLimit is the longest answer that is read before any of it is passed on. Zero stands for 64 KiB, and only
+	// answers that name their length are read whole then.
+	WholeLimit int64
+
+	once sync.Once
+	// slots limits the open connections: a request holds one while it uses or opens a connection.
+	slots chan struct{}
+
+	mu sync.Mutex
+	// idle is guarded by mu and ordered by the time of the last use, the latest last.
+	idle []*connection
+	// closed is guarded by mu; connections are not kept once it is set.
+	closed bool
 }
 
 func (c *Client) open() {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	c.transport = &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			began := c.Clock.Now()
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &connection{Conn: conn, dialed: c.Clock.Now().Sub(began)}, nil
-		},
-		MaxConnsPerHost:     c.Connections,
-		MaxIdleConnsPerHost: max(c.Connections, 16),
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-		WriteBufferSize:     16 << 10,
+	limit := c.Connections
+	if limit <= 0 {
+		limit = connectionsDefault
+	}
+	c.slots = make(chan struct{}, limit)
+	if c.Dialect == nil {
+		c.Dialect = Native{}
 	}
 }
 
-// Close closes the idle connections.
+// Close closes the idle connections. Connections in use are closed when their requests end.
 func (c *Client) Close() {
-	c.once.Do(c.open)
-	c.transport.CloseIdleConnections()
+	c.mu.Lock()
+	idle := c.idle
+	c.idle, c.closed = nil, true
+	c.mu.Unlock()
+	for _, one := range idle {
+		_ = one.Close()
+	}
 }
 
 // Send sends the request once. The context ends the attempt, also while the body of the answer is being read.
 func (c *Client) Send(ctx context.Context, request *Request) Result {
 	c.once.Do(c.open)
-	state := &attempt{}
-	began := c.Clock.Now()
-	response, err := c.transport.RoundTrip(c.outgoing(ctx, request, state, began)) //nolint:bodyclose // Responded.Body
+	select {
+	case c.slots <- struct{}{}:
+	case <-ctx.Done():
+		return NotSent{Local: true, Err: context.Cause(ctx)}
+	}
+	conn, err := c.connect(ctx, request)
 	if err != nil {
-		return failure(ctx, state, err)
+		<-c.slots
+		return NotSent{Local: ctx.Err() != nil, Err: err}
 	}
-	return c.classify(ctx, response, c.Clock.Now().Sub(began))
+	exchange := &exchange{client: c, connection: conn, request: request, ctx: ctx}
+	return exchange.run()
 }
 
-func (c *Client) outgoing(ctx context.Context, request *Request, state *attempt, now time.Time) *http.Request {
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		conn, ok := info.Conn.(*connection)
-		if !ok {
-			return
+// connect returns an idle connection that is still good, or a new one.
+func (c *Client) connect(ctx context.Context, request *Request) (*connection, error) {
+	if ctx.Err() != nil {
+		return nil, context.Cause(ctx)
+	}
+	for {
+		conn := c.take()
+		if conn == nil {
+			break
 		}
-		state.assign(conn)
-		if !info.Reused {
-			request.Connect = conn.dialed
+		if c.Clock.Now().Before(conn.expires) && conn.quiet() == nil {
+			return conn, nil
 		}
-	}}
-	header := Strip(request.Header)
-	header.Set("Rosemarywick-Request-Id", string(request.ID))
-	header.Set("Rosemarywick-Timeout", request.Deadline.Sub(now).String())
-	header.Del("Rosemarywick-Key-Hash")
-	header.Del("Rosemarywick-Partition")
-	header.Del("Rosemarywick-Fence")
-	if request.Keyed {
-		header.Set("Rosemarywick-Key-Hash", strconv.FormatUint(uint64(request.Key), 16))
-		header.Set("Rosemarywick-Partition", strconv.FormatUint(uint64(request.Partition), 10))
-		header.Set("Rosemarywick-Fence", request.Fence.String())
+		_ = conn.Close()
 	}
-	if _, named := header["User-Agent"]; !named {
-		header["User-Agent"] = nil // net/http would add its own
-	}
-	outgoing := &http.Request{
-		Method: request.Method, Host: c.Address.String(), Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		URL: &url.URL{Scheme: "http", Host: c.Address.String()}, ContentLength: int64(len(request.Body)),
-	}
-	if parsed, err := url.ParseRequestURI(request.Target); err == nil {
-		outgoing.URL.Path, outgoing.URL.RawPath, outgoing.URL.RawQuery = parsed.Path, parsed.RawPath, parsed.RawQuery
-	}
-	if len(request.Body) > 0 {
-		// GetBody stays nil: http.Transport then does not repeat the request by itself.
-		outgoing.Body = io.NopCloser(bytes.NewReader(request.Body))
+	began := c.Clock.Now()
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	conn, err := dialer.DialContext(ctx, "tcp", c.Address.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "forward: connect")
 	}
-	return outgoing.WithContext(httptrace.WithClientTrace(ctx, trace))
+	request.Connect = c.Clock.Now().Sub(began)
+	return newConnection(conn, request.Connect), nil
 }
 
-func failure(ctx context.Context, state *attempt, err error) Result {
-	local := ctx.Err() != nil
-	if state.giveUp() {
-		return Lost{Local: local, Err: err}
+func (c *Client) take() *connection {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.idle) == 0 {
+		return nil
 	}
-	return NotSent{Local: local, Err: err}
+	last := len(c.idle) - 1
+	conn := c.idle[last]
+	c.idle[last] = nil
+	c.idle = c.idle[:last]
+	return conn
 }
 
-func (c *Client) classify(ctx context.Context, response *http.Response, firstByte time.Duration) Result {
-	header := response.Header
-	if header.Get("Not-Run") == "true" && response.StatusCode == http.StatusServiceUnavailable {
-		discard(response.Body)
-		seconds, _ := strconv.Atoi(header.Get("Retry-After"))
-		return Rejected{Draining: header.Get("Draining") == "true", RetryAfter: time.Duration(seconds) * time.Second}
-	}
-	if header.Get("Not-Owner") == "true" && response.StatusCode == http.StatusMisdirectedRequest {
-		discard(response.Body)
-		return NotOwner{}
+// keep makes a connection available to the next request. The connections that expired before it are closed, so that a
+// burst does not leave connections behind.
+func (c *Client) keep(conn *connection) {
+	now := c.Clock.Now()
+	c.mu.Lock()
+	var expired []*connection
+	for len(c.idle) > 0 && !now.Before(c.idle[0].expires) {
+		expired = append(expired, c.idle[0])
+		c.idle = c.idle[1:]
 	}
-	result := Responded{
-		Status: response.StatusCode, Header: Strip(header), Body: &body{ReadCloser: response.Body}, FirstByte: firstByte,
+	if c.closed {
+		expired = append(expired, conn)
+	} else {
+		c.idle = append(c.idle, conn)
 	}
-	if response.ContentLength < 0 || response.ContentLength > wholeLimit {
-		return result
-	}
-	return whole(ctx, result, response.ContentLength)
-}
-
-// whole reads a short answer into memory.
-func whole(ctx context.Context, result Responded, length int64) Result {
-	content := make([]byte, 0, length+bytes.MinRead)
-	buffer := bytes.NewBuffer(content)
-	_, err := buffer.ReadFrom(result.Body)
-	_ = result.Body.Close()
-	if err != nil {
-		if ctx.Err() != nil {
-			return Lost{Local: true, Err: err}
-		}
-		return Truncated{Err: err}
-	}
-	result.Body, result.Whole = io.NopCloser(buffer), true
-	return result
-}
-
-// discard reads a short rest so that the connection can be used again.
-func discard(rest io.ReadCloser) {
-	_, _ = io.CopyN(io.Discard, rest, 4<<10)
-	_ = rest.Close()
-}
-
-// body translates the errors of reading an answer.
-type body struct {
-	io.ReadCloser
-}
-
-// Read reads from the answer.
-func (b *body) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if err != nil && !errors.Is(err, io.EOF) {
-		err = errors.Mark(errors.Wrap(err, "forward: read answer"), ErrTruncated)
+	c.mu.Unlock()
+	for _, one := range expired {
+		_ = one.Close()
 	}
-	return n, err
 }
--- a/internal/upstream/forward/connection.go
+++ b/internal/upstream/forward/connection.go
@@ -1,92 +1,125 @@
 package forward
 
 import (
+	"bufio"
+	"io"
 	"net"
-	"sync"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
-// errSealed is the error of a write to a connection on which its request has been given up.
-var errSealed = errors.New("forward: connection is sealed")
+// errUnsolicited is the error of an idle connection on which something arrived, or which the upstream closed.
+var errUnsolicited = errors.New("forward: idle connection is closed or has unread bytes")
 
-// connection counts the bytes handed to the operating system, so that "no byte was sent" can be proved.
+// connection is one connection to an upstream. It serves one request at a time and belongs to the goroutine of that
+// request, except that Close may be called by anyone.
 type connection struct {
 	net.Conn
+	reader *bufio.Reader
 	// dialed is how long it took to establish the connection.
 	dialed time.Duration
-
-	mu sync.Mutex
-	// written is guarded by mu and counts the bytes that the operating system accepted.
+	// written counts the bytes that the operating system accepted, so that "no byte was sent" can be proved. It belongs to
+	// the goroutine that writes.
 	written int64
-	// sealed is guarded by mu; nothing is written once it is set.
-	sealed bool
+	// expires is the time after which the connection is not used again.
+	expires time.Time
+}
+
+func newConnection(conn net.Conn, dialed time.Duration) *connection {
+	result := &connection{Conn: conn, dialed: dialed}
+	result.reader = bufio.NewReaderSize(conn, readBuffer)
+	return result
 }
 
-// Write passes p on unless the connection is sealed.
+// Write writes to the upstream and counts the bytes.
 func (c *connection) Write(p []byte) (int, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.sealed {
-		return 0, errSealed
-	}
 	n, err := c.Conn.Write(p)
 	c.written += int64(n)
 	return n, err
 }
 
-// total returns the bytes written so far.
-func (c *connection) total() int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.written
+// quiet returns an error if the upstream closed the idle connection or sent something that nobody asked for. It does not
+// block.
+func (c *connection) quiet() error {
+	if c.reader.Buffered() > 0 {
+		return errUnsolicited
+	}
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "forward: inspect connection")
+	}
+	var failed error
+	err = control.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, failed = syscall.Read(int(fd), one[:])
+		return true
+	})
+	if err != nil {
+		return errors.Wrap(err, "forward: inspect connection")
+	}
+	if errors.Is(failed, syscall.EAGAIN) {
+		return nil
+	}
+	return errUnsolicited
 }
 
-// seal ends the connection and returns the final count. http.Transport writes in a goroutine that may still run after
-// the request has failed; closing first unblocks a write that is under way.
-func (c *connection) seal() int64 {
+// reset closes the connection so that bytes under way are discarded instead of being delivered later.
+func (c *connection) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
 	_ = c.Close()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.sealed = true
-	return c.written
 }
 
-// attempt follows the connections that http.Transport uses for one request.
-type attempt struct {
-	mu sync.Mutex
-	// current is guarded by mu; it is nil until a connection was assigned.
-	current *connection
-	// before is guarded by mu and holds the count of current when it was assigned.
-	before int64
-	// reached is guarded by mu; it is set when bytes of the request were written to an earlier connection.
-	reached bool
-	// closed is guarded by mu; connections that are assigned later are sealed.
-	closed bool
+// keepAlive returns how long the upstream keeps the idle connection, or standard if it does not say.
+func keepAlive(header http.Header, standard time.Duration) time.Duration {
+	for part := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return standard
 }
 
-// assign is called when http.Transport chose a connection. The transport may choose a second one when it repeats a
-// request by itself; that is stopped here if a byte of the request was written before.
-func (a *attempt) assign(next *connection) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.current != nil && a.current.seal() > a.before {
-		a.reached = true
-	}
-	if a.closed || a.reached {
-		next.seal()
+// body is the body of an answer that is read from its connection. It returns the connection to the client when the answer
+// is complete.
+type body struct {
+	io.Reader
+	exchange *exchange
+	ended    bool
+}
+
+// Read reads from the answer and translates its errors.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	switch {
+	case err == nil || b.ended:
+	case errors.Is(err, io.EOF):
+		b.ended = true
+		b.exchange.finish(true)
+	default:
+		b.ended = true
+		b.exchange.finish(false)
+		err = errors.Mark(errors.Wrap(err, "forward: read answer"), ErrTruncated)
 	}
-	a.current, a.before = next, next.total()
+	return n, err
 }
 
-// giveUp ends all writing for the request and reports whether a byte of it was written.
-func (a *attempt) giveUp() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.closed = true
-	if a.current != nil && a.current.seal() > a.before {
-		a.reached = true
+// Close gives up the rest of an answer, and with it the connection.
+func (b *body) Close() error {
+	if !b.ended {
+		b.ended = true
+		b.exchange.finish(false)
 	}
-	return a.reached
+	return nil
 }
