routing: attempt limits, shared retry budgets and numbered keys; standin: Stop closes its listener

Cause: deployments with entries by host name bound the upstreams of one request, count every sending against a budget that all daemons share, and key services by number. TestNotSent failed in 1 of 200 runs: a worker that was stopped right after its start kept its listener, which the server had not begun to serve.

--- a/internal/core/cause/outcome.go
+++ b/internal/core/cause/outcome.go
@@ -44,6 +44,12 @@
 	TenantShare Cause = "tenant-share"
 	// UpstreamRefused means that the upstream said that it did not run the request.
 	UpstreamRefused Cause = "upstream-refused"
+	// UpstreamFailed means that the upstream ran the request and answered with an error of its own.
+	UpstreamFailed Cause = "upstream-failed"
+	// NoEntry means that no entry matches the host name and path.
+	NoEntry Cause = "no-entry"
+	// NoConfiguration means that the daemon knows no configuration yet.
+	NoConfiguration Cause = "no-configuration"
 	// UpstreamUnreachable means that no connection to the upstream could be made.
 	UpstreamUnreachable Cause = "upstream-unreachable"
 	// UpstreamReset means that the connection was lost after bytes of the request may have reached the upstream.
--- a/internal/routing/retry/budget.go
+++ b/internal/routing/retry/budget.go
@@ -18,6 +18,8 @@
 	// Reserve returns the number of unused retries that are kept; nil stands for 10. It may change with the number of
 	// daemons that share a common reserve.
 	Reserve func() float64
+	// Strict counts every sending after the first that reached an upstream, also one that waited for the map before.
+	Strict bool
 
 	mu sync.Mutex
 	// spent is guarded by mu and lies between 0 and reserve.
--- a/internal/routing/retry/verdict.go
+++ b/internal/routing/retry/verdict.go
@@ -3,6 +3,8 @@
 package retry
 
 import (
+	"net/http"
+
 	"rosemarywick.example/rosemarywick/internal/core/cause"
 	"rosemarywick.example/rosemarywick/internal/core/document"
 	"rosemarywick.example/rosemarywick/internal/upstream/forward"
@@ -47,33 +49,52 @@
 	Keyed    bool
 	// CallerGone and Expired say why an attempt ended on this side.
 	CallerGone, Expired bool
+	// Last is set when the request has been sent to as many upstreams as its entry allows.
+	Last bool
 }
 
-// Decide returns what follows a sending. Sending again takes a token from the budget. Waiting for the map takes none:
-// the router holds back the requests for a server or partition that is known to be useless, so that at most one trial
-// for each follows in 250 ms.
+// Decide returns what follows a sending. Sending again takes a token from the budget. Waiting for the map takes none
+// unless the budget is strict: the router holds back the requests for a server or partition that is known to be useless,
+// so that at most one trial for each follows in 250 ms.
 func Decide(request Request, result forward.Result, budget *Budget) Verdict {
 	verdict := rule(request, result)
 	switch verdict := verdict.(type) {
-	case Pass, Stop, AwaitMap:
+	case Pass, Stop:
 		return verdict
+	case AwaitMap:
+		if !budget.Strict || !Reached(result) || budget.Take() {
+			return verdict
+		}
 	case Again:
-		if budget.Take() {
+		if budget.Strict && !Reached(result) || budget.Take() {
 			return verdict
 		}
 	}
+	if answer, ok := result.(forward.Responded); ok {
+		return Pass{Answer: answer}
+	}
 	return Stop{Outcome: Outcome(result), Cause: cause.RetryBudget}
 }
 
+// Reached reports whether a byte of the request may have reached the upstream.
+func Reached(result forward.Result) bool {
+	_, unsent := result.(forward.NotSent)
+	return !unsent
+}
+
 func rule(request Request, result forward.Result) Verdict {
 	why := Cause(request, result)
 	stop := Stop{Outcome: Outcome(result), Cause: why}
 	again := Verdict(Again{Cause: why})
-	if request.CallerGone || request.Expired {
+	if request.CallerGone || request.Expired || request.Last {
 		again = stop
 	}
 	switch result := result.(type) {
 	case forward.Responded:
+		// An upstream that fails may be the only one that does.
+		if result.Status >= http.StatusInternalServerError && request.Delivery == document.Idempotent && again != stop {
+			return again
+		}
 		return Pass{Answer: result}
 	case forward.Rejected:
 		if result.Draining { // a keyed server that is leaving rejects until its keys have moved
@@ -122,6 +143,9 @@
 	}
 	switch result := result.(type) {
 	case forward.Responded:
+		if result.Status >= http.StatusInternalServerError {
+			return cause.UpstreamFailed
+		}
 		return cause.OK
 	case forward.Rejected:
 		if result.Draining {
--- a/internal/routing/router/answer.go
+++ b/internal/routing/router/answer.go
@@ -27,9 +27,16 @@
 // answer wraps the answer of an upstream.
 func (f *flight) answer(visit *visit, responded forward.Responded) Answer {
 	why := cause.OK
-	if f.router.Clock.Now().Sub(f.started) > f.service.Target {
+	objective := f.request.Objective
+	if objective == 0 {
+		objective = f.service.Target
+	}
+	if f.router.Clock.Now().Sub(f.started) > objective {
 		why = cause.SlowUpstream
 	}
+	if responded.Status >= http.StatusInternalServerError {
+		why = cause.UpstreamFailed
+	}
 	answered := &Answered{
 		Status: responded.Status, Header: responded.Header, Outcome: cause.Complete, Cause: why,
 		flight: f, body: responded.Body, responded: responded, visit: visit,
--- a/internal/routing/router/flight.go
+++ b/internal/routing/router/flight.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"rosemarywick.example/rosemarywick/internal/core/cause"
@@ -32,6 +33,8 @@
 	mayHaveRun bool
 	avoid      fleet.UpstreamID
 	sent       int
+	// reached counts the sendings of which a byte may have reached an upstream.
+	reached int
 }
 
 // visit is a slot at an upstream.
@@ -75,6 +78,9 @@
 		if retry.Outcome(result) == cause.Unknown {
 			f.mayHaveRun = true
 		}
+		if retry.Reached(result) {
+			f.reached++
+		}
 		f.avoid = visit.upstream.ID
 		switch verdict := retry.Decide(f.facts(), result, f.service.budget).(type) {
 		case retry.Pass:
@@ -83,11 +89,17 @@
 			f.release(visit, result)
 			return f.refuse(refusal{outcome: verdict.Outcome, cause: verdict.Cause})
 		case retry.Again, retry.AwaitMap:
+			if failed, ok := result.(forward.Responded); ok {
+				_ = failed.Body.Close()
+			}
 			f.release(visit, result)
 		}
 	}
 }
 
+// mostSends bounds the attempts at one request, those at unreachable upstreams included.
+const mostSends = 8
+
 // explain names the failed attempt as the cause if the deadline leaves no time for another one.
 func (f *flight) explain(refused refusal) refusal {
 	late := refused.cause == cause.DeadlineUnmeetable || refused.cause == cause.DeadlinePassed
@@ -101,6 +113,7 @@
 	return retry.Request{
 		Delivery: f.request.Delivery, Keyed: f.service.Keyed(),
 		CallerGone: f.caller.Err() != nil, Expired: !f.router.Clock.Now().Before(f.deadline),
+		Last: f.request.Attempts > 0 && (f.reached >= f.request.Attempts || f.sent >= mostSends),
 	}
 }
 
@@ -150,7 +163,7 @@
 	visit.began = f.router.Clock.Now()
 	outgoing := &forward.Request{
 		ID: f.request.ID, Method: f.request.Method, Target: f.request.Target, Header: f.request.Header,
-		Body: f.request.Body, Deadline: f.deadline,
+		Body: f.request.Body, Deadline: f.deadline, Hostname: f.request.Hostname, Upstream: visit.upstream.ID,
 	}
 	ctx, cancel := f.ctx, context.CancelFunc(nil)
 	if f.service.Keyed() {
@@ -182,12 +195,21 @@
 	switch result := result.(type) {
 	case forward.Responded:
 		seen = balance.Answered{Latency: result.FirstByte}
+		if result.Status >= http.StatusInternalServerError {
+			seen = balance.Refused{}
+		}
 		learned = admission.Served{Latency: result.FirstByte}
 		f.service.holds.reached(visit.assignment)
+		if f.router.Loads != nil && f.service.Keyed() {
+			f.router.Loads.Served(f.service.Name, visit.upstream.ID, f.key, result.FirstByte)
+		}
 	case forward.Truncated:
 		seen = balance.Answered{Latency: now.Sub(visit.began)}
 	case forward.Rejected:
 		seen, learned = balance.Refused{}, admission.Shed{}
+		if result.Misplaced {
+			seen, learned = balance.Unreachable{}, admission.Abandoned{}
+		}
 		if result.Draining {
 			seen, learned = balance.Leaving{}, admission.Abandoned{} // says nothing of the slots
 			f.service.holds.denied(now, visit.assignment)
--- a/internal/routing/router/keyed.go
+++ b/internal/routing/router/keyed.go
@@ -43,7 +43,7 @@
 	if f.router.Owners == nil {
 		return fleet.Assignment{}, &refusal{outcome: cause.NotRun, cause: cause.NoOwner}
 	}
-	waiting := false
+	waiting, asked := false, f.router.Clock.Now()
 	for {
 		changed := f.router.Owners.Changed()
 		assignment, pause, why := f.look()
@@ -57,7 +57,10 @@
 			return assignment, &refusal{outcome: cause.NotRun, cause: cause.Moving, retryAfter: time.Second}
 		}
 		waiting = true
-		if !f.await(changed, pause) {
+		if limit := f.service.OwnerWait; limit > 0 {
+			pause = min(pause, limit-f.router.Clock.Now().Sub(asked))
+		}
+		if pause <= 0 || !f.await(changed, pause) {
 			f.service.holds.leave()
 			if f.caller.Err() != nil {
 				why = cause.CallerGone
@@ -80,6 +83,9 @@
 		return assignment, f.service.Timeout, cause.NoOwner
 	}
 	now := f.router.Clock.Now()
+	if leave := f.service.upstreams[assignment.Owner].LeaveBy; !leave.IsZero() && !now.Before(leave) {
+		return assignment, f.service.Timeout, cause.UpstreamDraining
+	}
 	if f.service.Guard == fleet.GuardNone {
 		f.confine(until)
 	}
--- a/internal/routing/router/request.go
+++ b/internal/routing/router/request.go
@@ -25,7 +25,13 @@
 	Method  string
 	// Target is path and query as they are sent to the upstream.
 	Target string
-	Header http.Header
+	// Hostname is the host that the caller addressed.
+	Hostname string
+	// Objective is the time within which an answer is useful; zero stands for the target of the service.
+	Objective time.Duration
+	// Attempts is the number of upstreams to which the request may be sent; zero sets no bound.
+	Attempts int
+	Header   http.Header
 	Body   []byte
 }
 
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -15,6 +15,8 @@
 	"rosemarywick.example/rosemarywick/internal/routing/admission"
 	"rosemarywick.example/rosemarywick/internal/routing/balance"
 	"rosemarywick.example/rosemarywick/internal/routing/once"
+	"rosemarywick.example/rosemarywick/internal/routing/retry"
+	"rosemarywick.example/rosemarywick/internal/upstream/forward"
 )
 
 // Owners is the map of the keyed services as this daemon knows it.
@@ -45,6 +47,11 @@
 	Finish(key once.Key, ending once.Ending)
 }
 
+// Loads learns which keyed requests were served, from which the load of keys and the speed of servers follow.
+type Loads interface {
+	Served(service fleet.ServiceName, server fleet.UpstreamID, key fleet.KeyHash, took time.Duration)
+}
+
 // Recorder learns of each request that has ended.
 type Recorder interface {
 	Record(record cause.Record)
@@ -63,6 +70,14 @@
 	Claims Claims
 	// Recorder may be nil.
 	Recorder Recorder
+	// Loads may be nil.
+	Loads Loads
+	// Dialect translates to the headers of the upstreams. Nil stands for the product's own.
+	Dialect forward.Dialect
+	// WholeLimit is the longest answer that is read before any of it is passed on; see forward.Client.
+	WholeLimit int64
+	// NewBudget makes the retry budget of a service. Nil stands for the default budget.
+	NewBudget func() *retry.Budget
 	// Hosts returns the number of daemons that share the upstreams. Nil stands for one.
 	Hosts func() int
 	// NewLimit makes the limit of this daemon for one upstream. Nil stands for an adaptive limit.
@@ -117,8 +132,11 @@
 		if request.Key == "" {
 			return flight.refuse(refusal{outcome: cause.NotRun, cause: cause.MissingKey})
 		}
-		flight.key = fleet.HashKey(request.Key)
-		flight.record.Key = flight.key
+		key, err := hash(flight.service.Key, request.Key)
+		if err != nil {
+			return flight.refuse(refusal{outcome: cause.NotRun, cause: cause.BadRequest})
+		}
+		flight.key, flight.record.Key = key, key
 	}
 	if refused := flight.claim(); refused != nil {
 		return flight.refuse(*refused)
@@ -126,6 +144,15 @@
 	return flight.fly()
 }
 
+// hash returns the hash by which the map knows a key: a numbered key stands for itself.
+func hash(source document.KeySource, key string) (fleet.KeyHash, error) {
+	if _, numbered := source.(document.KeyNumber); !numbered {
+		return fleet.HashKey(key), nil
+	}
+	number, err := fleet.ParseKeyNumber(key)
+	return fleet.KeyHash(number), err
+}
+
 // Reported takes in the load that an upstream reported at a time.
 func (r *Router) Reported(name fleet.ServiceName, id fleet.UpstreamID, load balance.Load, at time.Time) {
 	if service := r.service(name); service != nil {
--- a/internal/routing/router/service.go
+++ b/internal/routing/router/service.go
@@ -46,7 +46,7 @@
 	if before != nil && before.Keyed() == declared.Keyed() {
 		next.learned, next.lobby = before.learned, before.lobby
 	} else {
-		next.learned = &learned{pool: &balance.Pool{Local: r.Host.Place}, budget: &retry.Budget{}, holds: newHolds()}
+		next.learned = &learned{pool: &balance.Pool{Local: r.Host.Place}, budget: r.budget(), holds: newHolds()}
 	}
 	weights := make(map[fleet.TenantName]int)
 	for _, tenant := range current.Tenants {
@@ -54,7 +54,9 @@
 	}
 	candidates := make([]balance.Candidate, 0, len(declared.Upstreams))
 	for _, one := range declared.Upstreams {
-		candidates = append(candidates, balance.Candidate{ID: one.ID, Place: one.Place, Drained: one.Drained})
+		candidates = append(candidates, balance.Candidate{
+			ID: one.ID, Place: one.Place, Drained: one.Drained || !one.LeaveBy.IsZero(),
+		})
 		next.upstreams[one.ID] = r.renewUpstream(before, declared, one, weights)
 	}
 	next.pool.Set(r.Clock.Now(), candidates)
@@ -75,7 +77,9 @@
 	}
 	if result.client == nil {
 		connections := max(leastConnections, declared.Connections/r.hosts())
-		result.client = &forward.Client{Address: one.Address, Clock: r.Clock, Connections: connections}
+		result.client = &forward.Client{
+			Address: one.Address, Clock: r.Clock, Connections: connections, Dialect: r.Dialect, WholeLimit: r.WholeLimit,
+		}
 	}
 	if declared.Keyed() {
 		result.door = r.renewStation(result.door, declared, weights, 1, func(
@@ -102,6 +106,13 @@
 	return old
 }
 
+func (r *Router) budget() *retry.Budget {
+	if r.NewBudget != nil {
+		return r.NewBudget()
+	}
+	return &retry.Budget{}
+}
+
 func (r *Router) limit(declared *document.Service) admission.Limit {
 	if r.NewLimit != nil {
 		return r.NewLimit(declared)
--- a/internal/upstream/forward/result.go
+++ b/internal/upstream/forward/result.go
@@ -30,6 +30,8 @@
 type Rejected struct {
 	// Draining is set when the upstream rejected the request because it is leaving.
 	Draining bool
+	// Misplaced is set when another upstream answers at the address.
+	Misplaced bool
 	// RetryAfter is zero when the upstream named no time.
 	RetryAfter time.Duration
 }
--- a/internal/upstream/standin/worker.go
+++ b/internal/upstream/standin/worker.go
@@ -60,16 +60,17 @@
 	// Listen is the address to listen on; an invalid one stands for a free port of 127.0.0.1.
 	Listen netip.AddrPort
 
-	server  *http.Server
-	address netip.AddrPort
-	slots   chan struct{}
-	started atomic.Value // of time.Time
-	setup   sync.Once
-	open    atomic.Int64
-	waiting atomic.Int64
-	running atomic.Int64
-	drain   atomic.Bool
-	resets  atomic.Int64
+	server   *http.Server
+	listener net.Listener
+	address  netip.AddrPort
+	slots    chan struct{}
+	started  atomic.Value // of time.Time
+	setup    sync.Once
+	open     atomic.Int64
+	waiting  atomic.Int64
+	running  atomic.Int64
+	drain    atomic.Bool
+	resets   atomic.Int64
 
 	mu sync.Mutex
 	// runs is guarded by mu.
@@ -101,6 +102,7 @@
 	})
 	w.started.Store(w.Clock.Now())
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Minute}
+	w.listener = listener
 	go func() { _ = w.server.Serve(&acceptor{Listener: listener, worker: w}) }()
 	return nil
 }
@@ -108,6 +110,7 @@
 // Stop closes the listener and all connections, as a crash does.
 func (w *Worker) Stop() {
 	w.Thaw()
+	_ = w.listener.Close() // the server does not close a listener that it has not begun to serve
 	_ = w.server.Close()
 }
 
