--- a/cmd/rosemarywick/main.go
+++ b/cmd/rosemarywick/main.go
@@ -10,6 +10,7 @@
 	"rosemarywick.example/rosemarywick/internal/daemon/dev"
 	"rosemarywick.example/rosemarywick/internal/daemon/host"
 	"rosemarywick.example/rosemarywick/internal/operator/cli"
+	"rosemarywick.example/rosemarywick/platform"
 )
 
 func main() {
@@ -22,6 +23,7 @@
 	root := &cli.Root{
 		Serve: serve,
 		Dev:   runFleet,
+		Entry: func(ctx context.Context, level string) error { return platform.Run(ctx, cli.Logger(os.Stdout, level)) },
 		In:    os.Stdin,
 		Out:   os.Stdout,
 		Err:   os.Stderr,
--- a/internal/caller/front/front.go
+++ b/internal/caller/front/front.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -54,18 +55,22 @@
 	StopTimeout time.Duration
 	// Ready says whether the platform's balancer should send callers here. Nil stands for always.
 	Ready func() bool
+	// Dialect translates between HTTP and the router. Nil stands for the product's own interface.
+	Dialect Dialect
 	// Listening is called with the address that callers can connect to, if it is set.
 	Listening func(netip.AddrPort)
 
 	setup   sync.Once
 	handler http.Handler
-	table   tables
+	native  native
 
 	mu sync.Mutex
 	// inFlight is guarded by mu.
 	inFlight int
 	// idle is guarded by mu; it is set when the front stops and closed when nothing is in flight any more.
 	idle chan struct{}
+	// leaving is set when callers are to use other daemons.
+	leaving atomic.Bool
 }
 
 // Run serves callers until ctx ends. It then rejects new requests, waits for those in flight, and returns.
@@ -77,9 +82,11 @@
 	if f.Listening != nil {
 		f.Listening(listener.Addr().(*net.TCPAddr).AddrPort())
 	}
-	server := &http.Server{Handler: f.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{
+		Handler: f.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: trackIdle,
+	}
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
+	go func() { failed <- server.Serve(&acceptor{Listener: listener, config: f.Config}) }()
 	select {
 	case err := <-failed:
 		return errors.Wrap(err, "front: serve")
@@ -105,7 +112,10 @@
 
 // Handler returns the handler that Run serves.
 func (f *Front) Handler() http.Handler {
-	f.setup.Do(func() { f.handler = f.routes() })
+	f.setup.Do(func() {
+		f.native.config, f.native.bodyLimit, f.native.log = f.Config, f.BodyLimit, f.Log
+		f.handler = f.routes()
+	})
 	return f.handler
 }
 
@@ -127,6 +137,12 @@
 	}
 }
 
+// Leave makes each further answer end its connection, so that callers turn to other daemons, while requests are still
+// served.
+func (f *Front) Leave() {
+	f.leaving.Store(true)
+}
+
 func (f *Front) close() <-chan struct{} {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/core/cause/outcome.go
+++ b/internal/core/cause/outcome.go
@@ -46,6 +46,8 @@
 	UpstreamRefused Cause = "upstream-refused"
 	// UpstreamFailed means that the upstream ran the request and answered with an error of its own.
 	UpstreamFailed Cause = "upstream-failed"
+	// TooLarge means that the body of the request exceeds the limit.
+	TooLarge Cause = "too-large"
 	// NoEntry means that no entry matches the host name and path.
 	NoEntry Cause = "no-entry"
 	// NoConfiguration means that the daemon knows no configuration yet.
--- a/internal/core/document/document.go
+++ b/internal/core/document/document.go
@@ -44,12 +44,14 @@
 	Slots int
 	// Connections is the number of connections that one upstream accepts from all daemons together.
 	Connections int
+	// Health is the path at which an upstream answers probes; it is empty where probes use the default.
+	Health string
 	// QueueLimit is the number of requests that one daemon lets wait for one upstream.
 	QueueLimit int
 	// OwnerWait bounds how long a request waits for an owner of its key; zero lets it wait until its deadline.
 	OwnerWait time.Duration
 	Upstreams []Upstream
-	Routes     []Route
+	Routes    []Route
 }
 
 // Keyed reports whether the servers of the service own keys.
--- /dev/null
+++ b/internal/daemon/entry/configuration.go
@@ -0,0 +1,113 @@
+package entry
+
+import (
+	"context"
+	"sync"
+
+	"github.com/rs/zerolog"
+
+	"rosemarywick.example/rosemarywick/internal/core/document"
+	"rosemarywick.example/rosemarywick/internal/platform/table"
+	"rosemarywick.example/rosemarywick/internal/upstream/registry"
+)
+
+// configuration joins the operators' configuration and the registered upstreams to the document in force.
+type configuration struct {
+	log      zerolog.Logger
+	decode   func([]byte) (*document.Document, error)
+	rowName  string
+	registry *registry.Registry
+
+	mu sync.Mutex
+	// declared is guarded by mu: the newest configuration, without upstreams. Its version never goes back.
+	declared *document.Document
+	// current is guarded by mu: declared with the upstreams, or nil while there is no configuration.
+	current *document.Document
+	// changed is guarded by mu and closed at the next change.
+	changed chan struct{}
+}
+
+// Current returns the document in force, or nil.
+func (c *configuration) Current() *document.Document {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.current
+}
+
+// Changed returns a channel that is closed at the next change.
+func (c *configuration) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.changed == nil {
+		c.changed = make(chan struct{})
+	}
+	return c.changed
+}
+
+// apply takes in rows of the operators' table.
+func (c *configuration) apply(rows []table.Row) {
+	for _, row := range rows {
+		if row.Name != c.rowName || row.Value == nil {
+			continue
+		}
+		next, err := c.decode(row.Value)
+		if err != nil {
+			c.log.Error().Err(err).Uint64("row", uint64(row.Version)).Msg("configuration cannot be read; the last one stays in force")
+			continue
+		}
+		c.adopt(next)
+	}
+}
+
+// adopt puts a configuration in force unless a newer one is.
+func (c *configuration) adopt(next *document.Document) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.declared != nil && next.Version <= c.declared.Version {
+		if next.Version < c.declared.Version {
+			c.log.Warn().Uint64("version", next.Version).Uint64("in-force", c.declared.Version).Msg("older configuration ignored")
+		}
+		return
+	}
+	c.log.Info().Uint64("version", next.Version).Int("services", len(next.Services)).Int("entries", len(next.Entries)).
+		Msg("configuration adopted")
+	c.declared = next
+	c.join()
+}
+
+// follow joins each change of the registered upstreams, until ctx ends.
+func (c *configuration) follow(ctx context.Context) error {
+	for {
+		changed := c.registry.Changed()
+		c.mu.Lock()
+		c.join()
+		c.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// join makes the document in force. The caller holds mu.
+func (c *configuration) join() {
+	if c.declared == nil {
+		return
+	}
+	next := *c.declared
+	next.Services = append([]document.Service(nil), c.declared.Services...)
+	upstreams := c.registry.Upstreams()
+	for i := range next.Services {
+		service := &next.Services[i]
+		service.Upstreams = upstreams[service.Name]
+		for _, one := range service.Upstreams {
+			service.Slots = max(service.Slots, one.Slots)
+		}
+	}
+	c.current = &next
+	if c.changed != nil {
+		close(c.changed)
+		c.changed = nil
+	}
+}
--- /dev/null
+++ b/internal/daemon/entry/entry.go
@@ -0,0 +1,272 @@
+// Package entry wires a daemon of a deployment in which everything that has to be agreed or kept lives in the platform's
+// store: the operators' configuration, the upstreams that register themselves, and who holds which keys. Such a daemon needs
+// no peers. What the deployment's wire looks like is passed in.
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"rosemarywick.example/rosemarywick/internal/caller/front"
+	"rosemarywick.example/rosemarywick/internal/core/document"
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/platform/table"
+	"rosemarywick.example/rosemarywick/internal/routing/retry"
+	"rosemarywick.example/rosemarywick/internal/routing/router"
+	"rosemarywick.example/rosemarywick/internal/upstream/forward"
+	"rosemarywick.example/rosemarywick/internal/upstream/rangegrants"
+	"rosemarywick.example/rosemarywick/internal/upstream/registry"
+)
+
+// Store is the platform's store.
+type Store interface {
+	table.TimedStore
+	table.Feed
+}
+
+// Tables names where others keep what the daemon follows.
+type Tables struct {
+	// Configuration is the table, and ConfigurationRow the full name of the row, that the operators write.
+	Configuration, ConfigurationRow string
+	// Upstreams is the table in which upstreams register.
+	Upstreams string
+}
+
+// Limits are the times and shares that the deployment sets.
+type Limits struct {
+	// Drain is the time after which a leaving upstream must get no new work.
+	Drain time.Duration
+	// Stop is the time from a request to stop to the end of the process.
+	Stop time.Duration
+	// Hold is the longest grant that servers take.
+	Hold time.Duration
+	// RetryShare and RetryReserve bound the retries of all daemons together, for each service: a share of its requests,
+	// and a number beyond that in RetryWindow.
+	RetryShare, RetryReserve float64
+}
+
+// Daemon is one router process. The exported fields are set before Run.
+type Daemon struct {
+	Host fleet.Host
+	// Callers is where callers connect, Ready where the balancer asks whether they should, and Metrics where metrics are
+	// served; the last is not served if it is not valid.
+	Callers, Ready, Metrics netip.AddrPort
+	Store                   Store
+	Tables                  Tables
+	Limits                  Limits
+	// Configuration decodes the operators' row, and Upstream an upstream's row.
+	Configuration func(value []byte) (*document.Document, error)
+	Upstream      func(row table.Row) (registry.Entry, error)
+	Orders        rangegrants.Orders
+	// CallerDialect makes the interface to callers for the configuration in force.
+	CallerDialect   func(front.Configuration) front.Dialect
+	UpstreamDialect forward.Dialect
+	Timer           timer.System
+	Log             zerolog.Logger
+
+	run           string
+	registry      *registry.Registry
+	configuration *configuration
+	owners        *owners
+	loads         *loads
+	router        *router.Router
+	front         *front.Front
+	observer      *observer
+
+	mu sync.Mutex
+	// stopping is guarded by mu.
+	stopping bool
+}
+
+const (
+	// wholeLimit is the longest answer that is read before any of it is passed on, so that one that breaks off can be
+	// fetched again unseen. Longer ones are rare enough not to fill the memory of a small host.
+	wholeLimit = 1 << 20
+	// returnTime is the time within which entries that lapsed during an outage of the store are back, and some.
+	returnTime = 2500 * time.Millisecond
+	// leavePart is the part of the time to stop in which requests are still taken, until the balancer has noticed.
+	leavePart = 0.45
+	// finishPart is the part of the time to stop by which the last requests have ended.
+	finishPart = 0.95
+	// usualHoldPart is the usual length of a grant as a part of the longest one. A server that falls silent is replaced
+	// after it, and it outlasts the election of an assigner.
+	usualHoldPart = 0.4
+	// leasePart is the lease of the assigner as a part of the longest grant.
+	leasePart = 0.25
+)
+
+// Run serves until ctx ends and then stops gracefully.
+func (d *Daemon) Run(ctx context.Context) error {
+	d.prepare()
+	ready, err := new(net.ListenConfig).Listen(ctx, "tcp", d.Ready.String())
+	if err != nil {
+		return errors.Wrap(err, "entry: listen for the balancer")
+	}
+	d.Log.Info().Str("host", string(d.Host.ID)).Str("domain", string(d.Host.Place.Domain)).Str("run", d.run).
+		Str("callers", d.Callers.String()).Msg("daemon starting")
+	// What requests need goes on until the last one has ended.
+	serving, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	group, serving := errgroup.WithContext(serving)
+	group.Go(func() error { return d.serveReady(serving, ready) })
+	group.Go(func() error { return d.observer.run(serving, d.Metrics) })
+	for _, follower := range d.followers() {
+		group.Go(func() error { return follower.Run(serving) })
+	}
+	group.Go(func() error { return d.registry.Run(serving) })
+	group.Go(func() error { return d.configuration.follow(serving) })
+	group.Go(func() error { return d.router.Run(serving) })
+	group.Go(func() error { return d.loads.run(serving) })
+	group.Go(func() error { return d.assign(ctx) })
+	group.Go(func() error {
+		defer end()
+		return d.serve(ctx, serving)
+	})
+	err = group.Wait()
+	d.router.Close()
+	d.Log.Info().Str("host", string(d.Host.ID)).Err(err).Msg("daemon stopped")
+	return err
+}
+
+func (d *Daemon) prepare() {
+	d.run = string(d.Host.ID) + "/" + newRun()
+	d.observer = newObserver(d)
+	d.registry = &registry.Registry{Clock: d.Timer, Log: d.Log, Drain: d.Limits.Drain, Return: returnTime}
+	d.configuration = &configuration{
+		log: d.Log, decode: d.Configuration, rowName: d.Tables.ConfigurationRow, registry: d.registry,
+	}
+	d.owners = &owners{clock: d.Timer, log: d.Log}
+	d.loads = &loads{daemon: d.Host.ID, store: d.Store, clock: d.Timer, log: d.Log}
+	d.router = &router.Router{
+		Host: d.Host, Clock: d.Timer, Config: d.configuration, Owners: d.owners, Loads: d.loads, Recorder: d.observer,
+		Hosts: d.daemons, Dialect: d.UpstreamDialect, WholeLimit: wholeLimit, NewBudget: d.newBudget,
+	}
+	d.front = &front.Front{
+		Address: d.Callers, Router: d.router, Config: d.configuration, Clock: d.Timer, Log: d.Log,
+		Dialect: d.CallerDialect(d.configuration), StopTimeout: d.part(finishPart - leavePart),
+	}
+}
+
+func (d *Daemon) part(share float64) time.Duration {
+	return scaled(d.Limits.Stop, share)
+}
+
+// daemons returns the number of daemons that share the upstreams.
+func (d *Daemon) daemons() int {
+	most := 1
+	if current := d.configuration.Current(); current != nil {
+		for i := range current.Services {
+			if known := d.owners.table(current.Services[i].Name); known != nil {
+				most = max(most, known.Daemons)
+			}
+		}
+	}
+	return most
+}
+
+// newBudget makes this daemon's part of the retries of a service.
+func (d *Daemon) newBudget() *retry.Budget {
+	return &retry.Budget{
+		Share: d.Limits.RetryShare, Strict: true,
+		Reserve: func() float64 { return d.Limits.RetryReserve / float64(d.daemons()) },
+	}
+}
+
+// followers keep the daemon up to date with the store.
+func (d *Daemon) followers() []*table.Follower {
+	base := table.Follower{Feed: d.Store, Clock: d.Timer, Log: d.Log}
+	operators, upstreams, ranges := base, base, base
+	operators.Table, operators.Reset, operators.Apply = d.Tables.Configuration, d.configuration.apply, d.configuration.apply
+	ranges.Table, ranges.Reset, ranges.Apply = rangegrants.RangesTable, d.owners.apply, d.owners.apply
+	upstreams.Table, upstreams.Reset, upstreams.Apply = d.Tables.Upstreams, d.resetUpstreams, d.applyUpstreams
+	upstreams.Regained = d.registry.Regained
+	return []*table.Follower{&operators, &upstreams, &ranges}
+}
+
+func (d *Daemon) resetUpstreams(rows []table.Row) {
+	var entries []registry.Entry
+	for _, row := range rows {
+		if entry, ok := d.decodeUpstream(row); ok {
+			entries = append(entries, entry)
+		}
+	}
+	d.registry.Reset(entries)
+}
+
+func (d *Daemon) applyUpstreams(rows []table.Row) {
+	for _, row := range rows {
+		if row.Value == nil {
+			_, id, _ := strings.Cut(row.Name, "/")
+			d.registry.Remove(fleet.UpstreamID(id))
+			continue
+		}
+		if entry, ok := d.decodeUpstream(row); ok {
+			d.registry.Put(entry)
+		}
+	}
+}
+
+// decodeUpstream reads an upstream's row. One that cannot be read changes nothing that is known.
+func (d *Daemon) decodeUpstream(row table.Row) (registry.Entry, bool) {
+	entry, err := d.Upstream(row)
+	if err != nil {
+		d.Log.Warn().Err(err).Str("row", row.Name).Uint64("version", uint64(row.Version)).Msg("upstream's entry cannot be read")
+		return registry.Entry{}, false
+	}
+	return entry, true
+}
+
+// serve takes requests until ctx ends, and then until the balancer has noticed and the last request has ended.
+func (d *Daemon) serve(ctx, serving context.Context) error {
+	accepting, refuse := context.WithCancel(serving)
+	defer refuse()
+	done := make(chan error, 1)
+	go func() { done <- d.front.Run(accepting) }()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+	}
+	d.mu.Lock()
+	d.stopping = true
+	d.mu.Unlock()
+	d.front.Leave()
+	d.Log.Info().Dur("accepting", d.part(leavePart)).Msg("daemon stopping; the balancer is told to use other daemons")
+	if err := timer.Wait(serving, d.Timer, d.part(leavePart)); err != nil {
+		return err
+	}
+	refuse()
+	return <-done
+}
+
+// serveReady answers the balancer.
+func (d *Daemon) serveReady(ctx context.Context, listener net.Listener) error {
+	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
+		if !d.isReady() {
+			rw.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "entry: serve the balancer")
+	}
+	return nil
+}
+
+// isReady reports whether callers should connect to this daemon.
+func (d *Daemon) isReady() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.stopping && d.configuration.Current() != nil
+}
--- /dev/null
+++ b/internal/daemon/entry/loads.go
@@ -0,0 +1,204 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/ownership/ranges"
+	"rosemarywick.example/rosemarywick/internal/platform/table"
+)
+
+const (
+	// loadsTable holds one report for each daemon.
+	loadsTable = "loads"
+	// reportEvery is the time between two reports of a daemon.
+	reportEvery = 3 * time.Second
+	// reportLife is how long a daemon counts after its last report.
+	reportLife = 4 * reportEvery
+	// reportTimeout bounds the calls to the store.
+	reportTimeout = time.Second
+)
+
+// report is what one daemon saw since its report before.
+type report struct {
+	Services map[fleet.ServiceName]*served `json:"services"`
+}
+
+// served is what one daemon saw of one service.
+type served struct {
+	Counts  ranges.Counts                      `json:"counts"`
+	Servers map[fleet.UpstreamID]*serverReport `json:"servers"`
+}
+
+// serverReport sums the requests that one server answered.
+type serverReport struct {
+	Requests int           `json:"requests"`
+	Total    time.Duration `json:"total"`
+}
+
+// loads meters the keyed requests of this daemon, reports them through the store, and sums the reports of all daemons
+// where this daemon is the assigner.
+type loads struct {
+	daemon fleet.HostID
+	store  table.Store
+	clock  timer.Service
+	log    zerolog.Logger
+
+	mu sync.Mutex
+	// own is guarded by mu.
+	own report
+
+	// The fields below belong to the goroutine that calls Collect.
+	seen  map[string]seenReport
+	load  map[fleet.ServiceName]*ranges.Load
+	paces map[fleet.UpstreamID]pace
+}
+
+// seenReport is the latest report of one daemon.
+type seenReport struct {
+	version table.Version
+	at      time.Time
+}
+
+// pace follows the mean duration of the requests at one server.
+type pace struct {
+	mean time.Duration
+	at   time.Time
+}
+
+// Served counts a request that a server has answered.
+func (l *loads) Served(service fleet.ServiceName, server fleet.UpstreamID, key fleet.KeyHash, took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.own.Services == nil {
+		l.own.Services = make(map[fleet.ServiceName]*served)
+	}
+	one := l.own.Services[service]
+	if one == nil {
+		one = &served{Counts: make(ranges.Counts), Servers: make(map[fleet.UpstreamID]*serverReport)}
+		l.own.Services[service] = one
+	}
+	one.Counts.Add(fleet.KeyNumber(key))
+	if one.Servers[server] == nil {
+		one.Servers[server] = &serverReport{}
+	}
+	one.Servers[server].Requests++
+	one.Servers[server].Total += took
+}
+
+// run reports until ctx ends. A report that fails is lost; the next one follows soon.
+func (l *loads) run(ctx context.Context) error {
+	tick := l.clock.Every(reportEvery)
+	defer tick.Stop()
+	version := table.Version(0)
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return nil
+		}
+		version = l.report(ctx, version)
+	}
+}
+
+// report writes one report and returns the version of the row.
+func (l *loads) report(ctx context.Context, version table.Version) table.Version {
+	l.mu.Lock()
+	value, err := json.Marshal(l.own)
+	l.own = report{}
+	l.mu.Unlock()
+	if err != nil {
+		l.log.Error().Err(err).Msg("load report cannot be encoded")
+		return version
+	}
+	call, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	name := loadsTable + "/" + string(l.daemon)
+	timed, ok := l.store.(table.TimedStore)
+	if !ok {
+		return version
+	}
+	next, err := timed.CommitVersion(call, table.Change{Name: name, Expected: version, Write: true, Value: value})
+	if err == nil {
+		return next
+	}
+	l.log.Debug().Err(err).Msg("load report was not written")
+	rows, err := l.store.Read(call, name)
+	if err != nil || len(rows) == 0 {
+		return 0
+	}
+	return rows[0].Version
+}
+
+// Collect sums the reports of all daemons.
+func (l *loads) Collect(
+	ctx context.Context, service fleet.ServiceName,
+) (*ranges.Load, map[fleet.UpstreamID]time.Duration, int) {
+	now := l.clock.Now()
+	call, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	rows, err := l.store.Scan(call, loadsTable+"/")
+	if err != nil {
+		l.log.Warn().Err(err).Msg("load reports cannot be read")
+	}
+	if l.seen == nil {
+		l.seen, l.load, l.paces = make(map[string]seenReport), make(map[fleet.ServiceName]*ranges.Load), make(map[fleet.UpstreamID]pace)
+	}
+	for _, row := range rows {
+		if l.seen[row.Name].version != row.Version {
+			l.take(now, row)
+			l.seen[row.Name] = seenReport{version: row.Version, at: now}
+		}
+	}
+	daemons := 0
+	for name, one := range l.seen {
+		if now.Sub(one.at) < reportLife && strings.HasPrefix(name, loadsTable) {
+			daemons++
+		}
+	}
+	if l.load[service] == nil {
+		l.load[service] = &ranges.Load{}
+	}
+	paces := make(map[fleet.UpstreamID]time.Duration)
+	for id, one := range l.paces {
+		if now.Sub(one.at) < reportLife {
+			paces[id] = one.mean
+		}
+	}
+	return l.load[service], paces, daemons
+}
+
+// paceWeight is the part of a report that enters the mean duration at a server.
+const paceWeight = 0.2
+
+// take adds one report.
+func (l *loads) take(now time.Time, row table.Row) {
+	var one report
+	if err := json.Unmarshal(row.Value, &one); err != nil {
+		l.log.Warn().Err(err).Str("row", row.Name).Msg("load report cannot be read")
+		return
+	}
+	for service, seen := range one.Services {
+		if l.load[service] == nil {
+			l.load[service] = &ranges.Load{}
+		}
+		l.load[service].Take(now, seen.Counts)
+		for id, server := range seen.Servers {
+			if server == nil || server.Requests <= 0 {
+				continue
+			}
+			mean := server.Total / time.Duration(server.Requests)
+			if before, ok := l.paces[id]; ok {
+				mean = before.mean + time.Duration(float64(mean-before.mean)*paceWeight)
+			}
+			l.paces[id] = pace{mean: mean, at: now}
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/entry/observer.go
@@ -0,0 +1,83 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
+
+	"rosemarywick.example/rosemarywick/internal/core/cause"
+	"rosemarywick.example/rosemarywick/internal/observe/metrics"
+)
+
+const (
+	// linesPerSecond and linesBurst bound the log lines about single requests.
+	linesPerSecond = 20
+	linesBurst     = 100
+)
+
+// observer logs and measures each request that has ended.
+type observer struct {
+	log     zerolog.Logger
+	metrics *metrics.Metrics
+	budget  *rate.Limiter
+	clock   func() time.Time
+}
+
+func newObserver(d *Daemon) *observer {
+	return &observer{
+		log: d.Log, metrics: metrics.New(d.Timer), budget: rate.NewLimiter(linesPerSecond, linesBurst), clock: d.Timer.Now,
+	}
+}
+
+// Record logs a request that was late, rejected or sent again, and measures every one.
+func (o *observer) Record(record cause.Record) {
+	o.metrics.Observe(&metrics.Request{
+		Service: record.Service, Tenant: record.Tenant, Queue: record.Queued, Connect: record.Connect(),
+		Upstream: record.Upstream(), Total: record.Total, Outcome: record.Outcome, Cause: record.Cause,
+	})
+	if !record.Notable() || !o.budget.AllowN(o.clock(), 1) {
+		return
+	}
+	event := o.log.Info().Str("request", string(record.Request)).Str("service", string(record.Service)).
+		Str("class", string(record.Tenant)).Uint64("config", record.ConfigVersion).Dur("queued", record.Queued).
+		Dur("took", record.Total).Str("outcome", string(record.Outcome)).Str("cause", string(record.Cause))
+	if !record.Fence.IsZero() {
+		event = event.Uint64("key", uint64(record.Key)).Str("fence", record.Fence.String())
+	}
+	for i, attempt := range record.Attempts {
+		if i == mostAttempts {
+			break
+		}
+		event = event.Str(attemptFields[i], string(attempt.Upstream)+" "+string(attempt.Cause)+" "+attempt.Duration.String())
+	}
+	event.Msg("request ended")
+}
+
+const mostAttempts = 4
+
+var attemptFields = [mostAttempts]string{"attempt-1", "attempt-2", "attempt-3", "attempt-4"}
+
+// run serves the metrics until ctx ends.
+func (o *observer) run(ctx context.Context, address netip.AddrPort) error {
+	if !address.IsValid() {
+		<-ctx.Done()
+		return nil
+	}
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", address.String())
+	if err != nil {
+		return errors.Wrap(err, "entry: listen for metrics")
+	}
+	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: o.metrics.Handler()}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "entry: serve metrics")
+	}
+	return nil
+}
--- a/internal/operator/cli/root.go
+++ b/internal/operator/cli/root.go
@@ -43,6 +43,8 @@
 	Serve func(ctx context.Context, settings *settings.Settings) error
 	// Dev runs a fleet of daemons and fakes in this process until ctx ends.
 	Dev func(ctx context.Context, options DevOptions) error
+	// Entry runs one daemon on the users' platform until ctx ends, and logs from a level on.
+	Entry func(ctx context.Context, logLevel string) error
 	// In is read when a file argument is "-".
 	In io.Reader
 	// Out receives results.
@@ -83,7 +85,7 @@
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{err: err} })
 	root.AddCommand(
-		r.serveCommand(), r.devCommand(), r.configCommand(),
+		r.serveCommand(), r.entryCommand(), r.devCommand(), r.configCommand(),
 		r.hostsCommand(), r.upstreamsCommand(), r.partitionsCommand(), r.ownerCommand(),
 		r.changeCommand("drain UPSTREAM", "Give an upstream no new work", drain),
 		r.changeCommand("undrain UPSTREAM", "Give an upstream new work again", undrain),
@@ -115,6 +117,20 @@
 	return command
 }
 
+func (r *Root) entryCommand() *cobra.Command {
+	level := choice{value: settings.DefaultLogLevel, allowed: []string{"debug", "info", "warn", "error"}}
+	command := &cobra.Command{
+		Use:   "entry",
+		Short: "Run one daemon on the platform, whose settings file is named by ROSEMARYWICK_SETTINGS",
+		Args:  usageArgs(cobra.NoArgs),
+		RunE: func(command *cobra.Command, _ []string) error {
+			return r.Entry(command.Context(), level.value)
+		},
+	}
+	command.Flags().Var(&level, "log-level", "lowest level to log: "+level.list())
+	return command
+}
+
 const (
 	// defaultDaemons is the number of daemons of a development fleet.
 	defaultDaemons = 3
--- /dev/null
+++ b/internal/ownership/ranges/plan.go
@@ -0,0 +1,306 @@
+package ranges
+
+import (
+	"slices"
+	"time"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+)
+
+// Server is a server that may hold ranges.
+type Server struct {
+	Owner
+	// Capacity is the number of requests a second that the server can run, relative to the others.
+	Capacity float64
+}
+
+const (
+	// orphanRoom is how far above its part of the load a server may come by a range that has lost its owner.
+	orphanRoom = 1.2
+	// leastRoom is the least part of its share that a server is given at once, so that ranges are not cut into crumbs.
+	leastRoom = 0.25
+	// busyRatio and idleRatio are the loads, relative to the share of a server, from which keys move to another one. The
+	// counts of a server vary by a tenth by chance.
+	busyRatio = 1.3
+	idleRatio = 0.9
+	// emptyRatio marks a server that has just joined.
+	emptyRatio = 0.3
+	// mostShifts bounds the moves in one plan, and mostFills those to servers that have just joined.
+	mostShifts = 2
+	mostFills  = 8
+	// leastSamples is the number of requests for each server below which the load says nothing.
+	leastSamples = 20
+)
+
+// Planner derives the next table. The exported fields are set before Next.
+type Planner struct {
+	// Servers can hold ranges: they live, are not leaving and can be reached.
+	Servers []Server
+	Load    *Load
+	// FreeAt returns the time of the store's clock at which every hold of a former owner has run out.
+	FreeAt func(Owner) time.Duration
+	// Now is the earliest that the store's clock can show.
+	Now time.Duration
+	// Released reports whether a former owner is known to hold nothing of a range any more.
+	Released func(Holding, Former) bool
+	// Granted reports whether the owner has taken the grant of a holding.
+	Granted func(Holding) bool
+	// Refused reports whether the owner refused the holding because it had seen a higher fence.
+	Refused func(Holding) bool
+	// Shift is set when ranges may move to even out the load.
+	Shift bool
+
+	table *Table
+	fence Fence
+	loads map[fleet.UpstreamID]float64
+	total float64
+	power float64
+}
+
+// Next returns the table that should follow, and whether it differs.
+func (p *Planner) Next(table *Table) (*Table, bool) {
+	p.table, p.fence = table.Clone(), table.Fence+1
+	if len(p.Servers) == 0 {
+		return p.table, p.settle()
+	}
+	changed := p.settle()
+	if len(p.table.Holdings) == 0 {
+		p.table.Holdings = []Holding{{Range: fleet.KeyRange{Last: fleet.LastKey}}}
+	}
+	p.Load.Prepare()
+	p.measure()
+	fenced := p.renewRuns()
+	fenced = p.adopt() || fenced
+	if p.Shift && p.Load.Samples() >= leastSamples*float64(len(p.Servers)) {
+		fenced = p.shift() || fenced
+	}
+	fenced = p.fill() || fenced
+	fenced = p.merge() || fenced
+	if fenced {
+		p.table.Fence = p.fence
+	}
+	return p.table, changed || fenced
+}
+
+// settle forgets the former owners that hold nothing any more. It keeps them until the owner has the grant, since requests
+// wait for a range that has former owners.
+func (p *Planner) settle() bool {
+	changed := false
+	for i := range p.table.Holdings {
+		one := &p.table.Holdings[i]
+		before := len(one.Formers)
+		held := *one
+		one.Formers = slices.DeleteFunc(one.Formers, func(former Former) bool {
+			return former.FreeAt <= p.Now || p.Granted(held) && p.Released(held, former)
+		})
+		changed = changed || len(one.Formers) != before
+	}
+	return changed
+}
+
+// measure sums the load of each server.
+func (p *Planner) measure() {
+	p.loads, p.total, p.power = make(map[fleet.UpstreamID]float64), 0, 0
+	for _, server := range p.Servers {
+		p.loads[server.ID] = 0
+		p.power += server.Capacity
+	}
+	for _, one := range p.table.Holdings {
+		load := p.Load.Of(one.Range)
+		p.total += load
+		if _, ok := p.loads[one.Owner.ID]; ok {
+			p.loads[one.Owner.ID] += load
+		}
+	}
+}
+
+func (p *Planner) find(id fleet.UpstreamID) *Server {
+	for i := range p.Servers {
+		if p.Servers[i].ID == id {
+			return &p.Servers[i]
+		}
+	}
+	return nil
+}
+
+// part returns the load that a server should have.
+func (p *Planner) part(server *Server) float64 {
+	return p.total * server.Capacity / p.power
+}
+
+func (p *Planner) ratio(server *Server) float64 {
+	return p.loads[server.ID] / p.part(server)
+}
+
+// renewRuns gives the ranges of a server that was restarted under its id to its new run, and a new fence to those that
+// their owner refused. The former run has ended, so it holds nothing.
+func (p *Planner) renewRuns() bool {
+	changed := false
+	for i := range p.table.Holdings {
+		one := &p.table.Holdings[i]
+		server := p.find(one.Owner.ID)
+		if server == nil || server.Is(one.Owner) && !p.Refused(*one) {
+			continue
+		}
+		one.Owner, one.Fence, changed = server.Owner, p.fence, true
+	}
+	return changed
+}
+
+// adopt gives the ranges whose owner is gone to the servers with the most room.
+func (p *Planner) adopt() bool {
+	var next []Holding
+	changed := false
+	for _, one := range p.table.Holdings {
+		if p.find(one.Owner.ID) != nil {
+			next = append(next, one)
+			continue
+		}
+		changed = true
+		next = append(next, p.divide(one)...)
+	}
+	p.table.Holdings = next
+	return changed
+}
+
+// divide cuts a range without an owner among the servers with the most room.
+func (p *Planner) divide(one Holding) []Holding {
+	formers := p.formers(one)
+	var result []Holding
+	for rest := one.Range; ; {
+		server := p.idlest()
+		room := max(p.part(server)*orphanRoom-p.loads[server.ID], p.part(server)*leastRoom)
+		piece, last := rest, true
+		if p.Load.Of(rest) > room*orphanRoom {
+			if cut, ok := p.Load.Cut(rest, room); ok {
+				piece.Last, last = cut, false
+			}
+		}
+		p.loads[server.ID] += p.Load.Of(piece)
+		result = append(result, Holding{Range: piece, Owner: server.Owner, Fence: p.fence, Formers: formers})
+		if last {
+			return result
+		}
+		rest.First = piece.Last + 1
+	}
+}
+
+// formers returns the servers that may hold a range once its owner has changed.
+func (p *Planner) formers(one Holding) []Former {
+	result := slices.Clone(one.Formers)
+	if one.Owner.ID != "" {
+		result = append(result, Former{Owner: one.Owner, FreeAt: p.FreeAt(one.Owner)})
+	}
+	return slices.DeleteFunc(result, func(former Former) bool { return p.Released(one, former) })
+}
+
+func (p *Planner) idlest() *Server {
+	best := &p.Servers[0]
+	for i := range p.Servers {
+		if p.ratio(&p.Servers[i]) < p.ratio(best) {
+			best = &p.Servers[i]
+		}
+	}
+	return best
+}
+
+func (p *Planner) busiest() *Server {
+	best := &p.Servers[0]
+	for i := range p.Servers {
+		if p.ratio(&p.Servers[i]) > p.ratio(best) {
+			best = &p.Servers[i]
+		}
+	}
+	return best
+}
+
+// shift moves keys from the busiest servers to the idlest ones.
+func (p *Planner) shift() bool {
+	changed := false
+	for range mostShifts {
+		from, to := p.busiest(), p.idlest()
+		if p.ratio(from) < busyRatio || p.ratio(to) > idleRatio {
+			break
+		}
+		amount := min(p.loads[from.ID]-p.part(from), p.part(to)-p.loads[to.ID])
+		if !p.move(from, to, amount) {
+			break
+		}
+		changed = true
+	}
+	return changed
+}
+
+// fill gives servers that have just joined their part.
+func (p *Planner) fill() bool {
+	changed := false
+	for range mostFills {
+		from, to := p.busiest(), p.idlest()
+		if p.ratio(to) >= emptyRatio || from == to {
+			break
+		}
+		amount := min(p.loads[from.ID]/2, p.part(to)-p.loads[to.ID])
+		if !p.move(from, to, amount) {
+			break
+		}
+		changed = true
+	}
+	return changed
+}
+
+// move gives a part of the keys of one server to another, cut from the end of a range at which the load of the part comes
+// closest to amount. It returns false if no part is small enough.
+func (p *Planner) move(from, to *Server, amount float64) bool {
+	best, bestPiece, bestRest := -1, fleet.KeyRange{}, fleet.KeyRange{}
+	nearest := amount / 2 // a part that is off by more than half would only turn the imbalance round
+	consider := func(index int, piece, rest fleet.KeyRange) {
+		if distance := p.Load.Of(piece) - amount; distance < nearest && -distance < nearest {
+			best, bestPiece, bestRest, nearest = index, piece, rest, max(distance, -distance)
+		}
+	}
+	for i, one := range p.table.Holdings {
+		if one.Owner.ID != from.ID || len(one.Formers) > 0 {
+			continue
+		}
+		if cut, ok := p.Load.Cut(one.Range, amount); ok {
+			consider(i, fleet.KeyRange{First: one.Range.First, Last: cut}, fleet.KeyRange{First: cut + 1, Last: one.Range.Last})
+		}
+		if cut, ok := p.Load.Cut(one.Range, p.Load.Of(one.Range)-amount); ok {
+			consider(i, fleet.KeyRange{First: cut + 1, Last: one.Range.Last}, fleet.KeyRange{First: one.Range.First, Last: cut})
+		}
+	}
+	if best < 0 {
+		return false
+	}
+	old := p.table.Holdings[best]
+	moved := Holding{Range: bestPiece, Owner: to.Owner, Fence: p.fence, Formers: p.formers(old)}
+	kept := old
+	kept.Range = bestRest
+	pieces := []Holding{moved, kept}
+	if bestRest.First < bestPiece.First {
+		pieces = []Holding{kept, moved}
+	}
+	p.table.Holdings = slices.Replace(p.table.Holdings, best, best+1, pieces...)
+	load := p.Load.Of(bestPiece)
+	p.loads[from.ID] -= load
+	p.loads[to.ID] += load
+	return true
+}
+
+// merge joins neighbouring ranges of one owner, so that their number stays small.
+func (p *Planner) merge() bool {
+	merged := p.table.Holdings[:0:0]
+	for _, one := range p.table.Holdings {
+		last := len(merged) - 1
+		if last >= 0 && merged[last].Owner.Is(one.Owner) && one.Owner.ID != "" &&
+			len(merged[last].Formers) == 0 && len(one.Formers) == 0 {
+			merged[last].Range.Last = one.Range.Last
+			merged[last].Fence = p.fence
+			continue
+		}
+		merged = append(merged, one)
+	}
+	changed := len(merged) != len(p.table.Holdings)
+	p.table.Holdings = merged
+	return changed
+}
--- /dev/null
+++ b/internal/platform/table/follow.go
@@ -0,0 +1,114 @@
+package table
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"rosemarywick.example/rosemarywick/internal/core/timer"
+)
+
+// Feed is a store that tells of changes as they happen.
+type Feed interface {
+	// Snapshot returns all rows of a table, and the version from which Changes goes on.
+	Snapshot(ctx context.Context, name string) (Changes, error)
+	// Changes returns the rows of a table that changed after a version, as soon as there is one, or none after wait.
+	Changes(ctx context.Context, name string, after Version, wait time.Duration) (Changes, error)
+}
+
+const (
+	// feedWait is how long one call for changes waits. A store that is silent is noticed at its end, and each call costs.
+	feedWait = 10 * time.Second
+	// feedSlack is how much longer than feedWait an answer may take.
+	feedSlack = 2 * time.Second
+	// snapshotTimeout bounds a call for all rows.
+	snapshotTimeout = 3 * time.Second
+	// feedPauseFirst and feedPauseMost bound the pause after a failure, which doubles.
+	feedPauseFirst = 100 * time.Millisecond
+	feedPauseMost  = time.Second
+)
+
+// Follower keeps a consumer up to date with one table. The exported fields are set before Run.
+type Follower struct {
+	Feed  Feed
+	Table string
+	Clock timer.Service
+	Log   zerolog.Logger
+	// Reset is called with all rows, at first and whenever the history was lost.
+	Reset func([]Row)
+	// Apply is called with the rows that changed; one that was deleted has a nil value.
+	Apply func([]Row)
+	// Regained is called when the store answers after a failure. It may be nil.
+	Regained func()
+
+	// failing belongs to Run and is set while the store does not answer.
+	failing bool
+}
+
+// Run follows the table until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	var version Version
+	known, pause := false, feedPauseFirst
+	for ctx.Err() == nil {
+		next, err := f.step(ctx, version, known)
+		switch {
+		case err == nil:
+			version, known, pause = next, true, feedPauseFirst
+			continue
+		case ctx.Err() != nil:
+			return nil
+		case errors.Is(err, ErrCompacted):
+			f.Log.Info().Str("table", f.Table).Msg("history of the table was lost; reading all rows")
+			known = false
+			continue
+		case !f.failing:
+			f.Log.Warn().Err(err).Str("table", f.Table).Msg("table cannot be followed")
+			f.failing = true
+		}
+		if timer.Wait(ctx, f.Clock, pause) != nil {
+			return nil
+		}
+		pause = min(2*pause, feedPauseMost)
+	}
+	return nil
+}
+
+// step makes one call and passes on what it brought.
+func (f *Follower) step(ctx context.Context, version Version, known bool) (Version, error) {
+	if !known {
+		call, cancel := context.WithTimeout(ctx, snapshotTimeout)
+		defer cancel()
+		all, err := f.Feed.Snapshot(call, f.Table)
+		if err != nil {
+			return 0, err
+		}
+		f.regain()
+		f.Reset(all.Rows)
+		return all.Version, nil
+	}
+	call, cancel := context.WithTimeout(ctx, feedWait+feedSlack)
+	defer cancel()
+	changes, err := f.Feed.Changes(call, f.Table, version, feedWait)
+	if err != nil {
+		return 0, err
+	}
+	f.regain()
+	if len(changes.Rows) > 0 {
+		f.Apply(changes.Rows)
+	}
+	return changes.Version, nil
+}
+
+// regain takes in that the store has answered. Consumers learn it before the rows that follow.
+func (f *Follower) regain() {
+	if !f.failing {
+		return
+	}
+	f.failing = false
+	f.Log.Info().Str("table", f.Table).Msg("table is followed again")
+	if f.Regained != nil {
+		f.Regained()
+	}
+}
--- a/internal/platform/table/store.go
+++ b/internal/platform/table/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -51,3 +52,39 @@
 	// ErrTooLarge means that a row or a transaction exceeds the limits of the service.
 	ErrTooLarge = errors.New("table: transaction too large")
 )
+
+// TimedStore is a store that also tells its own clock and the versions that it gave out.
+type TimedStore interface {
+	Store
+	// CommitVersion is Commit, and returns the version that the written rows have now.
+	CommitVersion(ctx context.Context, changes ...Change) (Version, error)
+	// Reading returns the latest reading of the store's clock.
+	Reading() Reading
+}
+
+// Reading is what an answer of the store told of its clock. The clock is steady and the same for all daemons.
+type Reading struct {
+	// Time is what the store's clock showed between SentAt and ReceivedAt of the daemon's uptime.
+	Time, SentAt, ReceivedAt time.Duration
+}
+
+// Earliest returns the least that the store's clock can show at an uptime.
+func (r Reading) Earliest(uptime time.Duration) time.Duration {
+	return r.Time + uptime - r.ReceivedAt
+}
+
+// Latest returns the most that the store's clock can show at an uptime.
+func (r Reading) Latest(uptime time.Duration) time.Duration {
+	return r.Time + uptime - r.SentAt
+}
+
+// Changes are the rows of one table that changed since a version.
+type Changes struct {
+	// Rows are in the order of their changes. A row that was deleted has a nil value.
+	Rows []Row
+	// Version is where the next call goes on.
+	Version Version
+}
+
+// ErrCompacted means that the store no longer has the history that was asked for; the rows have to be read anew.
+var ErrCompacted = errors.New("table: history is no longer available")
--- a/internal/routing/router/flight.go
+++ b/internal/routing/router/flight.go
@@ -204,7 +204,7 @@
 			f.router.Loads.Served(f.service.Name, visit.upstream.ID, f.key, result.FirstByte)
 		}
 	case forward.Truncated:
-		seen = balance.Answered{Latency: now.Sub(visit.began)}
+		seen = balance.Refused{}
 	case forward.Rejected:
 		seen, learned = balance.Refused{}, admission.Shed{}
 		if result.Misplaced {
--- a/internal/routing/router/request.go
+++ b/internal/routing/router/request.go
@@ -32,7 +32,7 @@
 	// Attempts is the number of upstreams to which the request may be sent; zero sets no bound.
 	Attempts int
 	Header   http.Header
-	Body   []byte
+	Body     []byte
 }
 
 // Answer is what the caller gets. It is one of *Answered and Rejected.
--- /dev/null
+++ b/internal/upstream/rangegrants/assigner.go
@@ -0,0 +1,186 @@
+// Package rangegrants runs the assigner of a service whose servers take grants of key ranges for a bounded time. One daemon
+// at a time is the assigner, by a lease in the platform's table. It writes who is to hold what into the table first, and
+// then grants, renews and releases at the servers, one goroutine for each.
+package rangegrants
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/ownership/ranges"
+	"rosemarywick.example/rosemarywick/internal/platform/table"
+)
+
+// Answer is a server's answer to an order. It is one of Taken, Superseded, Absent and Silent.
+type Answer interface {
+	answer()
+}
+
+// Taken means that the server has carried the order out.
+type Taken struct {
+	// Handover is what the next owner of a released range needs to be warm at once; it is empty if there is none.
+	Handover string
+}
+
+// Superseded means that the server has seen a higher fence and has done nothing.
+type Superseded struct{}
+
+// Absent means that no process listens at the address, or one that holds no keys.
+type Absent struct{}
+
+// Silent means that no answer came. The order may have been carried out, or may be yet.
+type Silent struct{ Err error }
+
+func (Taken) answer()      {}
+func (Superseded) answer() {}
+func (Absent) answer()     {}
+func (Silent) answer()     {}
+
+// Grant is the order to hold a range.
+type Grant struct {
+	Range    fleet.KeyRange
+	Fence    ranges.Fence
+	Hold     time.Duration
+	Handover string
+}
+
+// Orders sends orders to servers. A call returns when the context ends; bytes that are still under way then must not
+// arrive later.
+type Orders interface {
+	Grant(ctx context.Context, server netip.AddrPort, grant Grant) Answer
+	Release(ctx context.Context, server netip.AddrPort, keys fleet.KeyRange, fence ranges.Fence) Answer
+	// Probe reports whether the server at the address is the one named and takes work.
+	Probe(ctx context.Context, server netip.AddrPort, id fleet.UpstreamID) bool
+}
+
+// Server is a server of the service as the registry describes it.
+type Server struct {
+	ranges.Owner
+	Slots   int
+	Leaving bool
+}
+
+// Registry knows the servers of a service.
+type Registry interface {
+	Servers(service fleet.ServiceName) []Server
+	// Changed returns a channel that is closed at the next change.
+	Changed() <-chan struct{}
+}
+
+// Loads sums the load that daemons report.
+type Loads interface {
+	// Collect returns the load of the keys, the mean duration of a request at each server, and the number of daemons that
+	// report. It reads the reports of all daemons.
+	Collect(ctx context.Context, service fleet.ServiceName) (*ranges.Load, map[fleet.UpstreamID]time.Duration, int)
+}
+
+const (
+	// drift bounds by how much a server's clock runs slow: a hold lasts up to 1/(1-drift) of its length.
+	drift = 0.02
+	// orderTimeout bounds one order. A server in another failure domain answers within 20 ms, a busy one within 100 ms.
+	orderTimeout = 400 * time.Millisecond
+	// releaseTimeout bounds one release, which waits for the requests in flight; the release is repeated.
+	releaseTimeout = 700 * time.Millisecond
+	// storeTimeout bounds one call to the store; a slow one answers within 400 ms.
+	storeTimeout = time.Second
+	// pollEvery is the mean time between two looks at the lease by any standby of the fleet.
+	pollEvery = 400 * time.Millisecond
+	// renewalsPerHold and renewalsPerLease are how often a hold and the lease are renewed before they would end, so that
+	// two lost renewals do no harm.
+	renewalsPerHold  = 4
+	renewalsPerLease = 3
+	// suspectAfter is how long a server may be silent before its ranges are given away.
+	suspectAfter = 1500 * time.Millisecond
+	// absentAgain is the pause before a connection refused is believed: a single refusal may be a restart in progress.
+	absentAgain = 150 * time.Millisecond
+	// planEvery is how often the load is looked at, and shiftEvery how often ranges move because of it.
+	planEvery  = 2 * time.Second
+	shiftEvery = 4 * time.Second
+	// gatherTime is how long the servers have to be the same before the first table is made.
+	gatherTime = time.Second
+	// probeEvery is how often a server that did not answer is asked whether it is back.
+	probeEvery = time.Second
+	// retryPause is the pause before a call to the store is repeated.
+	retryPause = 100 * time.Millisecond
+)
+
+// Assigner is one daemon's part in assigning the ranges of one service. The exported fields are set before Run.
+type Assigner struct {
+	Service fleet.ServiceName
+	// Daemon names this run of the daemon. No other run has the same name.
+	Daemon   string
+	Store    table.TimedStore
+	Registry Registry
+	Orders   Orders
+	Loads    Loads
+	Clock    timer.Service
+	Uptime   timer.Uptime
+	Log      zerolog.Logger
+	// Table returns the latest table of the service that this daemon knows, or nil.
+	Table func() *ranges.Table
+	// Hold is the usual length of a grant, and LongHold the one while the store does not answer, so that owners outlast
+	// an outage in which no assigner can be elected.
+	Hold, LongHold time.Duration
+	// Lease is how long the assigner may act without renewing its lease.
+	Lease time.Duration
+}
+
+// Names of the rows of a service.
+func (a *Assigner) leaseRow() string { return LeaseTable + "/" + string(a.Service) }
+
+// TableRow returns the name of the row that holds the table of a service.
+func TableRow(service fleet.ServiceName) string { return RangesTable + "/" + string(service) }
+
+const (
+	// LeaseTable holds the leases of the assigners.
+	LeaseTable = "assigners"
+	// RangesTable holds the tables of the services.
+	RangesTable = "ranges"
+)
+
+// freeAfter returns the longest time for which a grant of the length may hold.
+func freeAfter(hold time.Duration) time.Duration {
+	return time.Duration(float64(hold)/(1-drift)) + time.Millisecond
+}
+
+// Run takes part in the election until ctx ends, and serves the terms that it wins. A term that ends with ctx gives the
+// lease back.
+func (a *Assigner) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		lease := a.elect(ctx)
+		if lease == nil {
+			break
+		}
+		a.Log.Info().Str("service", string(a.Service)).Dur("until", lease.until).Msg("assigner elected")
+		a.serve(ctx, lease)
+		a.Log.Info().Str("service", string(a.Service)).Bool("stopping", ctx.Err() != nil).Msg("assigner term ended")
+	}
+	return nil
+}
+
+// serve runs one term.
+func (a *Assigner) serve(ctx context.Context, lease *lease) {
+	acting, end := context.WithCancel(ctx)
+	defer end()
+	term := newTerm(a, lease)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer end()
+		term.keepLease(acting)
+	}()
+	if term.begin(acting) {
+		term.run(acting)
+	}
+	end()
+	<-done
+	term.tasks.Wait()
+	if ctx.Err() != nil {
+		term.resign(context.WithoutCancel(ctx))
+	}
+}
--- /dev/null
+++ b/internal/upstream/rangegrants/release.go
@@ -0,0 +1,105 @@
+package rangegrants
+
+import (
+	"context"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/ownership/ranges"
+)
+
+// releaseKey names the release of a range by one former owner.
+type releaseKey struct {
+	keys   fleet.KeyRange
+	fence  ranges.Fence
+	former ranges.Owner
+}
+
+// release is the task that takes a range from a former owner. Its fields are guarded by the term's mu.
+type release struct {
+	// done is set when the former owner holds nothing of the range any more.
+	done     bool
+	handover string
+}
+
+// release starts the release of a range by a former owner, unless it was started before. The caller holds mu.
+func (t *term) release(ctx context.Context, one ranges.Holding, former ranges.Former) {
+	key := releaseKey{keys: one.Range, fence: one.Fence, former: former.Owner}
+	if t.releases[key] != nil {
+		return
+	}
+	t.releases[key] = &release{}
+	t.tasks.Go(func() { t.runRelease(ctx, key, one.Owner) })
+}
+
+// runRelease asks the former owner until it has released the range, is gone, or all its holds have run out.
+func (t *term) runRelease(ctx context.Context, key releaseKey, next ranges.Owner) {
+	absent := 0
+	for ctx.Err() == nil {
+		if t.ranOut(key) {
+			t.finish(key, next, "", "its holds have run out")
+			return
+		}
+		call, cancel := context.WithTimeout(ctx, releaseTimeout)
+		answer := t.Orders.Release(call, key.former.Address, key.keys, key.fence)
+		cancel()
+		switch answer := answer.(type) {
+		case Taken:
+			t.finish(key, next, answer.Handover, "it released the range")
+			return
+		case Absent:
+			if absent++; absent > 1 {
+				t.finish(key, next, "", "no process listens at its address")
+				return
+			}
+		case Silent, Superseded:
+			absent = 0
+		}
+		if timer.Wait(ctx, t.Clock, absentAgain) != nil {
+			return
+		}
+	}
+}
+
+// ranOut reports whether every hold of the former owner has run out.
+func (t *term) ranOut(key releaseKey) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.Uptime.Uptime() > t.heldUntil(key.former, key.keys)
+}
+
+// finish notes that the former owner holds nothing of the range, and has the next one granted it.
+func (t *term) finish(key releaseKey, next ranges.Owner, handover, why string) {
+	t.Log.Info().Str("service", string(t.Service)).Stringer("range", key.keys).Uint64("fence", uint64(key.fence)).
+		Str("former", string(key.former.ID)).Str("owner", string(next.ID)).Str("why", why).Msg("range is free")
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	done := t.releases[key]
+	done.done, done.handover = true, handover
+	if server := t.servers[next]; server != nil {
+		server.poke()
+	}
+	t.poke()
+}
+
+// released reports whether a former owner is known to hold nothing of a range any more.
+func (t *term) released(one ranges.Holding, former ranges.Former) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if begun := t.releases[releaseKey{keys: one.Range, fence: one.Fence, former: former.Owner}]; begun != nil {
+		return begun.done
+	}
+	return t.Uptime.Uptime() > t.heldUntil(former.Owner, one.Range)
+}
+
+// handover returns what the former owners left for the next one.
+func (t *term) handover(one ranges.Holding) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, former := range one.Formers {
+		if begun := t.releases[releaseKey{keys: one.Range, fence: one.Fence, former: former.Owner}]; begun != nil && begun.handover != "" {
+			return begun.handover
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/upstream/rangegrants/server.go
@@ -0,0 +1,272 @@
+package rangegrants
+
+import (
+	"context"
+	"time"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/ownership/ranges"
+)
+
+// server is the task that grants and renews the ranges of one run of a server.
+type server struct {
+	term  *term
+	owner ranges.Owner
+	wake  chan struct{}
+
+	// grants is guarded by the term's mu.
+	grants map[grantKey]*granted
+	// heard belongs to the task: the uptime of the last answer.
+	heard time.Duration
+	// absences belongs to the task and counts the refused connections in a row.
+	absences int
+}
+
+type grantKey struct {
+	keys  fleet.KeyRange
+	fence ranges.Fence
+}
+
+// granted is what is known of one grant.
+type granted struct {
+	// taken is set once the server has the grant.
+	taken bool
+	// refused is set when the server had seen a higher fence.
+	refused bool
+	// renewed is the uptime at which the last grant was sent that the server took.
+	renewed time.Duration
+	// until is the uptime at which every hold by this grant has run out.
+	until time.Duration
+}
+
+// serverOf returns the task of a server, which is started if need be. The caller holds mu.
+func (t *term) serverOf(ctx context.Context, owner ranges.Owner) *server {
+	if one := t.servers[owner]; one != nil {
+		return one
+	}
+	one := &server{
+		term: t, owner: owner, wake: make(chan struct{}, 1), grants: make(map[grantKey]*granted), heard: t.Uptime.Uptime(),
+	}
+	t.servers[owner] = one
+	t.tasks.Go(func() { one.run(ctx) })
+	return one
+}
+
+func (s *server) poke() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run grants and renews until the term ends.
+func (s *server) run(ctx context.Context) {
+	tick := s.term.Clock.Every(s.term.Hold / renewalsPerHold)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-s.wake:
+		case <-ctx.Done():
+			return
+		}
+		for _, one := range s.term.orders(s.owner) {
+			if !s.renew(ctx, one) {
+				break
+			}
+		}
+	}
+}
+
+// renew sends one grant if it is due, and returns false if the server did not answer.
+func (s *server) renew(ctx context.Context, one ranges.Holding) bool {
+	key := grantKey{keys: one.Range, fence: one.Fence}
+	known := s.grant(key)
+	// Ticks come a little early or late.
+	due := s.term.Uptime.Uptime()-known.renewed >= s.term.Hold/renewalsPerHold*3/4
+	if known.refused || known.taken && !due {
+		return true
+	}
+	if !s.term.valid() || ctx.Err() != nil {
+		return false
+	}
+	hold := s.term.Hold
+	if s.term.shaky() {
+		hold = s.term.LongHold
+	}
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	sent := s.term.Uptime.Uptime()
+	s.hold(key, sent+orderTimeout+freeAfter(hold))
+	answer := s.term.Orders.Grant(call, s.owner.Address, Grant{
+		Range: one.Range, Fence: one.Fence, Hold: hold, Handover: s.term.handover(one),
+	})
+	s.hold(key, s.term.Uptime.Uptime()+freeAfter(hold))
+	return s.learn(ctx, one, sent, answer)
+}
+
+// grant returns what is known of a grant.
+func (s *server) grant(key grantKey) granted {
+	s.term.mu.Lock()
+	defer s.term.mu.Unlock()
+	if one := s.grants[key]; one != nil {
+		return *one
+	}
+	return granted{}
+}
+
+// hold notes until when a grant may hold at most.
+func (s *server) hold(key grantKey, until time.Duration) {
+	s.term.mu.Lock()
+	defer s.term.mu.Unlock()
+	if s.grants[key] == nil {
+		s.prune()
+		s.grants[key] = &granted{}
+	}
+	s.grants[key].until = max(s.grants[key].until, until)
+}
+
+// prune forgets grants that were replaced and have run out. The caller holds mu.
+func (s *server) prune() {
+	now := s.term.Uptime.Uptime()
+	for key, known := range s.grants {
+		if known.until < now && !known.refused {
+			delete(s.grants, key)
+		}
+	}
+}
+
+// learn takes in the answer to a grant.
+func (s *server) learn(ctx context.Context, one ranges.Holding, sent time.Duration, answer Answer) bool {
+	key := grantKey{keys: one.Range, fence: one.Fence}
+	if _, absent := answer.(Absent); !absent {
+		s.absences = 0
+	}
+	switch answer := answer.(type) {
+	case Taken:
+		s.heard = s.term.Uptime.Uptime()
+		first := s.taken(key, sent)
+		if first && len(one.Formers) > 0 {
+			s.term.poke()
+		}
+		return true
+	case Superseded:
+		s.heard = s.term.Uptime.Uptime()
+		s.term.Log.Warn().Str("server", string(s.owner.ID)).Stringer("range", one.Range).Uint64("fence", uint64(one.Fence)).
+			Msg("server refused a grant because it has seen a higher fence")
+		s.term.mu.Lock()
+		s.grants[key].refused = true
+		s.term.mu.Unlock()
+		s.term.poke()
+		return true
+	case Absent:
+		if s.absences++; s.absences > 1 {
+			s.ended()
+			s.term.fail(ctx, s.owner, "no process listens at its address")
+		} else if timer.Wait(ctx, s.term.Clock, absentAgain) == nil {
+			s.poke()
+		}
+		return false
+	case Silent:
+		silent := s.term.Uptime.Uptime() - s.heard
+		s.term.Log.Warn().Err(answer.Err).Str("server", string(s.owner.ID)).Dur("silent", silent).
+			Msg("server did not answer a grant")
+		if silent > suspectAfter {
+			s.term.fail(ctx, s.owner, "it does not answer")
+		} else {
+			s.poke()
+		}
+	}
+	return false
+}
+
+func (s *server) taken(key grantKey, sent time.Duration) bool {
+	s.term.mu.Lock()
+	defer s.term.mu.Unlock()
+	one := s.grants[key]
+	first := !one.taken
+	one.taken, one.renewed = true, sent
+	return first
+}
+
+// ended notes that the process of the server has ended, and its holds with it.
+func (s *server) ended() {
+	s.term.mu.Lock()
+	defer s.term.mu.Unlock()
+	for _, known := range s.grants {
+		known.until, known.taken = 0, false
+	}
+}
+
+// fail takes a server out of the plan until it answers a probe.
+func (t *term) fail(ctx context.Context, owner ranges.Owner, why string) {
+	t.mu.Lock()
+	known := t.down[owner]
+	t.down[owner] = true
+	t.mu.Unlock()
+	if known {
+		return
+	}
+	t.Log.Warn().Str("server", string(owner.ID)).Str("why", why).Msg("server is down; its ranges get other owners")
+	t.poke()
+	t.tasks.Go(func() { t.probe(ctx, owner) })
+}
+
+// probe waits until a server answers again.
+func (t *term) probe(ctx context.Context, owner ranges.Owner) {
+	for timer.Wait(ctx, t.Clock, probeEvery) == nil {
+		call, cancel := context.WithTimeout(ctx, orderTimeout)
+		answered := t.Orders.Probe(call, owner.Address, owner.ID)
+		cancel()
+		if !answered {
+			continue
+		}
+		t.mu.Lock()
+		delete(t.down, owner)
+		t.mu.Unlock()
+		t.Log.Info().Str("server", string(owner.ID)).Msg("server is back")
+		t.poke()
+		return
+	}
+}
+
+// granted reports whether the owner has taken the grant of a holding.
+func (t *term) granted(one ranges.Holding) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	server := t.servers[one.Owner]
+	if server == nil {
+		return false
+	}
+	known := server.grants[grantKey{keys: one.Range, fence: one.Fence}]
+	return known != nil && known.taken
+}
+
+// refused reports whether the owner refused the grant of a holding.
+func (t *term) refused(one ranges.Holding) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	server := t.servers[one.Owner]
+	if server == nil {
+		return false
+	}
+	known := server.grants[grantKey{keys: one.Range, fence: one.Fence}]
+	return known != nil && known.refused
+}
+
+// heldUntil returns the uptime at which every hold of a server on any key of the range has run out. The caller holds mu.
+func (t *term) heldUntil(owner ranges.Owner, keys fleet.KeyRange) time.Duration {
+	// The assigner before this one may have granted until its lease ended, which was before this term began.
+	until := t.began + orderTimeout + freeAfter(t.LongHold)
+	server := t.servers[owner]
+	if server == nil {
+		return until
+	}
+	for key, known := range server.grants {
+		if key.keys.Overlaps(keys) {
+			until = max(until, known.until)
+		}
+	}
+	return until
+}
