platform/table: the feed is made anew when the store fails elsewhere; coalesced reads

Change: while the store fails, calls for changes wait 0 and give up after 1 s; a failed load report ends a waiting call. Changes of upstreams' entries are read at most every 300 ms.

--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -101,6 +101,9 @@
 	// usualHoldPart is the usual length of a grant as a part of the longest one. A server that falls silent is replaced
 	// after it, and it outlasts the election of an assigner.
 	usualHoldPart = 0.4
+	// upstreamsPause is the time between a change of an upstream's entry and the next look. Many change together when a
+	// service is replaced, and a leaving upstream may be used for longer than this.
+	upstreamsPause = 300 * time.Millisecond
 	// leasePart is the lease of the assigner as a part of the longest grant.
 	leasePart = 0.25
 )
@@ -120,7 +123,13 @@
 	group, serving := errgroup.WithContext(serving)
 	group.Go(func() error { return d.serveReady(serving, ready) })
 	group.Go(func() error { return d.observer.run(serving, d.Metrics) })
-	for _, follower := range d.followers() {
+	followers := d.followers()
+	d.loads.failed = func() {
+		for _, follower := range followers {
+			follower.Doubt()
+		}
+	}
+	for _, follower := range followers {
 		group.Go(func() error { return follower.Run(serving) })
 	}
 	group.Go(func() error { return d.registry.Run(serving) })
@@ -184,13 +193,20 @@
 
 // followers keep the daemon up to date with the store.
 func (d *Daemon) followers() []*table.Follower {
-	base := table.Follower{Feed: d.Store, Clock: d.Timer, Log: d.Log}
-	operators, upstreams, ranges := base, base, base
-	operators.Table, operators.Reset, operators.Apply = d.Tables.Configuration, d.configuration.apply, d.configuration.apply
-	ranges.Table, ranges.Reset, ranges.Apply = rangegrants.RangesTable, d.owners.apply, d.owners.apply
-	upstreams.Table, upstreams.Reset, upstreams.Apply = d.Tables.Upstreams, d.resetUpstreams, d.applyUpstreams
-	upstreams.Regained = d.registry.Regained
-	return []*table.Follower{&operators, &upstreams, &ranges}
+	return []*table.Follower{
+		{
+			Feed: d.Store, Clock: d.Timer, Log: d.Log, Table: d.Tables.Configuration,
+			Reset: d.configuration.apply, Apply: d.configuration.apply,
+		},
+		{
+			Feed: d.Store, Clock: d.Timer, Log: d.Log, Table: d.Tables.Upstreams,
+			Reset: d.resetUpstreams, Apply: d.applyUpstreams, Regained: d.registry.Regained, Pause: upstreamsPause,
+		},
+		{
+			Feed: d.Store, Clock: d.Timer, Log: d.Log, Table: rangegrants.RangesTable,
+			Reset: d.owners.apply, Apply: d.owners.apply,
+		},
+	}
 }
 
 func (d *Daemon) resetUpstreams(rows []table.Row) {
--- a/internal/daemon/entry/loads.go
+++ b/internal/daemon/entry/loads.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
@@ -50,6 +51,8 @@
 	store  table.Store
 	clock  timer.Service
 	log    zerolog.Logger
+	// failed is called when the store does not answer a report.
+	failed func()
 
 	mu sync.Mutex
 	// own is guarded by mu.
@@ -130,6 +133,9 @@
 		return next
 	}
 	l.log.Debug().Err(err).Msg("load report was not written")
+	if !errors.Is(err, table.ErrConflict) {
+		l.failed()
+	}
 	rows, err := l.store.Read(call, name)
 	if err != nil || len(rows) == 0 {
 		return 0
--- a/internal/platform/table/follow.go
+++ b/internal/platform/table/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,13 +22,13 @@
 const (
 	// feedWait is how long one call for changes waits. A store that is silent is noticed at its end, and each call costs.
 	feedWait = 10 * time.Second
-	// feedSlack is how much longer than feedWait an answer may take.
-	feedSlack = 2 * time.Second
+	// feedSlack is how much longer than the wait an answer may take.
+	feedSlack = time.Second
 	// snapshotTimeout bounds a call for all rows.
-	snapshotTimeout = 3 * time.Second
+	snapshotTimeout = time.Second
 	// feedPauseFirst and feedPauseMost bound the pause after a failure, which doubles.
 	feedPauseFirst = 100 * time.Millisecond
-	feedPauseMost  = time.Second
+	feedPauseMost  = 500 * time.Millisecond
 )
 
 // Follower keeps a consumer up to date with one table. The exported fields are set before Run.
@@ -42,9 +43,28 @@
 	Apply func([]Row)
 	// Regained is called when the store answers after a failure. It may be nil.
 	Regained func()
+	// Pause is the time between a change and the next call, so that changes that come together cost one call.
+	Pause time.Duration
 
 	// failing belongs to Run and is set while the store does not answer.
 	failing bool
+
+	mu sync.Mutex
+	// abort is guarded by mu and ends the call that waits for changes; it is nil between calls.
+	abort context.CancelFunc
+	// doubted is guarded by mu and set when the store failed to answer another call.
+	doubted bool
+}
+
+// Doubt takes in that the store failed to answer another call. The call that waits for changes may be silent for good then,
+// so it is made anew.
+func (f *Follower) Doubt() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.doubted = true
+	if f.abort != nil {
+		f.abort()
+	}
 }
 
 // Run follows the table until ctx ends.
@@ -88,16 +108,32 @@
 		f.Reset(all.Rows)
 		return all.Version, nil
 	}
-	call, cancel := context.WithTimeout(ctx, feedWait+feedSlack)
+	wait := feedWait
+	call, cancel := context.WithCancel(ctx)
 	defer cancel()
-	changes, err := f.Feed.Changes(call, f.Table, version, feedWait)
+	f.mu.Lock()
+	if f.doubted || f.failing {
+		wait, f.doubted = 0, false
+	} else {
+		f.abort = cancel
+	}
+	f.mu.Unlock()
+	call, end := context.WithTimeout(call, wait+feedSlack)
+	defer end()
+	changes, err := f.Feed.Changes(call, f.Table, version, wait)
+	f.mu.Lock()
+	f.abort = nil
+	f.mu.Unlock()
 	if err != nil {
 		return 0, err
 	}
 	f.regain()
-	if len(changes.Rows) > 0 {
-		f.Apply(changes.Rows)
+	if len(changes.Rows) == 0 {
+		return changes.Version, nil
 	}
+	f.Apply(changes.Rows)
+	// A pause that ends early only makes the next call earlier.
+	_ = timer.Wait(ctx, f.Clock, f.Pause)
 	return changes.Version, nil
 }
 
--- a/internal/upstream/rangegrants/assigner.go
+++ b/internal/upstream/rangegrants/assigner.go
@@ -101,6 +101,8 @@
 	// planEvery is how often the load is looked at, and shiftEvery how often ranges move because of it.
 	planEvery  = 2 * time.Second
 	shiftEvery = 4 * time.Second
+	// settlePause is how long the planning waits for more when it is woken by a task.
+	settlePause = 20 * time.Millisecond
 	// gatherTime is how long the servers have to be the same before the first table is made.
 	gatherTime = time.Second
 	// probeEvery is how often a server that did not answer is asked whether it is back.
--- a/internal/upstream/rangegrants/term.go
+++ b/internal/upstream/rangegrants/term.go
@@ -155,6 +155,8 @@
 		select {
 		case <-changed:
 		case <-t.wake:
+			// Ranges that become free together are written together, since every daemon reads each table.
+			_ = timer.Wait(ctx, t.Clock, settlePause)
 		case <-tick.C:
 			load, pace, daemons = t.Loads.Collect(ctx, t.Service)
 		case <-ctx.Done():
