routing/router: a request is not cut off at a server that finishes it before a move

The map names the next owner as soon as a move is decided, and the router cancelled attempts at the former one, which was still finishing them. Change: attempts at servers with bounded holds are not cancelled; those that wait for a slot still are.

--- a/internal/routing/router/keyed.go
+++ b/internal/routing/router/keyed.go
@@ -186,7 +186,9 @@
 		if attempt.waiting && (now.Moving || attempt.assignment.Fence.Less(now.Fence)) {
 			attempt.cancel()
 		}
-		if f.request.Delivery != document.Idempotent {
+		// A server that takes bounded holds finishes its requests before a planned move goes on, and the map names the next
+		// owner before that.
+		if f.request.Delivery != document.Idempotent || f.service.Guard == fleet.GuardHold {
 			continue
 		}
 		if ok && now.Owner != "" && now.Owner != attempt.assignment.Owner && attempt.assignment.Fence.Less(now.Fence) {
