routing/balance: large answers stay in the daemon's failure domain

Change: a bulk request uses an upstream of the daemon's own domain while one there has room. Test: TestBulk.

--- a/internal/core/document/entry.go
+++ b/internal/core/document/entry.go
@@ -20,6 +20,8 @@
 	Timeout time.Duration
 	// Attempts is the number of upstreams to which one request may be sent.
 	Attempts int
+	// Bulk marks requests with large answers.
+	Bulk bool
 	// Class is the tenant whose share the requests use.
 	Class fleet.TenantName
 	// Splits name at least one service, and their weights are not all zero.
--- a/internal/routing/admission/line.go
+++ b/internal/routing/admission/line.go
@@ -17,6 +17,8 @@
 	Avoid fleet.UpstreamID
 	// Repeatable is set for a request that may be sent to an upstream that is suspected to be lost.
 	Repeatable bool
+	// Bulk is set for a request with a large answer.
+	Bulk bool
 }
 
 // line holds the waiting tickets, a queue for each tenant.
--- a/internal/routing/balance/pick.go
+++ b/internal/routing/balance/pick.go
@@ -14,6 +14,9 @@
 	Avoid fleet.UpstreamID
 	// Repeatable is set for a request that may be lost without harm, so that it may try a suspected upstream.
 	Repeatable bool
+	// Bulk is set for a request with a large answer, which stays in the failure domain of this daemon while an upstream
+	// there can take it: links between failure domains are costly.
+	Bulk bool
 	// Free reports whether an upstream has room. Nil means that all have.
 	Free func(fleet.UpstreamID) bool
 }
@@ -30,6 +33,9 @@
 	if len(usable) == 0 {
 		return "", false
 	}
+	if wish.Bulk {
+		usable = p.near(usable)
+	}
 	first := p.draw(now, usable)
 	second := p.draw(now, usable)
 	for range 2 { // a second draw of the same upstream would decide nothing
@@ -91,6 +97,20 @@
 	return free
 }
 
+// near returns the upstreams in the failure domain of this daemon, or all if there is none.
+func (p *Pool) near(usable []*member) []*member {
+	near := make([]*member, 0, len(usable))
+	for _, one := range usable {
+		if one.Place == p.Local {
+			near = append(near, one)
+		}
+	}
+	if len(near) == 0 {
+		return usable
+	}
+	return near
+}
+
 func (w Wish) free(id fleet.UpstreamID) bool {
 	return w.Free == nil || w.Free(id)
 }
--- a/internal/routing/balance/pool_test.go
+++ b/internal/routing/balance/pool_test.go
@@ -111,3 +111,16 @@
 	see(pool, later, "0", balance.Answered{Latency: time.Millisecond})
 	is.True(picks(pool, later, balance.Wish{})["0"] > 0) // back, slowly
 }
+
+// Guards against large answers that cross failure domains while an upstream beside the daemon is free, and against ones that
+// are not served because none is.
+func TestBulk(t *testing.T) {
+	is := is.New(t)
+	pool, candidates := newPool(4)
+	candidates[0].Place.Domain, candidates[1].Place.Domain = "far", "far"
+	pool.Set(start, candidates)
+	got := picks(pool, start, balance.Wish{Bulk: true})
+	is.Equal(got["0"]+got["1"], 0)
+	busy := func(id fleet.UpstreamID) bool { return id == "0" }
+	is.Equal(picks(pool, start, balance.Wish{Bulk: true, Free: busy})["0"], 1000)
+}
--- a/internal/routing/router/flight.go
+++ b/internal/routing/router/flight.go
@@ -143,7 +143,7 @@
 func (f *flight) enter(ctx context.Context, station *station) (fleet.UpstreamID, *refusal) {
 	ticket := &admission.Ticket{
 		Tenant: f.request.Tenant, Arrived: f.router.Clock.Now(), Deadline: f.deadline, Avoid: f.avoid,
-		Repeatable: f.request.Delivery == document.Idempotent,
+		Repeatable: f.request.Delivery == document.Idempotent, Bulk: f.request.Bulk,
 	}
 	switch verdict := station.enter(ctx, ticket).(type) {
 	case admission.Admitted:
--- a/internal/routing/router/request.go
+++ b/internal/routing/router/request.go
@@ -31,8 +31,10 @@
 	Objective time.Duration
 	// Attempts is the number of upstreams to which the request may be sent; zero sets no bound.
 	Attempts int
-	Header   http.Header
-	Body     []byte
+	// Bulk is set for a request with a large answer.
+	Bulk   bool
+	Header http.Header
+	Body   []byte
 }
 
 // Answer is what the caller gets. It is one of *Answered and Rejected.
--- a/internal/routing/router/service.go
+++ b/internal/routing/router/service.go
@@ -134,7 +134,7 @@
 func (s *service) pick(
 	now time.Time, ticket *admission.Ticket, free func(fleet.UpstreamID) bool,
 ) (fleet.UpstreamID, bool) {
-	return s.pool.Pick(now, balance.Wish{Avoid: ticket.Avoid, Repeatable: ticket.Repeatable, Free: free})
+	return s.pool.Pick(now, balance.Wish{Avoid: ticket.Avoid, Repeatable: ticket.Repeatable, Bulk: ticket.Bulk, Free: free})
 }
 
 // holds remembers which servers and partitions are known to be useless until the map changes, so that requests wait
