ownership/ranges: even first table; daemon/entry: load reports each second while requests wait

Cause: hot keys last 4 to 5 s, and keys moved only after 5 to 8 s. The first table gave the last servers nothing.

--- a/internal/core/cause/record.go
+++ b/internal/core/cause/record.go
@@ -24,6 +24,8 @@
 	Host    fleet.HostID
 	Service fleet.ServiceName
 	Tenant  fleet.TenantName
+	// Keyed is set if the servers of the service own keys.
+	Keyed bool
 	// Key is zero for a service without keys.
 	Key       fleet.KeyHash
 	Partition fleet.PartitionID
--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -149,13 +149,13 @@
 
 func (d *Daemon) prepare() {
 	d.run = string(d.Host.ID) + "/" + newRun()
-	d.observer = newObserver(d)
 	d.registry = &registry.Registry{Clock: d.Timer, Log: d.Log, Drain: d.Limits.Drain, Return: returnTime}
 	d.configuration = &configuration{
 		log: d.Log, decode: d.Configuration, rowName: d.Tables.ConfigurationRow, registry: d.registry,
 	}
 	d.owners = &owners{clock: d.Timer, log: d.Log}
-	d.loads = &loads{daemon: d.Host.ID, store: d.Store, clock: d.Timer, log: d.Log}
+	d.loads = &loads{daemon: d.Host.ID, store: d.Store, clock: d.Timer, log: d.Log, daemons: d.daemons}
+	d.observer = newObserver(d)
 	d.router = &router.Router{
 		Host: d.Host, Clock: d.Timer, Config: d.configuration, Owners: d.owners, Loads: d.loads, Recorder: d.observer,
 		Hosts: d.daemons, Dialect: d.UpstreamDialect, WholeLimit: wholeLimit, NewBudget: d.newBudget,
--- a/internal/daemon/entry/loads.go
+++ b/internal/daemon/entry/loads.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"strings"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -19,9 +19,14 @@
 const (
 	// loadsTable holds one report for each daemon.
 	loadsTable = "loads"
-	// reportEvery is the time between two reports of a daemon.
-	reportEvery = 3 * time.Second
-	// reportLife is how long a daemon counts after its last report.
+	// reportEvery is the time between two reports of a daemon while requests find room, and pressedEvery while they wait
+	// or are rejected.
+	reportEvery  = 3 * time.Second
+	pressedEvery = time.Second
+	// reporters is the number of daemons whose reports suffice: each sees a random part of the requests. A larger fleet
+	// reports in turns, so that the store's load does not grow with it.
+	reporters = 10
+	// reportLife is how long a daemon counts after its last report, in a fleet in which all report.
 	reportLife = 4 * reportEvery
 	// reportTimeout bounds the calls to the store.
 	reportTimeout = time.Second
@@ -51,12 +56,16 @@
 	store  table.Store
 	clock  timer.Service
 	log    zerolog.Logger
+	// daemons returns the number of daemons.
+	daemons func() int
 	// failed is called when the store does not answer a report.
 	failed func()
 
 	mu sync.Mutex
 	// own is guarded by mu.
 	own report
+	// pressed is guarded by mu and set when a keyed request had to wait or was rejected since the last look.
+	pressed bool
 
 	// The fields below belong to the goroutine that calls Collect.
 	seen  map[string]seenReport
@@ -98,19 +107,46 @@
 
 // run reports until ctx ends. A report that fails is lost; the next one follows soon.
 func (l *loads) run(ctx context.Context) error {
-	tick := l.clock.Every(reportEvery)
+	tick := l.clock.Every(pressedEvery)
 	defer tick.Stop()
-	version := table.Version(0)
+	version, last := table.Version(0), l.clock.Now()
 	for {
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
 			return nil
 		}
-		version = l.report(ctx, version)
+		now := l.clock.Now()
+		l.mu.Lock()
+		due := l.pressed || now.Sub(last) >= reportEvery-pressedEvery/2
+		l.pressed = false
+		l.mu.Unlock()
+		if !due {
+			continue
+		}
+		last = now
+		if rand.Float64()*float64(l.daemons()) < reporters {
+			version = l.report(ctx, version)
+		} else {
+			l.drop()
+		}
 	}
 }
 
+// Pressed takes in that a keyed request had to wait or was rejected.
+func (l *loads) Pressed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pressed = true
+}
+
+// drop forgets what was counted, so that a later report tells of its own time only.
+func (l *loads) drop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.own = report{}
+}
+
 // report writes one report and returns the version of the row.
 func (l *loads) report(ctx context.Context, version table.Version) table.Version {
 	l.mu.Lock()
@@ -164,8 +200,9 @@
 		}
 	}
 	daemons := 0
-	for name, one := range l.seen {
-		if now.Sub(one.at) < reportLife && strings.HasPrefix(name, loadsTable) {
+	life := time.Duration(float64(reportLife) * max(1, float64(l.daemons())/reporters))
+	for _, one := range l.seen {
+		if now.Sub(one.at) < life {
 			daemons++
 		}
 	}
@@ -174,7 +211,7 @@
 	}
 	paces := make(map[fleet.UpstreamID]time.Duration)
 	for id, one := range l.paces {
-		if now.Sub(one.at) < reportLife {
+		if now.Sub(one.at) < life {
 			paces[id] = one.mean
 		}
 	}
--- a/internal/daemon/entry/observer.go
+++ b/internal/daemon/entry/observer.go
@@ -19,6 +19,8 @@
 	// linesPerSecond and linesBurst bound the log lines about single requests.
 	linesPerSecond = 20
 	linesBurst     = 100
+	// longWait is the wait for a slot from which a server counts as short of room.
+	longWait = 50 * time.Millisecond
 )
 
 // observer logs and measures each request that has ended.
@@ -27,11 +29,14 @@
 	metrics *metrics.Metrics
 	budget  *rate.Limiter
 	clock   func() time.Time
+	// pressed is called for a keyed request that had to wait or was rejected.
+	pressed func()
 }
 
 func newObserver(d *Daemon) *observer {
 	return &observer{
 		log: d.Log, metrics: metrics.New(d.Timer), budget: rate.NewLimiter(linesPerSecond, linesBurst), clock: d.Timer.Now,
+		pressed: d.loads.Pressed,
 	}
 }
 
@@ -41,6 +46,9 @@
 		Service: record.Service, Tenant: record.Tenant, Queue: record.Queued, Connect: record.Connect(),
 		Upstream: record.Upstream(), Total: record.Total, Outcome: record.Outcome, Cause: record.Cause,
 	})
+	if record.Keyed && (record.Queued > longWait || record.Outcome != cause.Complete) {
+		o.pressed()
+	}
 	if !record.Notable() || !o.budget.AllowN(o.clock(), 1) {
 		return
 	}
--- a/internal/ownership/ranges/load.go
+++ b/internal/ownership/ranges/load.go
@@ -12,9 +12,9 @@
 	// a range must be divisible between a few of them.
 	bucketKeys = 16
 	buckets    = (int(fleet.LastKey) + 1) / bucketKeys
-	// loadHalfLife is the time in which a count loses half of its weight. A shift of the hot keys shows within a few
-	// seconds, and 200 requests a second still give each of 14 servers about 100 samples.
-	loadHalfLife = 5 * time.Second
+	// loadHalfLife is the time in which a count loses half of its weight. A shift of the hot keys shows within two
+	// seconds, and 200 requests a second still give each of 14 servers about 60 samples.
+	loadHalfLife = 3 * time.Second
 	// evenShare is the part of the load that is taken to be spread evenly over all keys, so that keys that were not asked
 	// for lately are divided too.
 	evenShare = 0.1
--- a/internal/ownership/ranges/plan.go
+++ b/internal/ownership/ranges/plan.go
@@ -15,7 +15,7 @@
 }
 
 const (
-	// orphanRoom is how far above its part of the load a server may come by a range that has lost its owner.
+	// orphanRoom is how far above its room a server may come by the last piece of a range that has lost its owner.
 	orphanRoom = 1.2
 	// leastRoom is the least part of its share that a server is given at once, so that ranges are not cut into crumbs.
 	leastRoom = 0.25
@@ -26,7 +26,7 @@
 	// emptyRatio marks a server that has just joined.
 	emptyRatio = 0.3
 	// mostShifts bounds the moves in one plan, and mostFills those to servers that have just joined.
-	mostShifts = 2
+	mostShifts = 8
 	mostFills  = 8
 	// leastSamples is the number of requests for each server below which the load says nothing.
 	leastSamples = 20
@@ -169,7 +169,7 @@
 	var result []Holding
 	for rest := one.Range; ; {
 		server := p.idlest()
-		room := max(p.part(server)*orphanRoom-p.loads[server.ID], p.part(server)*leastRoom)
+		room := max(p.part(server)-p.loads[server.ID], p.part(server)*leastRoom)
 		piece, last := rest, true
 		if p.Load.Of(rest) > room*orphanRoom {
 			if cut, ok := p.Load.Cut(rest, room); ok {
@@ -204,29 +204,32 @@
 	return best
 }
 
-func (p *Planner) busiest() *Server {
-	best := &p.Servers[0]
+// busiest returns the server with the most load for its part, or nil if all are passed over.
+func (p *Planner) busiest(except map[fleet.UpstreamID]bool) *Server {
+	var best *Server
 	for i := range p.Servers {
-		if p.ratio(&p.Servers[i]) > p.ratio(best) {
-			best = &p.Servers[i]
+		if one := &p.Servers[i]; !except[one.ID] && (best == nil || p.ratio(one) > p.ratio(best)) {
+			best = one
 		}
 	}
 	return best
 }
 
-// shift moves keys from the busiest servers to the idlest ones.
+// shift moves keys from the busiest servers to the idlest ones. A server whose load lies on a few keys that cannot be divided
+// is passed over.
 func (p *Planner) shift() bool {
-	changed := false
+	changed, stuck := false, make(map[fleet.UpstreamID]bool)
 	for range mostShifts {
-		from, to := p.busiest(), p.idlest()
-		if p.ratio(from) < busyRatio || p.ratio(to) > idleRatio {
+		from, to := p.busiest(stuck), p.idlest()
+		if from == nil || p.ratio(from) < busyRatio || p.ratio(to) > idleRatio {
 			break
 		}
 		amount := min(p.loads[from.ID]-p.part(from), p.part(to)-p.loads[to.ID])
-		if !p.move(from, to, amount) {
-			break
+		if p.move(from, to, amount) {
+			changed = true
+		} else {
+			stuck[from.ID] = true
 		}
-		changed = true
 	}
 	return changed
 }
@@ -235,7 +238,7 @@
 func (p *Planner) fill() bool {
 	changed := false
 	for range mostFills {
-		from, to := p.busiest(), p.idlest()
+		from, to := p.busiest(nil), p.idlest()
 		if p.ratio(to) >= emptyRatio || from == to {
 			break
 		}
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -136,7 +136,7 @@
 		if err != nil {
 			return flight.refuse(refusal{outcome: cause.NotRun, cause: cause.BadRequest})
 		}
-		flight.key, flight.record.Key = key, key
+		flight.key, flight.record.Key, flight.record.Keyed = key, key, true
 	}
 	if refused := flight.claim(); refused != nil {
 		return flight.refuse(*refused)
