ownership/ranges: keys move when the excess is significant

Cause: with counts of a few dozen requests a server, keys moved by chance, and each move delays requests for them. Change: a server has to exceed its part by 1.3 and by 2.5 standard deviations of its count; shifts each second. Ruled out: admission by the objective instead of the deadline.

--- a/internal/ownership/ranges/plan.go
+++ b/internal/ownership/ranges/plan.go
@@ -1,6 +1,7 @@
 package ranges
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -19,10 +20,12 @@
 	orphanRoom = 1.2
 	// leastRoom is the least part of its share that a server is given at once, so that ranges are not cut into crumbs.
 	leastRoom = 0.25
-	// busyRatio and idleRatio are the loads, relative to the share of a server, from which keys move to another one. The
-	// counts of a server vary by a tenth by chance.
+	// busyRatio and idleRatio are the loads, relative to the share of a server, from which keys move to another one.
 	busyRatio = 1.3
 	idleRatio = 0.9
+	// busyDeviations is by how many standard deviations of its count a server has to exceed its share. With fewer, keys of
+	// small services move by chance.
+	busyDeviations = 2.5
 	// emptyRatio marks a server that has just joined.
 	emptyRatio = 0.3
 	// mostShifts bounds the moves in one plan, and mostFills those to servers that have just joined.
@@ -221,7 +224,7 @@
 	changed, stuck := false, make(map[fleet.UpstreamID]bool)
 	for range mostShifts {
 		from, to := p.busiest(stuck), p.idlest()
-		if from == nil || p.ratio(from) < busyRatio || p.ratio(to) > idleRatio {
+		if from == nil || !p.busy(from) || p.ratio(to) > idleRatio {
 			break
 		}
 		amount := min(p.loads[from.ID]-p.part(from), p.part(to)-p.loads[to.ID])
@@ -234,6 +237,12 @@
 	return changed
 }
 
+// busy reports whether a server has clearly more than its part.
+func (p *Planner) busy(server *Server) bool {
+	part := p.part(server)
+	return p.loads[server.ID] > max(part*busyRatio, part+busyDeviations*math.Sqrt(part))
+}
+
 // fill gives servers that have just joined their part.
 func (p *Planner) fill() bool {
 	changed := false
--- a/internal/upstream/rangegrants/assigner.go
+++ b/internal/upstream/rangegrants/assigner.go
@@ -98,9 +98,10 @@
 	suspectAfter = 1500 * time.Millisecond
 	// absentAgain is the pause before a connection refused is believed: a single refusal may be a restart in progress.
 	absentAgain = 150 * time.Millisecond
-	// planEvery is how often the load is looked at, and shiftEvery how often ranges move because of it.
+	// planEvery is how often the load is looked at, and shiftEvery how often ranges may move because of it: a move has to
+	// show in the load before the next one.
 	planEvery  = time.Second
-	shiftEvery = 1500 * time.Millisecond
+	shiftEvery = 900 * time.Millisecond
 	// settlePause is how long the planning waits for more when it is woken by a task.
 	settlePause = 20 * time.Millisecond
 	// gatherTime is how long the servers have to be the same before the first table is made.
