ownership/ranges: keys move only from servers that are short of slots

Change: reports tell how many requests are at a server; a server gives keys away only from 0.6 of its slots on.

--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -104,6 +104,9 @@
 	// upstreamsPause is the time between a change of an upstream's entry and the next look. Many change together when a
 	// service is replaced, and a leaving upstream may be used for longer than this.
 	upstreamsPause = 300 * time.Millisecond
+	// rangesPause is the time between a change of a table of ranges and the next look: the ranges of one move become free
+	// one after the other.
+	rangesPause = 80 * time.Millisecond
 	// leasePart is the lease of the assigner as a part of the longest grant.
 	leasePart = 0.25
 )
@@ -204,7 +207,7 @@
 		},
 		{
 			Feed: d.Store, Clock: d.Timer, Log: d.Log, Table: rangegrants.RangesTable,
-			Reset: d.owners.apply, Apply: d.owners.apply,
+			Reset: d.owners.apply, Apply: d.owners.apply, Pause: rangesPause,
 		},
 	}
 }
--- a/internal/daemon/entry/loads.go
+++ b/internal/daemon/entry/loads.go
@@ -14,6 +14,7 @@
 	"rosemarywick.example/rosemarywick/internal/core/timer"
 	"rosemarywick.example/rosemarywick/internal/ownership/ranges"
 	"rosemarywick.example/rosemarywick/internal/platform/table"
+	"rosemarywick.example/rosemarywick/internal/upstream/rangegrants"
 )
 
 const (
@@ -34,6 +35,8 @@
 
 // report is what one daemon saw since its report before.
 type report struct {
+	// Span is the time that the report covers.
+	Span     time.Duration                 `json:"span"`
 	Services map[fleet.ServiceName]*served `json:"services"`
 }
 
@@ -64,6 +67,8 @@
 	mu sync.Mutex
 	// own is guarded by mu.
 	own report
+	// since is guarded by mu: the time from which own counts.
+	since time.Time
 	// pressed is guarded by mu and set when a keyed request had to wait or was rejected since the last look.
 	pressed bool
 
@@ -79,10 +84,11 @@
 	at      time.Time
 }
 
-// pace follows the mean duration of the requests at one server.
+// pace follows the mean duration of the requests at one server, and the mean number of requests of one daemon there.
 type pace struct {
-	mean time.Duration
-	at   time.Time
+	mean    time.Duration
+	running float64
+	at      time.Time
 }
 
 // Served counts a request that a server has answered.
@@ -110,6 +116,7 @@
 	tick := l.clock.Every(pressedEvery)
 	defer tick.Stop()
 	version, last := table.Version(0), l.clock.Now()
+	l.drop()
 	for {
 		select {
 		case <-tick.C:
@@ -144,14 +151,15 @@
 func (l *loads) drop() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.own = report{}
+	l.own, l.since = report{}, l.clock.Now()
 }
 
 // report writes one report and returns the version of the row.
 func (l *loads) report(ctx context.Context, version table.Version) table.Version {
 	l.mu.Lock()
+	l.own.Span = l.clock.Now().Sub(l.since)
 	value, err := json.Marshal(l.own)
-	l.own = report{}
+	l.own, l.since = report{}, l.clock.Now()
 	l.mu.Unlock()
 	if err != nil {
 		l.log.Error().Err(err).Msg("load report cannot be encoded")
@@ -180,9 +188,7 @@
 }
 
 // Collect sums the reports of all daemons.
-func (l *loads) Collect(
-	ctx context.Context, service fleet.ServiceName,
-) (*ranges.Load, map[fleet.UpstreamID]time.Duration, int) {
+func (l *loads) Collect(ctx context.Context, service fleet.ServiceName) rangegrants.Observed {
 	now := l.clock.Now()
 	call, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
@@ -209,13 +215,15 @@
 	if l.load[service] == nil {
 		l.load[service] = &ranges.Load{}
 	}
-	paces := make(map[fleet.UpstreamID]time.Duration)
+	result := rangegrants.Observed{
+		Load: l.load[service], Servers: make(map[fleet.UpstreamID]rangegrants.Pace), Daemons: daemons,
+	}
 	for id, one := range l.paces {
 		if now.Sub(one.at) < life {
-			paces[id] = one.mean
+			result.Servers[id] = rangegrants.Pace{Mean: one.mean, Running: one.running * float64(daemons)}
 		}
 	}
-	return l.load[service], paces, daemons
+	return result
 }
 
 // paceWeight is the part of a report that enters the mean duration at a server.
@@ -234,14 +242,18 @@
 		}
 		l.load[service].Take(now, seen.Counts)
 		for id, server := range seen.Servers {
-			if server == nil || server.Requests <= 0 {
+			if server == nil || server.Requests <= 0 || one.Span <= 0 {
 				continue
 			}
-			mean := server.Total / time.Duration(server.Requests)
+			next := pace{
+				mean:    server.Total / time.Duration(server.Requests),
+				running: float64(server.Total) / float64(one.Span), at: now,
+			}
 			if before, ok := l.paces[id]; ok {
-				mean = before.mean + time.Duration(float64(mean-before.mean)*paceWeight)
+				next.mean = before.mean + time.Duration(float64(next.mean-before.mean)*paceWeight)
+				next.running = before.running + (next.running-before.running)*paceWeight
 			}
-			l.paces[id] = pace{mean: mean, at: now}
+			l.paces[id] = next
 		}
 	}
 }
--- a/internal/ownership/ranges/plan.go
+++ b/internal/ownership/ranges/plan.go
@@ -13,6 +13,9 @@
 	Owner
 	// Capacity is the number of requests a second that the server can run, relative to the others.
 	Capacity float64
+	// Use is the number of requests at the server as a part of those that it runs at the same time; it exceeds 1 where
+	// requests wait there, and is zero where it is not known.
+	Use float64
 }
 
 const (
@@ -23,6 +26,8 @@
 	// busyRatio and idleRatio are the loads, relative to the share of a server, from which keys move to another one.
 	busyRatio = 1.3
 	idleRatio = 0.9
+	// busyUse is the use of a server below which its requests rarely wait, so that moving keys would gain nothing.
+	busyUse = 0.6
 	// busyDeviations is by how many standard deviations of its count a server has to exceed its share. With fewer, keys of
 	// small services move by chance.
 	busyDeviations = 2.5
@@ -222,14 +227,19 @@
 // is passed over.
 func (p *Planner) shift() bool {
 	changed, stuck := false, make(map[fleet.UpstreamID]bool)
-	for range mostShifts {
+	for moves := 0; moves < mostShifts; {
 		from, to := p.busiest(stuck), p.idlest()
-		if from == nil || !p.busy(from) || p.ratio(to) > idleRatio {
+		if from == nil || p.ratio(from) < busyRatio || p.ratio(to) > idleRatio {
 			break
 		}
+		if !p.busy(from) {
+			stuck[from.ID] = true
+			continue
+		}
 		amount := min(p.loads[from.ID]-p.part(from), p.part(to)-p.loads[to.ID])
 		if p.move(from, to, amount) {
 			changed = true
+			moves++
 		} else {
 			stuck[from.ID] = true
 		}
@@ -237,10 +247,10 @@
 	return changed
 }
 
-// busy reports whether a server has clearly more than its part.
+// busy reports whether a server has clearly more than its part, and too much for its slots.
 func (p *Planner) busy(server *Server) bool {
 	part := p.part(server)
-	return p.loads[server.ID] > max(part*busyRatio, part+busyDeviations*math.Sqrt(part))
+	return server.Use > busyUse && p.loads[server.ID] > max(part*busyRatio, part+busyDeviations*math.Sqrt(part))
 }
 
 // fill gives servers that have just joined their part.
--- a/internal/upstream/rangegrants/assigner.go
+++ b/internal/upstream/rangegrants/assigner.go
@@ -72,11 +72,26 @@
 	Changed() <-chan struct{}
 }
 
+// Pace is what daemons observe of one server.
+type Pace struct {
+	// Mean is the mean duration of a request.
+	Mean time.Duration
+	// Running is the mean number of requests of all daemons at the server, running and waiting there.
+	Running float64
+}
+
+// Observed is what all daemons report together.
+type Observed struct {
+	Load    *ranges.Load
+	Servers map[fleet.UpstreamID]Pace
+	// Daemons is the number of daemons that report.
+	Daemons int
+}
+
 // Loads sums the load that daemons report.
 type Loads interface {
-	// Collect returns the load of the keys, the mean duration of a request at each server, and the number of daemons that
-	// report. It reads the reports of all daemons.
-	Collect(ctx context.Context, service fleet.ServiceName) (*ranges.Load, map[fleet.UpstreamID]time.Duration, int)
+	// Collect reads the reports of all daemons.
+	Collect(ctx context.Context, service fleet.ServiceName) Observed
 }
 
 const (
@@ -89,7 +104,7 @@
 	// storeTimeout bounds one call to the store; a slow one answers within 400 ms.
 	storeTimeout = time.Second
 	// pollEvery is the mean time between two looks at the lease by any standby of the fleet.
-	pollEvery = 400 * time.Millisecond
+	pollEvery = 600 * time.Millisecond
 	// renewalsPerHold and renewalsPerLease are how often a hold and the lease are renewed before they would end, so that
 	// two lost renewals do no harm.
 	renewalsPerHold  = 4
--- a/internal/upstream/rangegrants/term.go
+++ b/internal/upstream/rangegrants/term.go
@@ -146,10 +146,10 @@
 	if len(t.table.Holdings) == 0 && !t.gather(ctx) {
 		return
 	}
-	load, pace, daemons := &ranges.Load{}, map[fleet.UpstreamID]time.Duration(nil), 0
+	observed := Observed{Load: &ranges.Load{}}
 	for ctx.Err() == nil {
 		changed := t.Registry.Changed()
-		if !t.plan(ctx, load, pace, daemons) {
+		if !t.plan(ctx, observed) {
 			return
 		}
 		select {
@@ -158,7 +158,7 @@
 			// Ranges that become free together are written together, since every daemon reads each table.
 			_ = timer.Wait(ctx, t.Clock, settlePause)
 		case <-tick.C:
-			load, pace, daemons = t.Loads.Collect(ctx, t.Service)
+			observed = t.Loads.Collect(ctx, t.Service)
 		case <-ctx.Done():
 		}
 	}
@@ -184,16 +184,16 @@
 }
 
 // plan writes the next table if it differs, and starts what follows from it. It returns false if the term is over.
-func (t *term) plan(ctx context.Context, load *ranges.Load, pace map[fleet.UpstreamID]time.Duration, daemons int) bool {
+func (t *term) plan(ctx context.Context, observed Observed) bool {
 	uptime := t.Uptime.Uptime()
 	shift := uptime-t.shifted >= shiftEvery
 	planner := &ranges.Planner{
-		Servers: t.available(pace), Load: load, Shift: shift, Now: t.Store.Reading().Earliest(uptime),
+		Servers: t.available(observed.Servers), Load: observed.Load, Shift: shift, Now: t.Store.Reading().Earliest(uptime),
 		FreeAt: t.freeAt, Released: t.released, Granted: t.granted, Refused: t.refused,
 	}
 	next, changed := planner.Next(t.table)
-	if daemons > 0 && daemons != next.Daemons {
-		next.Daemons, changed = daemons, true
+	if observed.Daemons > 0 && observed.Daemons != next.Daemons {
+		next.Daemons, changed = observed.Daemons, true
 	}
 	if changed {
 		t.report(next)
@@ -209,10 +209,10 @@
 }
 
 // available returns the servers that may hold ranges. The capacity of a server follows from its slots and its pace.
-func (t *term) available(pace map[fleet.UpstreamID]time.Duration) []ranges.Server {
+func (t *term) available(pace map[fleet.UpstreamID]Pace) []ranges.Server {
 	mean, known := 0.0, 0
-	for _, took := range pace {
-		mean += took.Seconds()
+	for _, one := range pace {
+		mean += one.Mean.Seconds()
 		known++
 	}
 	mean /= float64(max(1, known))
@@ -223,11 +223,12 @@
 		if one.Leaving || t.down[one.Owner] {
 			continue
 		}
-		capacity := float64(max(1, one.Slots))
-		if took := pace[one.ID]; took > 0 {
+		slots := float64(max(1, one.Slots))
+		capacity := slots
+		if took := pace[one.ID].Mean; took > 0 {
 			capacity *= min(max(mean/took.Seconds(), slowest), fastest)
 		}
-		result = append(result, ranges.Server{Owner: one.Owner, Capacity: capacity})
+		result = append(result, ranges.Server{Owner: one.Owner, Capacity: capacity, Use: pace[one.ID].Running / slots})
 	}
 	return result
 }
