upstream/rangegrants: the lease is taken when it can end, and at once by the same host

Cause: after all daemons were stopped and started the keys had no owner for 4 s: all had looked at the lease at their start and looked again after 3.6 s at the earliest. Change: a look comes after the time at which the lease can end, spread evenly; a new run on the host of the holder takes it at once, since the earlier run has ended.

--- a/internal/daemon/entry/loads.go
+++ b/internal/daemon/entry/loads.go
@@ -226,8 +226,11 @@
 	return result
 }
 
-// paceWeight is the part of a report that enters the mean duration at a server.
-const paceWeight = 0.2
+// paceWeight and runningWeight are the parts of a report that enter the mean duration and the number of requests at a server.
+const (
+	paceWeight    = 0.2
+	runningWeight = 0.5
+)
 
 // take adds one report.
 func (l *loads) take(now time.Time, row table.Row) {
@@ -251,7 +254,7 @@
 			}
 			if before, ok := l.paces[id]; ok {
 				next.mean = before.mean + time.Duration(float64(next.mean-before.mean)*paceWeight)
-				next.running = before.running + (next.running-before.running)*paceWeight
+				next.running = before.running + (next.running-before.running)*runningWeight
 			}
 			l.paces[id] = next
 		}
--- a/internal/upstream/rangegrants/assigner.go
+++ b/internal/upstream/rangegrants/assigner.go
@@ -103,8 +103,8 @@
 	releaseTimeout = 700 * time.Millisecond
 	// storeTimeout bounds one call to the store; a slow one answers within 400 ms.
 	storeTimeout = time.Second
-	// pollEvery is the mean time between two looks at the lease by any standby of the fleet.
-	pollEvery = 600 * time.Millisecond
+	// pollEvery is the mean time between two looks at a lease that may have ended, by any standby of the fleet.
+	pollEvery = 300 * time.Millisecond
 	// renewalsPerHold and renewalsPerLease are how often a hold and the lease are renewed before they would end, so that
 	// two lost renewals do no harm.
 	renewalsPerHold  = 4
@@ -130,7 +130,8 @@
 // Assigner is one daemon's part in assigning the ranges of one service. The exported fields are set before Run.
 type Assigner struct {
 	Service fleet.ServiceName
-	// Daemon names this run of the daemon. No other run has the same name.
+	// Daemon names the host and this run of the daemon, as "HOST/RUN". No other run has the same name, and no two runs on a
+	// host overlap.
 	Daemon   string
 	Store    table.TimedStore
 	Registry Registry
--- a/internal/upstream/rangegrants/election.go
+++ b/internal/upstream/rangegrants/election.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -35,28 +36,30 @@
 // elect waits until the lease is free and takes it. It returns nil when ctx ends.
 func (a *Assigner) elect(ctx context.Context) *lease {
 	for {
-		if won := a.try(ctx); won != nil {
+		won, left := a.try(ctx)
+		if won != nil {
 			return won
 		}
+		// No daemon needs to look before the lease can end. After that, the looks of all are spread evenly.
 		daemons := 1
 		if known := a.Table(); known != nil {
 			daemons = max(1, known.Daemons)
 		}
-		pause := time.Duration((0.5 + rand.Float64()) * float64(daemons) * float64(pollEvery))
+		pause := left + time.Duration(rand.Float64()*float64(daemons)*float64(pollEvery))
 		if timer.Wait(ctx, a.Clock, pause) != nil {
 			return nil
 		}
 	}
 }
 
-// try takes the lease if it is free.
-func (a *Assigner) try(ctx context.Context) *lease {
+// try takes the lease if it is free, and otherwise returns how long it still runs.
+func (a *Assigner) try(ctx context.Context) (*lease, time.Duration) {
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	rows, err := a.Store.Read(call, a.leaseRow())
 	if err != nil {
 		a.Log.Debug().Err(err).Msg("lease of the assigner cannot be read")
-		return nil
+		return nil, 0
 	}
 	var current leaseValue
 	var version table.Version
@@ -66,14 +69,22 @@
 			a.Log.Warn().Err(err).Msg("lease of the assigner is malformed and counts as ended")
 		}
 	}
-	if current.Holder != "" && current.Holder != a.Daemon && a.Store.Reading().Earliest(a.Uptime.Uptime()) <= current.Until {
-		return nil
+	if left := current.Until - a.Store.Reading().Earliest(a.Uptime.Uptime()); left >= 0 && !a.ended(current.Holder) {
+		return nil, left
 	}
 	taken := &lease{version: version}
 	if a.extend(call, taken) != nil {
-		return nil
+		return nil, 0
 	}
-	return taken
+	return taken, 0
+}
+
+// ended reports whether the run of a daemon that holds the lease has certainly ended: there is none, or it was an earlier
+// run on this host, or it is this run after a term that it has left.
+func (a *Assigner) ended(holder string) bool {
+	host, _, _ := strings.Cut(holder, "/")
+	own, _, _ := strings.Cut(a.Daemon, "/")
+	return holder == "" || host == own
 }
 
 // extend writes the lease with a new end. An unknown outcome leaves the lease as it was.
