caller/front: a graceful stop answers each request that it has read

Ruled out: the limit of 1 s for the last answers (a longer one changed nothing; the daemon had ended by itself). Change: the front closes its listener when nothing is in flight, and ends when no connection is new or brings a request.

--- a/internal/caller/front/front.go
+++ b/internal/caller/front/front.go
@@ -36,7 +36,6 @@
 	headerTimeout      = 10 * time.Second
 	idleTimeout        = 2 * time.Minute
 	maxTimeout         = 10 * time.Minute
-	lastAnswers        = time.Second
 )
 
 // Front serves callers. The exported fields are set before Run or Handler.
@@ -67,8 +66,14 @@
 	mu sync.Mutex
 	// inFlight is guarded by mu.
 	inFlight int
-	// idle is guarded by mu; it is set when the front stops and closed when nothing is in flight any more.
-	idle chan struct{}
+	// busy is guarded by mu and counts the connections that are new or bring a request.
+	busy int
+	// ended is guarded by mu; it is set when the front takes no more requests and closed when nothing is in flight any more.
+	ended chan struct{}
+	// quiet is set with ended and closed, when settled is set, once the listener is closed and no connection is in use.
+	quiet chan struct{}
+	// closed and settled are guarded by mu.
+	closed, settled bool
 	// leaving is set when callers are to use other daemons.
 	leaving atomic.Bool
 }
@@ -83,22 +88,17 @@
 		f.Listening(listener.Addr().(*net.TCPAddr).AddrPort())
 	}
 	server := &http.Server{
-		Handler: f.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: trackIdle,
+		Handler: f.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: f.track,
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(&acceptor{Listener: listener, config: f.Config}) }()
+	accepting := &acceptor{Listener: listener, config: f.Config}
+	go func() { failed <- server.Serve(accepting) }()
 	select {
 	case err := <-failed:
 		return errors.Wrap(err, "front: serve")
 	case <-ctx.Done():
 	}
-	f.stop()
-	// The last answers are still being written when their handlers have returned.
-	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastAnswers)
-	defer cancel()
-	if server.Shutdown(last) == nil {
-		return nil
-	}
+	f.stop(accepting)
 	return errors.Wrap(server.Close(), "front: close")
 }
 
@@ -119,21 +119,37 @@
 	return f.handler
 }
 
-// stop rejects new requests and waits for those in flight.
-func (f *Front) stop() {
+// stop rejects new requests, waits for those in flight, and then for connections that were opened before and may bring a
+// request late. http.Server.Shutdown would drop a request that it reads then without an answer.
+func (f *Front) stop(listener net.Listener) {
 	limit := f.StopTimeout
 	if limit == 0 {
 		limit = defaultStopTimeout
 	}
-	idle := f.close()
 	wake := f.Clock.After(limit)
 	defer wake.Stop()
+	if f.await(f.close(), wake) {
+		_ = listener.Close() // the server closes it again
+		f.mu.Lock()
+		f.closed = true
+		f.settle()
+		f.mu.Unlock()
+		if f.await(f.quiet, wake) {
+			return
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Log.Warn().Int("in-flight", f.inFlight).Int("connections", f.busy).Dur("waited", limit).Msg("stopped with connections in use")
+}
+
+// await returns false if the time to stop is over first.
+func (f *Front) await(done <-chan struct{}, wake *timer.Subscription) bool {
 	select {
-	case <-idle:
+	case <-done:
+		return true
 	case <-wake.C:
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.Log.Warn().Int("in-flight", f.inFlight).Dur("waited", limit).Msg("stopped with requests in flight")
+		return false
 	}
 }
 
@@ -143,21 +159,30 @@
 	f.leaving.Store(true)
 }
 
+// close makes the front reject requests, and returns a channel that is closed when nothing is in flight any more.
 func (f *Front) close() <-chan struct{} {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.idle = make(chan struct{})
+	f.ended, f.quiet = make(chan struct{}), make(chan struct{})
 	if f.inFlight == 0 {
-		close(f.idle)
+		close(f.ended)
+	}
+	return f.ended
+}
+
+// settle notes that no connection is in use any more. The caller holds mu.
+func (f *Front) settle() {
+	if f.closed && f.busy == 0 && !f.settled {
+		f.settled = true
+		close(f.quiet)
 	}
-	return f.idle
 }
 
 // begin counts a request, and returns false if the front is stopping.
 func (f *Front) begin() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.idle != nil {
+	if f.ended != nil {
 		return false
 	}
 	f.inFlight++
@@ -168,7 +193,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.inFlight--
-	if f.idle != nil && f.inFlight == 0 {
-		close(f.idle)
+	if f.ended != nil && f.inFlight == 0 {
+		close(f.ended)
 	}
 }
--- a/internal/caller/front/handler.go
+++ b/internal/caller/front/handler.go
@@ -23,6 +23,9 @@
 	return result
 }
 
+// elsewhere is when a caller should come back that another daemon can serve at once.
+const elsewhere = 100 * time.Millisecond
+
 // readyPath is asked by the platform's balancer. The names of services do not begin with a hyphen.
 const readyPath = "/-/ready"
 
@@ -40,7 +43,7 @@
 	}
 	if !f.begin() {
 		rw.Header().Set("Connection", "close")
-		dialect.Reject(rw, router.Rejected{Outcome: cause.NotRun, Cause: cause.DaemonStopping, RetryAfter: time.Second})
+		dialect.Reject(rw, router.Rejected{Outcome: cause.NotRun, Cause: cause.DaemonStopping, RetryAfter: elsewhere})
 		return
 	}
 	defer f.finish()
--- a/internal/caller/front/idle.go
+++ b/internal/caller/front/idle.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,16 @@
 type acceptor struct {
 	net.Listener
 	config Configuration
+
+	once sync.Once
+	// closeErr is set by once.
+	closeErr error
+}
+
+// Close closes the listener. Both the front and http.Server do so.
+func (a *acceptor) Close() error {
+	a.once.Do(func() { a.closeErr = errors.Wrap(a.Listener.Close(), "front: close listener") })
+	return a.closeErr
 }
 
 // Accept returns the next connection.
@@ -30,6 +41,8 @@
 	config Configuration
 	// idle is set while no request is being served on the connection.
 	idle atomic.Bool
+	// busy is guarded by the front's mu and set while the connection is new or brings a request.
+	busy bool
 }
 
 // SetReadDeadline sets the deadline, which for an idle connection is that of the configuration in force.
@@ -42,9 +55,23 @@
 	return c.Conn.SetReadDeadline(deadline)
 }
 
-// trackIdle notes whether a connection is idle. http.Server calls it before it sets the deadline of the idle time.
-func trackIdle(conn net.Conn, state http.ConnState) {
-	if caller, ok := conn.(*callerConn); ok {
-		caller.idle.Store(state == http.StateIdle)
+// track notes whether a connection is in use. http.Server calls it before it sets the deadline of the idle time.
+func (f *Front) track(conn net.Conn, state http.ConnState) {
+	caller, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	caller.idle.Store(state == http.StateIdle)
+	busy := state == http.StateNew || state == http.StateActive
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if busy != caller.busy {
+		caller.busy = busy
+		if busy {
+			f.busy++
+		} else {
+			f.busy--
+		}
 	}
+	f.settle()
 }
