--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -100,7 +100,7 @@
 	finishPart = 0.95
 	// usualHoldPart is the usual length of a grant as a part of the longest one. A server that falls silent is replaced
 	// after it, and it outlasts the election of an assigner.
-	usualHoldPart = 0.4
+	usualHoldPart = 0.35
 	// upstreamsPause is the time between a change of an upstream's entry and the next look. Many change together when a
 	// service is replaced, and a leaving upstream may be used for longer than this.
 	upstreamsPause = 300 * time.Millisecond
@@ -108,7 +108,7 @@
 	// one after the other.
 	rangesPause = 80 * time.Millisecond
 	// leasePart is the lease of the assigner as a part of the longest grant.
-	leasePart = 0.25
+	leasePart = 0.2
 )
 
 // Run serves until ctx ends and then stops gracefully.
--- a/internal/upstream/rangegrants/assigner.go
+++ b/internal/upstream/rangegrants/assigner.go
@@ -33,8 +33,12 @@
 // Absent means that no process listens at the address, or one that holds no keys.
 type Absent struct{}
 
-// Silent means that no answer came. The order may have been carried out, or may be yet.
-type Silent struct{ Err error }
+// Silent means that no answer came. The order may have been carried out, or may be yet, unless it was not sent.
+type Silent struct {
+	// Unsent is set when no byte of the order was sent.
+	Unsent bool
+	Err    error
+}
 
 func (Taken) answer()      {}
 func (Superseded) answer() {}
--- a/internal/upstream/rangegrants/election.go
+++ b/internal/upstream/rangegrants/election.go
@@ -142,6 +142,9 @@
 		return true
 	}
 	t.Log.Warn().Err(err).Str("service", string(t.Service)).Msg("lease of the assigner was not renewed")
+	if t.shaky() {
+		t.pokeServers()
+	}
 	if errors.Is(err, table.ErrUnavailable) {
 		return true
 	}
--- a/internal/upstream/rangegrants/release.go
+++ b/internal/upstream/rangegrants/release.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/core/timer"
@@ -36,11 +37,12 @@
 func (t *term) runRelease(ctx context.Context, key releaseKey, next ranges.Owner) {
 	absent := 0
 	for ctx.Err() == nil {
-		if t.ranOut(key) {
+		left := t.holdsLeft(key)
+		if left < 0 {
 			t.finish(key, next, "", "its holds have run out")
 			return
 		}
-		call, cancel := context.WithTimeout(ctx, releaseTimeout)
+		call, cancel := context.WithTimeout(ctx, min(releaseTimeout, left+time.Millisecond))
 		answer := t.Orders.Release(call, key.former.Address, key.keys, key.fence)
 		cancel()
 		switch answer := answer.(type) {
@@ -55,17 +57,17 @@
 		case Silent, Superseded:
 			absent = 0
 		}
-		if timer.Wait(ctx, t.Clock, absentAgain) != nil {
+		if timer.Wait(ctx, t.Clock, min(absentAgain, max(t.holdsLeft(key), 0)+time.Millisecond)) != nil {
 			return
 		}
 	}
 }
 
-// ranOut reports whether every hold of the former owner has run out.
-func (t *term) ranOut(key releaseKey) bool {
+// holdsLeft returns how long the former owner may still hold keys of the range; it is negative when it holds none.
+func (t *term) holdsLeft(key releaseKey) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.Uptime.Uptime() > t.heldUntil(key.former, key.keys)
+	return t.heldUntil(key.former, key.keys) - t.Uptime.Uptime()
 }
 
 // finish notes that the former owner holds nothing of the range, and has the next one granted it.
--- a/internal/upstream/rangegrants/server.go
+++ b/internal/upstream/rangegrants/server.go
@@ -36,6 +36,8 @@
 	refused bool
 	// renewed is the uptime at which the last grant was sent that the server took.
 	renewed time.Duration
+	// long is set when that grant was a long one.
+	long bool
 	// until is the uptime at which every hold by this grant has run out.
 	until time.Duration
 }
@@ -83,8 +85,9 @@
 func (s *server) renew(ctx context.Context, one ranges.Holding) bool {
 	key := grantKey{keys: one.Range, fence: one.Fence}
 	known := s.grant(key)
-	// Ticks come a little early or late.
-	due := s.term.Uptime.Uptime()-known.renewed >= s.term.Hold/renewalsPerHold*3/4
+	shaky := s.term.shaky()
+	// Ticks come a little early or late. A lease that may not be renewed again calls for long holds at once.
+	due := s.term.Uptime.Uptime()-known.renewed >= s.term.Hold/renewalsPerHold*3/4 || shaky && !known.long
 	if known.refused || known.taken && !due {
 		return true
 	}
@@ -92,7 +95,7 @@
 		return false
 	}
 	hold := s.term.Hold
-	if s.term.shaky() {
+	if shaky {
 		hold = s.term.LongHold
 	}
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -102,8 +105,12 @@
 	answer := s.term.Orders.Grant(call, s.owner.Address, Grant{
 		Range: one.Range, Fence: one.Fence, Hold: hold, Handover: s.term.handover(one),
 	})
-	s.hold(key, s.term.Uptime.Uptime()+freeAfter(hold))
-	return s.learn(ctx, one, sent, answer)
+	if silent, ok := answer.(Silent); ok && silent.Unsent {
+		s.unhold(key, known.until)
+	} else {
+		s.hold(key, s.term.Uptime.Uptime()+freeAfter(hold))
+	}
+	return s.learn(ctx, one, sent, hold, answer)
 }
 
 // grant returns what is known of a grant.
@@ -127,6 +134,13 @@
 	s.grants[key].until = max(s.grants[key].until, until)
 }
 
+// unhold takes back what hold noted for a grant that was not sent.
+func (s *server) unhold(key grantKey, until time.Duration) {
+	s.term.mu.Lock()
+	defer s.term.mu.Unlock()
+	s.grants[key].until = until
+}
+
 // prune forgets grants that were replaced and have run out. The caller holds mu.
 func (s *server) prune() {
 	now := s.term.Uptime.Uptime()
@@ -138,7 +152,7 @@
 }
 
 // learn takes in the answer to a grant.
-func (s *server) learn(ctx context.Context, one ranges.Holding, sent time.Duration, answer Answer) bool {
+func (s *server) learn(ctx context.Context, one ranges.Holding, sent, hold time.Duration, answer Answer) bool {
 	key := grantKey{keys: one.Range, fence: one.Fence}
 	if _, absent := answer.(Absent); !absent {
 		s.absences = 0
@@ -146,7 +160,7 @@
 	switch answer := answer.(type) {
 	case Taken:
 		s.heard = s.term.Uptime.Uptime()
-		first := s.taken(key, sent)
+		first := s.taken(key, sent, hold)
 		if first && len(one.Formers) > 0 {
 			s.term.poke()
 		}
@@ -181,12 +195,12 @@
 	return false
 }
 
-func (s *server) taken(key grantKey, sent time.Duration) bool {
+func (s *server) taken(key grantKey, sent, hold time.Duration) bool {
 	s.term.mu.Lock()
 	defer s.term.mu.Unlock()
 	one := s.grants[key]
 	first := !one.taken
-	one.taken, one.renewed = true, sent
+	one.taken, one.renewed, one.long = true, sent, hold > s.term.Hold
 	return first
 }
 
--- a/internal/upstream/rangegrants/term.go
+++ b/internal/upstream/rangegrants/term.go
@@ -274,7 +274,16 @@
 	}
 }
 
-// poked wakes the planning.
+// pokeServers makes every server's task look at its grants.
+func (t *term) pokeServers() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, one := range t.servers {
+		one.poke()
+	}
+}
+
+// poke wakes the planning.
 func (t *term) poke() {
 	select {
 	case t.wake <- struct{}{}:
