upstream/rangegrants: the bound of a hold counts from the answer

Cause: the bound set before a grant was sent stayed after its answer, so that a silent server was replaced 0.4 s late.

--- a/internal/upstream/rangegrants/server.go
+++ b/internal/upstream/rangegrants/server.go
@@ -101,15 +101,16 @@
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	sent := s.term.Uptime.Uptime()
-	s.hold(key, sent+orderTimeout+freeAfter(hold))
+	s.bound(key, max(known.until, sent+orderTimeout+freeAfter(hold)))
 	answer := s.term.Orders.Grant(call, s.owner.Address, Grant{
 		Range: one.Range, Fence: one.Fence, Hold: hold, Handover: s.term.handover(one),
 	})
+	// The hold begins no later than the answer, or than the end of the connection if there was none.
+	until := max(known.until, s.term.Uptime.Uptime()+freeAfter(hold))
 	if silent, ok := answer.(Silent); ok && silent.Unsent {
-		s.unhold(key, known.until)
-	} else {
-		s.hold(key, s.term.Uptime.Uptime()+freeAfter(hold))
+		until = known.until
 	}
+	s.bound(key, until)
 	return s.learn(ctx, one, sent, hold, answer)
 }
 
@@ -123,21 +124,14 @@
 	return granted{}
 }
 
-// hold notes until when a grant may hold at most.
-func (s *server) hold(key grantKey, until time.Duration) {
+// bound notes until when a grant may hold at most.
+func (s *server) bound(key grantKey, until time.Duration) {
 	s.term.mu.Lock()
 	defer s.term.mu.Unlock()
 	if s.grants[key] == nil {
 		s.prune()
 		s.grants[key] = &granted{}
 	}
-	s.grants[key].until = max(s.grants[key].until, until)
-}
-
-// unhold takes back what hold noted for a grant that was not sent.
-func (s *server) unhold(key grantKey, until time.Duration) {
-	s.term.mu.Lock()
-	defer s.term.mu.Unlock()
 	s.grants[key].until = until
 }
 
