platform: tests against stand-ins of the store and of workers

Cause: the adapter had no tests that run without the bench. Change: platform/standin speaks the published protocol on top of the product's fakes; the store's client passes the table contract suite, whose overload case now commits 500 rows in transactions of 100 (as many rows, and as strict: the platform takes 100 at most). Seen: go test ./platform/... ./internal/platform/... passes.

--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -73,6 +73,8 @@
 	UpstreamDialect forward.Dialect
 	Timer           timer.System
 	Log             zerolog.Logger
+	// Listening is called with the address that callers can connect to, if it is set.
+	Listening func(netip.AddrPort)
 
 	run           string
 	registry      *registry.Registry
@@ -165,7 +167,7 @@
 	}
 	d.front = &front.Front{
 		Address: d.Callers, Router: d.router, Config: d.configuration, Clock: d.Timer, Log: d.Log,
-		Dialect: d.CallerDialect(d.configuration), StopTimeout: d.part(finishPart - leavePart),
+		Dialect: d.CallerDialect(d.configuration), StopTimeout: d.part(finishPart - leavePart), Listening: d.Listening,
 	}
 }
 
--- a/internal/platform/contract/table.go
+++ b/internal/platform/contract/table.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,6 +19,9 @@
 // patience is the context timeout of the cases in which a service does not respond.
 const patience = 100 * time.Millisecond
 
+// transactionRows is a number of rows that one transaction of every implementation can hold.
+const transactionRows = 100
+
 // Table checks a table. open returns an empty one and the faults of the fake behind it.
 func Table(t *testing.T, open func(t *testing.T) (table.Store, *standin.Table)) {
 	for name, run := range map[string]func(*testing.T, table.Store, *standin.Table){
@@ -179,7 +183,9 @@
 	for i := range changes {
 		changes[i] = table.Change{Name: string(rune('a' + i)), Write: true, Value: []byte("1")}
 	}
-	is.NoErr(store.Commit(t.Context(), changes...)) // uses up what the limit allows at once
+	for part := range slices.Chunk(changes, transactionRows) { // uses up what the limit allows at once
+		is.NoErr(store.Commit(t.Context(), part...))
+	}
 	rows, err := store.Scan(t.Context(), "")
 	is.NoErr(err)
 	is.Equal(len(rows), standin.MaxRows)
