upstream/registry: a single vanished upstream is gone at once

A daemon that was cut off for 12 s learned that an upstream's entry was gone and kept it for 2.5 s, since entries that lapse with the store come back; this one had left long before. Change: only entries that vanish together (a fifth of all, three at least) are kept, for 2 s after an outage; calls that do not wait give up after 600 ms, so that a daemon follows the store within a second after a cut.

--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -94,8 +94,8 @@
 	// wholeLimit is the longest answer that is read before any of it is passed on, so that one that breaks off can be
 	// fetched again unseen. Longer ones are rare enough not to fill the memory of a small host.
 	wholeLimit = 1 << 20
-	// returnTime is the time within which entries that lapsed during an outage of the store are back, and some.
-	returnTime = 2500 * time.Millisecond
+	// returnTime is the time within which entries that lapsed during an outage of the store are back.
+	returnTime = 2 * time.Second
 	// leavePart is the part of the time to stop in which requests are still taken, until the balancer has noticed.
 	leavePart = 0.45
 	// finishPart is the part of the time to stop by which the last requests have ended.
--- a/internal/platform/table/follow.go
+++ b/internal/platform/table/follow.go
@@ -26,9 +26,12 @@
 	feedSlack = time.Second
 	// snapshotTimeout bounds a call for all rows.
 	snapshotTimeout = time.Second
+	// promptTimeout bounds a call that does not wait. The slowest store that is of use answers within 400 ms, and a daemon
+	// that was cut off has to follow again within a second.
+	promptTimeout = 600 * time.Millisecond
 	// feedPauseFirst and feedPauseMost bound the pause after a failure, which doubles.
 	feedPauseFirst = 100 * time.Millisecond
-	feedPauseMost  = 500 * time.Millisecond
+	feedPauseMost  = 300 * time.Millisecond
 )
 
 // Follower keeps a consumer up to date with one table. The exported fields are set before Run.
@@ -108,17 +111,17 @@
 		f.Reset(all.Rows)
 		return all.Version, nil
 	}
-	wait := feedWait
+	wait, limit := feedWait, feedWait+feedSlack
 	call, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.mu.Lock()
 	if f.doubted || f.failing {
-		wait, f.doubted = 0, false
+		wait, limit, f.doubted = 0, promptTimeout, false
 	} else {
 		f.abort = cancel
 	}
 	f.mu.Unlock()
-	call, end := context.WithTimeout(call, wait+feedSlack)
+	call, end := context.WithTimeout(call, limit)
 	defer end()
 	changes, err := f.Feed.Changes(call, f.Table, version, wait)
 	f.mu.Lock()
--- a/internal/upstream/registry/registry.go
+++ b/internal/upstream/registry/registry.go
@@ -127,8 +127,9 @@
 	r.notify()
 }
 
-// judge decides until when vanished entries count. Entries that vanish together, or just after the store was unavailable,
-// may be back soon. The caller holds mu.
+// judge decides until when vanished entries count. Entries that vanish together may be back soon, just after the store was
+// unavailable more so. A single one is gone: a daemon that was cut off learns late of upstreams that left long ago. The caller
+// holds mu.
 func (r *Registry) judge(now time.Time) {
 	lapsed := 0
 	for _, one := range r.known {
@@ -143,10 +144,10 @@
 			continue
 		}
 		switch {
-		case !one.leaving.IsZero():
+		case !one.leaving.IsZero() || !together:
 		case afterOutage:
 			one.until = r.regained.Add(r.Return)
-		case together:
+		default:
 			one.until = one.gone.Add(time.Duration(float64(r.Drain) * drainPart))
 		}
 		r.Log.Info().Str("upstream", string(one.ID)).Str("service", string(one.Service)).Bool("draining", one.Draining).
@@ -203,6 +204,7 @@
 		switch {
 		case one.gone.IsZero():
 		case !now.Before(one.until):
+			r.Log.Info().Str("upstream", string(id)).Dur("missing", now.Sub(one.gone)).Msg("upstream is gone")
 			delete(r.known, id)
 			forgot = true
 		default:
