--- /dev/null
+++ b/internal/platform/table/follow_test.go
@@ -0,0 +1,147 @@
+package table_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/platform/table"
+)
+
+// feed is a store that tells of changes, or is silent.
+type feed struct {
+	mu        sync.Mutex
+	version   table.Version
+	silent    bool
+	compacted bool
+}
+
+func (f *feed) change(do func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	do()
+}
+
+func (f *feed) Snapshot(context.Context, string) (table.Changes, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.compacted = false
+	return table.Changes{Rows: []table.Row{{Name: "t/all", Version: f.version}}, Version: f.version}, nil
+}
+
+func (f *feed) Changes(ctx context.Context, _ string, after table.Version, wait time.Duration) (table.Changes, error) {
+	end := time.Now().Add(wait)
+	f.mu.Lock()
+	silent := f.silent // a call that was made in an outage is never answered
+	f.mu.Unlock()
+	for {
+		f.mu.Lock()
+		version, compacted := f.version, f.compacted
+		f.mu.Unlock()
+		switch {
+		case silent:
+			<-ctx.Done()
+			return table.Changes{}, errors.Mark(ctx.Err(), table.ErrUnavailable)
+		case compacted:
+			return table.Changes{}, table.ErrCompacted
+		case version > after:
+			return table.Changes{Rows: []table.Row{{Name: "t/row", Version: version}}, Version: version}, nil
+		case !time.Now().Before(end):
+			return table.Changes{Version: after}, nil
+		}
+		if err := timer.Wait(ctx, timer.System{}, 5*time.Millisecond); err != nil {
+			return table.Changes{}, err
+		}
+	}
+}
+
+// follow starts a follower and returns what it saw.
+func follow(t *testing.T, f *feed, pause time.Duration) (*table.Follower, *sightings) {
+	seen := &sightings{}
+	follower := &table.Follower{
+		Feed: f, Table: "t", Clock: timer.System{}, Log: zerolog.Nop(), Pause: pause,
+		Reset:    func([]table.Row) { seen.add(func() { seen.resets++ }) },
+		Apply:    func(rows []table.Row) { seen.add(func() { seen.version = rows[len(rows)-1].Version; seen.applied++ }) },
+		Regained: func() { seen.add(func() { seen.regained++ }) },
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = follower.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	synctest.Wait()
+	return follower, seen
+}
+
+type sightings struct {
+	mu                        sync.Mutex
+	resets, applied, regained int
+	version                   table.Version
+}
+
+func (s *sightings) add(do func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	do()
+}
+
+func (s *sightings) get() (resets, applied, regained int, version table.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.resets, s.applied, s.regained, s.version
+}
+
+// Guards against a call that is silent for good after an outage: a doubt ends it, and the changes made meanwhile are seen
+// within a second of the store's return.
+func TestFollowsAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &feed{version: 1}
+		f.change(func() { f.silent = true })
+		follower, seen := follow(t, f, 0)
+		time.Sleep(2 * time.Second)
+		follower.Doubt()
+		time.Sleep(5 * time.Second)
+		f.change(func() { f.silent, f.version = false, 7 })
+		time.Sleep(time.Second)
+		_, _, regained, version := seen.get()
+		is.Equal(version, table.Version(7))
+		is.Equal(regained, 1)
+	})
+}
+
+// Guards against a lost history that is taken for no change.
+func TestFollowsAfterCompaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &feed{version: 1}
+		_, seen := follow(t, f, 0)
+		f.change(func() { f.compacted, f.version = true, 9 })
+		time.Sleep(20 * time.Second)
+		resets, _, _, _ := seen.get()
+		is.Equal(resets, 2)
+	})
+}
+
+// Guards against a call for each of many changes that come together.
+func TestFollowsInSteps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &feed{version: 1}
+		_, seen := follow(t, f, 300*time.Millisecond)
+		for range 100 {
+			f.change(func() { f.version++ })
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		_, applied, _, version := seen.get()
+		is.Equal(version, table.Version(101))
+		is.True(applied <= 5)
+	})
+}
