ownership: a present owner is always waited for; renewals look at the table as they are sent

TestLateOrders, written for it, found three ways to this before the change: - the present owner of a range that had also been a former owner of it was taken for released with its earlier release; - a round of renewals worked on a list that a write to the table had made old; - a grant for one run of a server that the next run at the same address took did not bound the next run's hold. Change: Planner.Ended instead of Released decides on the present owner; each renewal looks at the table and notes its bound in one step, and nothing is granted to a server that is down; bounds count for the address.

--- a/internal/ownership/ranges/plan.go
+++ b/internal/ownership/ranges/plan.go
@@ -51,6 +51,8 @@
 	Now time.Duration
 	// Released reports whether a former owner is known to hold nothing of a range any more.
 	Released func(Holding, Former) bool
+	// Ended reports whether the process of an owner has certainly ended, so that it holds nothing.
+	Ended func(Owner) bool
 	// Granted reports whether the owner has taken the grant of a holding.
 	Granted func(Holding) bool
 	// Refused reports whether the owner refused the holding because it had seen a higher fence.
@@ -193,13 +195,14 @@
 	}
 }
 
-// formers returns the servers that may hold a range once its owner has changed.
+// formers returns the servers that may hold a range once its owner has changed. The owner is one of them even if it was a
+// former owner before and has released the range since then.
 func (p *Planner) formers(one Holding) []Former {
-	result := slices.Clone(one.Formers)
-	if one.Owner.ID != "" {
+	result := slices.DeleteFunc(slices.Clone(one.Formers), func(former Former) bool { return p.Released(one, former) })
+	if one.Owner.ID != "" && !p.Ended(one.Owner) {
 		result = append(result, Former{Owner: one.Owner, FreeAt: p.FreeAt(one.Owner)})
 	}
-	return slices.DeleteFunc(result, func(former Former) bool { return p.Released(one, former) })
+	return result
 }
 
 func (p *Planner) idlest() *Server {
--- a/internal/ownership/ranges/ranges_test.go
+++ b/internal/ownership/ranges/ranges_test.go
@@ -33,6 +33,7 @@
 		Released: func(ranges.Holding, ranges.Former) bool { return false },
 		Granted:  func(ranges.Holding) bool { return false },
 		Refused:  func(ranges.Holding) bool { return false },
+		Ended:    func(ranges.Owner) bool { return false },
 	}
 }
 
@@ -148,6 +149,19 @@
 	}
 }
 
+// Guards against an owner that is not waited for because it was a former owner of the same range before and released it.
+func TestOwnerWasFormer(t *testing.T) {
+	is := is.New(t)
+	table := &ranges.Table{Fence: 3, Holdings: []ranges.Holding{{
+		Range: fleet.KeyRange{Last: fleet.LastKey}, Owner: owner(1, "1"), Fence: 3,
+		Formers: []ranges.Former{{Owner: owner(1, "1"), FreeAt: time.Minute}, {Owner: owner(2, "1"), FreeAt: time.Minute}},
+	}}}
+	plan := planner(servers(3), &ranges.Load{})
+	plan.Released = func(ranges.Holding, ranges.Former) bool { return true }
+	next, _ := plan.Next(table)
+	is.Equal(next.Holdings[0].Formers, []ranges.Former{{Owner: owner(1, "1"), FreeAt: time.Minute}})
+}
+
 // loadOn returns a load of 100 requests for each server with a number of them on some neighbouring keys.
 func loadOn(first fleet.KeyNumber, width, count int) *ranges.Load {
 	load := &ranges.Load{}
--- a/internal/upstream/rangegrants/rangegrants_test.go
+++ b/internal/upstream/rangegrants/rangegrants_test.go
@@ -171,6 +171,37 @@
 	}
 }
 
+// Guards against a renewal that is sent after the table gave its range to another server: servers that hold several ranges
+// answer slowly or late, so that a round of renewals lasts longer than a move.
+func TestLateOrders(t *testing.T) {
+	for seed := range 40 {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, uint64(seed), 6)
+				one := w.assign("a")
+				w.await(5*time.Second, "at first")
+				random := rand.New(rand.NewPCG(uint64(seed), 3))
+				for range 6 { // several ranges for each server
+					id := fleet.UpstreamID(fmt.Sprint("s", random.IntN(6)))
+					w.change(id, func(s *fakeServer) { s.leaving = true })
+					time.Sleep(time.Second)
+					w.change(id, func(s *fakeServer) { s.leaving = false })
+					time.Sleep(time.Second)
+				}
+				for i := range 6 {
+					w.change(fleet.UpstreamID(fmt.Sprint("s", i)), func(s *fakeServer) { s.late = 0.4 })
+				}
+				for range 20 {
+					id := fleet.UpstreamID(fmt.Sprint("s", random.IntN(6)))
+					w.change(id, func(s *fakeServer) { s.leaving = !s.leaving })
+					time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+				}
+				w.finish(one)
+			})
+		})
+	}
+}
+
 // disturb does one random fault, or ends one.
 func (w *world) disturb(random *rand.Rand, daemons []*daemon) {
 	id := fleet.UpstreamID(fmt.Sprint("s", random.IntN(5)))
--- a/internal/upstream/rangegrants/release.go
+++ b/internal/upstream/rangegrants/release.go
@@ -84,14 +84,20 @@
 	t.poke()
 }
 
-// released reports whether a former owner is known to hold nothing of a range any more.
+// released reports whether a former owner has released a range or is known to hold nothing of it any more. A release that has
+// not begun says nothing, however long ago the last grant was: a renewal may be under way.
 func (t *term) released(one ranges.Holding, former ranges.Former) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if begun := t.releases[releaseKey{keys: one.Range, fence: one.Fence, former: former.Owner}]; begun != nil {
-		return begun.done
-	}
-	return t.Uptime.Uptime() > t.heldUntil(former.Owner, one.Range)
+	begun := t.releases[releaseKey{keys: one.Range, fence: one.Fence, former: former.Owner}]
+	return begun != nil && begun.done
+}
+
+// ended reports whether the process of a server has certainly ended.
+func (t *term) ended(owner ranges.Owner) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.down[owner]
 }
 
 // handover returns what the former owners left for the next one.
--- a/internal/upstream/rangegrants/server.go
+++ b/internal/upstream/rangegrants/server.go
@@ -83,25 +83,21 @@
 
 // renew sends one grant if it is due, and returns false if the server did not answer.
 func (s *server) renew(ctx context.Context, one ranges.Holding) bool {
-	key := grantKey{keys: one.Range, fence: one.Fence}
-	known := s.grant(key)
-	shaky := s.term.shaky()
-	// Ticks come a little early or late. A lease that may not be renewed again calls for long holds at once.
-	due := s.term.Uptime.Uptime()-known.renewed >= s.term.Hold/renewalsPerHold*3/4 || shaky && !known.long
-	if known.refused || known.taken && !due {
-		return true
-	}
 	if !s.term.valid() || ctx.Err() != nil {
 		return false
 	}
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
 	hold := s.term.Hold
-	if shaky {
+	if s.term.shaky() {
 		hold = s.term.LongHold
 	}
-	call, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
+	key := grantKey{keys: one.Range, fence: one.Fence}
 	sent := s.term.Uptime.Uptime()
-	s.bound(key, max(known.until, sent+orderTimeout+freeAfter(hold)))
+	known, due := s.prepare(one, sent, hold)
+	if !due {
+		return true
+	}
 	answer := s.term.Orders.Grant(call, s.owner.Address, Grant{
 		Range: one.Range, Fence: one.Fence, Hold: hold, Handover: s.term.handover(one),
 	})
@@ -114,24 +110,34 @@
 	return s.learn(ctx, one, sent, hold, answer)
 }
 
-// grant returns what is known of a grant.
-func (s *server) grant(key grantKey) granted {
+// prepare decides whether a grant is to be sent now. If it is, its bound is noted at the same time as the table is looked at,
+// so that a plan which is made meanwhile either sees the bound or keeps the grant from being sent.
+func (s *server) prepare(one ranges.Holding, sent, hold time.Duration) (granted, bool) {
+	key := grantKey{keys: one.Range, fence: one.Fence}
 	s.term.mu.Lock()
 	defer s.term.mu.Unlock()
-	if one := s.grants[key]; one != nil {
-		return *one
+	if !s.term.current(s.owner, one) {
+		return granted{}, false
 	}
-	return granted{}
+	if s.grants[key] == nil {
+		s.prune()
+		s.grants[key] = &granted{}
+	}
+	known := s.grants[key]
+	// Ticks come a little early or late. A lease that may not be renewed again calls for long holds at once.
+	due := sent-known.renewed >= s.term.Hold/renewalsPerHold*3/4 || hold > s.term.Hold && !known.long
+	if known.refused || known.taken && !due {
+		return *known, false
+	}
+	before := *known
+	known.until = max(known.until, sent+orderTimeout+freeAfter(hold))
+	return before, true
 }
 
 // bound notes until when a grant may hold at most.
 func (s *server) bound(key grantKey, until time.Duration) {
 	s.term.mu.Lock()
 	defer s.term.mu.Unlock()
-	if s.grants[key] == nil {
-		s.prune()
-		s.grants[key] = &granted{}
-	}
 	s.grants[key].until = until
 }
 
@@ -171,7 +177,7 @@
 	case Absent:
 		if s.absences++; s.absences > 1 {
 			s.ended()
-			s.term.fail(ctx, s.owner, "no process listens at its address")
+			s.term.fail(ctx, s.owner, true, "no process listens at its address")
 		} else if timer.Wait(ctx, s.term.Clock, absentAgain) == nil {
 			s.poke()
 		}
@@ -181,7 +187,7 @@
 		s.term.Log.Warn().Err(answer.Err).Str("server", string(s.owner.ID)).Dur("silent", silent).
 			Msg("server did not answer a grant")
 		if silent > suspectAfter {
-			s.term.fail(ctx, s.owner, "it does not answer")
+			s.term.fail(ctx, s.owner, false, "it does not answer")
 		} else {
 			s.poke()
 		}
@@ -207,11 +213,11 @@
 	}
 }
 
-// fail takes a server out of the plan until it answers a probe.
-func (t *term) fail(ctx context.Context, owner ranges.Owner, why string) {
+// fail takes a server out of the plan until it answers a probe. ended is set if its process has certainly ended.
+func (t *term) fail(ctx context.Context, owner ranges.Owner, ended bool, why string) {
 	t.mu.Lock()
-	known := t.down[owner]
-	t.down[owner] = true
+	_, known := t.down[owner]
+	t.down[owner] = ended
 	t.mu.Unlock()
 	if known {
 		return
@@ -263,17 +269,19 @@
 	return known != nil && known.refused
 }
 
-// heldUntil returns the uptime at which every hold of a server on any key of the range has run out. The caller holds mu.
+// heldUntil returns the uptime at which every hold of a server on any key of the range has run out. Grants that were meant for
+// another run at the same address count, since the present one may have taken them. The caller holds mu.
 func (t *term) heldUntil(owner ranges.Owner, keys fleet.KeyRange) time.Duration {
 	// The assigner before this one may have granted until its lease ended, which was before this term began.
 	until := t.began + orderTimeout + freeAfter(t.LongHold)
-	server := t.servers[owner]
-	if server == nil {
-		return until
-	}
-	for key, known := range server.grants {
-		if key.keys.Overlaps(keys) {
-			until = max(until, known.until)
+	for _, server := range t.servers {
+		if server.owner.Address != owner.Address {
+			continue
+		}
+		for key, known := range server.grants {
+			if key.keys.Overlaps(keys) {
+				until = max(until, known.until)
+			}
 		}
 	}
 	return until
--- a/internal/upstream/rangegrants/term.go
+++ b/internal/upstream/rangegrants/term.go
@@ -38,7 +38,8 @@
 	servers map[ranges.Owner]*server
 	// releases is guarded by mu and holds the releases that were begun.
 	releases map[releaseKey]*release
-	// down is guarded by mu: servers that were absent or silent and have not answered a probe since.
+	// down is guarded by mu: servers that were absent or silent and have not answered a probe since, and whether their
+	// process has certainly ended. Nothing is granted to them.
 	down map[ranges.Owner]bool
 }
 
@@ -189,7 +190,7 @@
 	shift := uptime-t.shifted >= shiftEvery
 	planner := &ranges.Planner{
 		Servers: t.available(observed.Servers), Load: observed.Load, Shift: shift, Now: t.Store.Reading().Earliest(uptime),
-		FreeAt: t.freeAt, Released: t.released, Granted: t.granted, Refused: t.refused,
+		FreeAt: t.freeAt, Released: t.released, Ended: t.ended, Granted: t.granted, Refused: t.refused,
 	}
 	next, changed := planner.Next(t.table)
 	if observed.Daemons > 0 && observed.Daemons != next.Daemons {
@@ -220,7 +221,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, one := range t.Registry.Servers(t.Service) {
-		if one.Leaving || t.down[one.Owner] {
+		if _, down := t.down[one.Owner]; down || one.Leaving {
 			continue
 		}
 		slots := float64(max(1, one.Slots))
@@ -253,7 +254,8 @@
 			event := t.Log.Info().Str("service", string(t.Service)).Stringer("range", one.Range).
 				Str("owner", string(one.Owner.ID)).Uint64("fence", uint64(one.Fence)).Int("formers", len(one.Formers))
 			if before != nil {
-				event = event.Str("before", string(before.Owner.ID)).Bool("down", t.down[before.Owner])
+				_, down := t.down[before.Owner]
+				event = event.Str("before", string(before.Owner.ID)).Bool("down", down)
 			}
 			event.Msg("range gets another owner")
 		}
@@ -291,19 +293,29 @@
 	}
 }
 
-// orders returns the holdings that a server is to have now, with the handover of each.
+// orders returns the holdings that a server is to have.
 func (t *term) orders(owner ranges.Owner) []ranges.Holding {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var result []ranges.Holding
 	for _, one := range t.table.Holdings {
-		if one.Owner.Is(owner) && t.free(one) && t.stays(one) {
+		if one.Owner.Is(owner) {
 			result = append(result, one)
 		}
 	}
 	return result
 }
 
+// current reports whether a holding may be granted now: the server is not down, the table still says so, no former owner
+// holds anything, and no table that may be in force already says otherwise. The caller holds mu.
+func (t *term) current(owner ranges.Owner, one ranges.Holding) bool {
+	if _, down := t.down[owner]; down {
+		return false
+	}
+	now := t.table.Locate(one.Range.First)
+	return now != nil && now.Range == one.Range && now.Fence == one.Fence && now.Owner.Is(owner) && t.free(*now) && t.stays(*now)
+}
+
 // free reports whether no former owner holds anything of a holding. The caller holds mu.
 func (t *term) free(one ranges.Holding) bool {
 	return !slices.ContainsFunc(one.Formers, func(former ranges.Former) bool {
