--- a/internal/caller/front/stop_test.go
+++ b/internal/caller/front/stop_test.go
@@ -64,7 +64,7 @@
 		listener.accepted <- served
 		synctest.Wait()
 		stop()
-		time.Sleep(2 * time.Second)
+		pass(2 * time.Second)
 		go func() { _, _ = caller.Write([]byte("GET /x HTTP/1.1\r\nHost: h\r\n\r\n")) }()
 		response, err := http.ReadResponse(bufio.NewReader(caller), nil)
 		is.NoErr(err)
@@ -73,3 +73,8 @@
 		is.NoErr(<-stopped)
 	})
 }
+
+// pass lets the time of the test's bubble pass.
+func pass(span time.Duration) {
+	_ = timer.Wait(context.Background(), timer.System{}, span)
+}
--- a/internal/platform/table/follow.go
+++ b/internal/platform/table/follow.go
@@ -80,19 +80,16 @@
 		case err == nil:
 			version, known, pause = next, true, feedPauseFirst
 			continue
-		case ctx.Err() != nil:
-			return nil
 		case errors.Is(err, ErrCompacted):
 			f.Log.Info().Str("table", f.Table).Msg("history of the table was lost; reading all rows")
 			known = false
 			continue
-		case !f.failing:
+		case !f.failing && ctx.Err() == nil:
 			f.Log.Warn().Err(err).Str("table", f.Table).Msg("table cannot be followed")
 			f.failing = true
 		}
-		if timer.Wait(ctx, f.Clock, pause) != nil {
-			return nil
-		}
+		// The loop ends with ctx.
+		_ = timer.Wait(ctx, f.Clock, pause)
 		pause = min(2*pause, feedPauseMost)
 	}
 	return nil
--- a/internal/platform/table/follow_test.go
+++ b/internal/platform/table/follow_test.go
@@ -105,11 +105,11 @@
 		f := &feed{version: 1}
 		f.change(func() { f.silent = true })
 		follower, seen := follow(t, f, 0)
-		time.Sleep(2 * time.Second)
+		pass(2 * time.Second)
 		follower.Doubt()
-		time.Sleep(5 * time.Second)
+		pass(5 * time.Second)
 		f.change(func() { f.silent, f.version = false, 7 })
-		time.Sleep(time.Second)
+		pass(time.Second)
 		_, _, regained, version := seen.get()
 		is.Equal(version, table.Version(7))
 		is.Equal(regained, 1)
@@ -123,7 +123,7 @@
 		f := &feed{version: 1}
 		_, seen := follow(t, f, 0)
 		f.change(func() { f.compacted, f.version = true, 9 })
-		time.Sleep(20 * time.Second)
+		pass(20 * time.Second)
 		resets, _, _, _ := seen.get()
 		is.Equal(resets, 2)
 	})
@@ -137,11 +137,16 @@
 		_, seen := follow(t, f, 300*time.Millisecond)
 		for range 100 {
 			f.change(func() { f.version++ })
-			time.Sleep(10 * time.Millisecond)
+			pass(10 * time.Millisecond)
 		}
-		time.Sleep(2 * time.Second)
+		pass(2 * time.Second)
 		_, applied, _, version := seen.get()
 		is.Equal(version, table.Version(101))
 		is.True(applied <= 5)
 	})
 }
+
+// pass lets the time of the test's bubble pass.
+func pass(span time.Duration) {
+	_ = timer.Wait(context.Background(), timer.System{}, span)
+}
--- a/internal/upstream/forward/exchange.go
+++ b/internal/upstream/forward/exchange.go
@@ -55,7 +55,7 @@
 		}
 		return NotSent{Local: e.ctx.Err() != nil, Err: err}
 	}
-	response, err := e.read()
+	response, err := e.read() //nolint:bodyclose // the body is closed with the exchange
 	if err != nil {
 		e.finish(false)
 		if errors.Is(err, errSpoiled) {
--- a/internal/upstream/rangegrants/rangegrants_test.go
+++ b/internal/upstream/rangegrants/rangegrants_test.go
@@ -15,7 +15,7 @@
 // await fails if some key has no owner after the time.
 func (w *world) await(within time.Duration, what string) {
 	w.t.Helper()
-	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+	for end := time.Now().Add(within); time.Now().Before(end); pass(20 * time.Millisecond) {
 		if w.unowned() == 0 {
 			return
 		}
@@ -32,7 +32,7 @@
 	for _, one := range daemons {
 		<-one.done
 	}
-	time.Sleep(lateMost)
+	pass(lateMost)
 	if w.conflict != nil {
 		w.t.Fatal(w.conflict)
 	}
@@ -57,12 +57,12 @@
 		{"server restarts under its id", func(w *world, _, _ *daemon) { w.start("s1") }, 2 * time.Second},
 		{"assigner stops", func(w *world, first, _ *daemon) {
 			first.stop()
-			time.Sleep(2 * time.Second)
+			pass(2 * time.Second)
 			w.change("s1", func(s *fakeServer) { s.absent = true })
 		}, 4 * time.Second},
 		{"assigner loses the store", func(w *world, first, _ *daemon) {
 			first.set(func(d *daemon) { d.refused = true })
-			time.Sleep(5 * time.Second)
+			pass(5 * time.Second)
 			w.change("s1", func(s *fakeServer) { s.absent = true })
 		}, 3 * time.Second},
 	}
@@ -73,9 +73,9 @@
 				first := w.assign("a")
 				w.await(5*time.Second, "at first")
 				second := w.assign("b")
-				time.Sleep(10 * time.Second)
+				pass(10 * time.Second)
 				test.fault(w, first, second)
-				time.Sleep(20 * time.Millisecond)
+				pass(20 * time.Millisecond)
 				w.await(test.within, test.name)
 				w.finish(first, second)
 			})
@@ -90,14 +90,14 @@
 		w := newWorld(t, 1, 5)
 		first, second := w.assign("a"), w.assign("b")
 		w.await(5*time.Second, "at first")
-		time.Sleep(10 * time.Second)
+		pass(10 * time.Second)
 		w.store.set(func(s *fakeStore) { s.down = true })
 		for range 9 {
-			time.Sleep(time.Second)
+			pass(time.Second)
 			is.Equal(w.unowned(), 0)
 		}
 		w.store.set(func(s *fakeStore) { s.down = false })
-		time.Sleep(3 * time.Second)
+		pass(3 * time.Second)
 		is.Equal(w.unowned(), 0)
 		w.finish(first, second)
 	})
@@ -111,9 +111,9 @@
 			w := newWorld(t, seed, 3)
 			one := w.assign("a")
 			w.await(5*time.Second, "at first")
-			time.Sleep(time.Duration(15000+37*seed) * time.Millisecond)
+			pass(time.Duration(15000+37*seed) * time.Millisecond)
 			w.change("s1", func(s *fakeServer) { s.cut = true })
-			time.Sleep(hold + 3*time.Second)
+			pass(hold + 3*time.Second)
 			w.finish(one)
 		})
 	}
@@ -128,11 +128,11 @@
 			w := newWorld(t, seed, 5)
 			one := w.assign("a")
 			w.await(5*time.Second, "at first")
-			time.Sleep(time.Duration(5000+113*seed) * time.Millisecond)
+			pass(time.Duration(5000+113*seed) * time.Millisecond)
 			one.set(func(d *daemon) { d.suspended += 2 * lease; d.refused = true })
-			time.Sleep(10 * time.Millisecond) // orders that were under way
+			pass(10 * time.Millisecond) // orders that were under way
 			before := w.count()
-			time.Sleep(lease)
+			pass(lease)
 			is.Equal(w.count(), before)
 			w.finish(one)
 		})
@@ -161,7 +161,7 @@
 				random := rand.New(rand.NewPCG(uint64(seed), 2))
 				for range 12 {
 					w.disturb(random, daemons)
-					time.Sleep(time.Duration(random.IntN(3000)) * time.Millisecond)
+					pass(time.Duration(random.IntN(3000)) * time.Millisecond)
 				}
 				w.heal(daemons)
 				w.await(longHold+lease+6*time.Second, "after the last fault")
@@ -184,9 +184,9 @@
 				for range 6 { // several ranges for each server
 					id := fleet.UpstreamID(fmt.Sprint("s", random.IntN(6)))
 					w.change(id, func(s *fakeServer) { s.leaving = true })
-					time.Sleep(time.Second)
+					pass(time.Second)
 					w.change(id, func(s *fakeServer) { s.leaving = false })
-					time.Sleep(time.Second)
+					pass(time.Second)
 				}
 				for i := range 6 {
 					w.change(fleet.UpstreamID(fmt.Sprint("s", i)), func(s *fakeServer) { s.late = 0.4 })
@@ -194,7 +194,7 @@
 				for range 20 {
 					id := fleet.UpstreamID(fmt.Sprint("s", random.IntN(6)))
 					w.change(id, func(s *fakeServer) { s.leaving = !s.leaving })
-					time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+					pass(time.Duration(random.IntN(1500)) * time.Millisecond)
 				}
 				w.finish(one)
 			})
--- a/internal/upstream/rangegrants/release.go
+++ b/internal/upstream/rangegrants/release.go
@@ -105,7 +105,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, former := range one.Formers {
-		if begun := t.releases[releaseKey{keys: one.Range, fence: one.Fence, former: former.Owner}]; begun != nil && begun.handover != "" {
+		begun := t.releases[releaseKey{keys: one.Range, fence: one.Fence, former: former.Owner}]
+		if begun != nil && begun.handover != "" {
 			return begun.handover
 		}
 	}
--- a/internal/upstream/rangegrants/world_test.go
+++ b/internal/upstream/rangegrants/world_test.go
@@ -174,7 +174,7 @@
 	if late {
 		delay := time.Duration(2+o.random.IntN(8)) * time.Second
 		go func() {
-			time.Sleep(delay)
+			pass(delay)
 			o.mu.Lock()
 			defer o.mu.Unlock()
 			if !one.absent && o.servers[one.owner.ID] == one {
@@ -387,7 +387,7 @@
 	delay := time.Duration(1+v.world.random.IntN(5)) * time.Second
 	v.fakeStore.mu.Unlock()
 	if late {
-		go func() { time.Sleep(delay); _, _ = v.apply(changes) }()
+		go func() { pass(delay); _, _ = v.apply(changes) }()
 	}
 	if late || lost {
 		if lost && !late {
@@ -465,6 +465,11 @@
 		defer close(d.done)
 		_ = assigner.Run(ctx)
 	}()
-	w.t.Cleanup(func() { stop(); <-d.done; time.Sleep(lateMost) })
+	w.t.Cleanup(func() { stop(); <-d.done; pass(lateMost) })
 	return d
 }
+
+// pass lets the time of the test's bubble pass.
+func pass(span time.Duration) {
+	_ = timer.Wait(context.Background(), timer.System{}, span)
+}
--- a/internal/upstream/registry/registry_test.go
+++ b/internal/upstream/registry/registry_test.go
@@ -52,7 +52,7 @@
 		{"told of it twice", func(r *registry.Registry) {
 			r.Regained()
 			r.Reset(entries(20)[4:])
-			time.Sleep(700 * time.Millisecond)
+			pass(700 * time.Millisecond)
 			r.Remove("0")
 		}, 1200 * time.Millisecond, 1300 * time.Millisecond},
 		{"leaving before", func(r *registry.Registry) {
@@ -72,7 +72,7 @@
 				defer cancel()
 				go func() { _ = r.Run(ctx) }()
 				r.Reset(entries(20))
-				time.Sleep(10 * time.Second)
+				pass(10 * time.Second)
 				test.vanish(r)
 				has := func() bool {
 					synctest.Wait()
@@ -84,10 +84,10 @@
 					return false
 				}
 				if test.kept >= 0 {
-					time.Sleep(test.kept)
+					pass(test.kept)
 					is.True(has())
 				}
-				time.Sleep(test.gone - max(test.kept, 0))
+				pass(test.gone - max(test.kept, 0))
 				is.True(!has())
 				r.Put(entry(0))
 				is.True(has()) // it is back
@@ -105,8 +105,8 @@
 		leaving.Draining = true
 		r.Put(leaving)
 		first := r.Upstreams()["s"][0].LeaveBy
-		is.Equal(first.Sub(time.Now()), drain*3/4)
-		time.Sleep(time.Second)
+		is.Equal(time.Until(first), drain*3/4)
+		pass(time.Second)
 		leaving.Slots = 3
 		r.Put(leaving)
 		is.Equal(r.Upstreams()["s"][0].LeaveBy, first)
@@ -116,3 +116,8 @@
 		is.True(r.Upstreams()["s"][0].LeaveBy.IsZero())
 	})
 }
+
+// pass lets the time of the test's bubble pass.
+func pass(span time.Duration) {
+	_ = timer.Wait(context.Background(), timer.System{}, span)
+}
