--- /dev/null
+++ b/internal/daemon/entry/entry_test.go
@@ -0,0 +1,108 @@
+package entry
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"rosemarywick.example/rosemarywick/internal/core/cause"
+	"rosemarywick.example/rosemarywick/internal/core/document"
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/ownership/ranges"
+	"rosemarywick.example/rosemarywick/internal/platform/table"
+	"rosemarywick.example/rosemarywick/internal/upstream/rangegrants"
+	"rosemarywick.example/rosemarywick/internal/upstream/registry"
+)
+
+// decodeVersion reads a configuration of one letter, whose version is the letter.
+func decodeVersion(value []byte) (*document.Document, error) {
+	if len(value) != 1 {
+		return nil, errors.New("unreadable")
+	}
+	return &document.Document{Version: uint64(value[0]), Services: []document.Service{{Name: "s"}}}, nil
+}
+
+// Guards against a configuration that goes back or is lost because a later row cannot be read.
+func TestConfigurationNeverReverts(t *testing.T) {
+	is := is.New(t)
+	upstreams := &registry.Registry{Clock: timer.System{}, Log: zerolog.Nop()}
+	c := &configuration{log: zerolog.Nop(), decode: decodeVersion, rowName: "op/config", registry: upstreams}
+	is.Equal(c.Current(), nil)
+	for _, step := range []struct {
+		row  table.Row
+		want byte
+	}{
+		{table.Row{Name: "op/config", Value: []byte("b")}, 'b'},
+		{table.Row{Name: "op/config", Value: []byte("a")}, 'b'},  // older
+		{table.Row{Name: "op/config", Value: []byte("??")}, 'b'}, // unreadable
+		{table.Row{Name: "op/config"}, 'b'},                      // deleted
+		{table.Row{Name: "op/other", Value: []byte("z")}, 'b'},   // another row
+		{table.Row{Name: "op/config", Value: []byte("c")}, 'c'},
+	} {
+		c.apply([]table.Row{step.row})
+		is.Equal(c.Current().Version, uint64(step.want))
+	}
+	upstreams.Put(registry.Entry{ID: "u", Service: "s", Slots: 6})
+	c.mu.Lock()
+	c.join()
+	c.mu.Unlock()
+	is.Equal(len(c.Current().Services[0].Upstreams), 1)
+	is.Equal(c.Current().Services[0].Slots, 6)
+}
+
+func tableRow(version table.Version, fence ranges.Fence, owner fleet.UpstreamID, formers ...ranges.Former) table.Row {
+	one := &ranges.Table{Fence: fence, Holdings: []ranges.Holding{{
+		Range: fleet.KeyRange{Last: fleet.LastKey}, Owner: ranges.Owner{ID: owner}, Fence: fence, Formers: formers,
+	}}}
+	return table.Row{Name: rangegrants.TableRow("s"), Version: version, Value: one.Encode()}
+}
+
+// Guards against a map that goes back, and against keys that count as being moved for good when the store cannot say that
+// the move is over.
+func TestOwners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := &owners{clock: timer.System{}, log: zerolog.Nop()}
+		_, ok := o.Locate("s", 7)
+		is.True(!ok)
+		o.apply([]table.Row{tableRow(2, 2, "b", ranges.Former{FreeAt: time.Hour})})
+		o.apply([]table.Row{tableRow(1, 1, "a")}) // older
+		o.apply([]table.Row{{Name: rangegrants.TableRow("s"), Version: 3, Value: []byte("?")}})
+		got, ok := o.Locate("s", 7)
+		is.True(ok)
+		is.Equal(got.Owner, fleet.UpstreamID("b"))
+		is.True(got.Moving)
+		is.NoErr(timer.Wait(t.Context(), timer.System{}, movingMost))
+		got, _ = o.Locate("s", 7)
+		is.True(!got.Moving)
+	})
+}
+
+// Guards against log lines about single requests without a bound, and against calm requests that have one.
+func TestObserverBounded(t *testing.T) {
+	is := is.New(t)
+	lines := &counter{}
+	start := time.Unix(1000, 0)
+	daemon := &Daemon{Log: zerolog.New(lines), loads: &loads{}}
+	o := newObserver(daemon)
+	o.clock = func() time.Time { return start }
+	o.Record(cause.Record{Outcome: cause.Complete, Cause: cause.OK})
+	is.Equal(lines.count, 0)
+	for range 10 * linesBurst {
+		o.Record(cause.Record{Request: "r", Outcome: cause.NotRun, Cause: cause.QueueFull})
+	}
+	is.Equal(lines.count, linesBurst)
+}
+
+// counter counts writes.
+type counter struct{ count int }
+
+func (c *counter) Write(p []byte) (int, error) {
+	c.count++
+	return len(p), nil
+}
