upstream/rangegrants, daemon/entry: one look-up of a grant; the load reports' store has the type it needs

Cause: a read of the whole change. granted and refused were the same look-up twice, and a load report asserted the type of its store on each call and dropped the report silently if it was another. Change: both go through one function; the store's type is the interface that is used. Behaviour stays. Seen: go vet, go test of both packages.

--- a/internal/daemon/entry/loads.go
+++ b/internal/daemon/entry/loads.go
@@ -56,7 +56,7 @@
 // where this daemon is the assigner.
 type loads struct {
 	daemon fleet.HostID
-	store  table.Store
+	store  table.TimedStore
 	clock  timer.Service
 	log    zerolog.Logger
 	// daemons returns the number of daemons.
@@ -168,11 +168,7 @@
 	call, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	name := loadsTable + "/" + string(l.daemon)
-	timed, ok := l.store.(table.TimedStore)
-	if !ok {
-		return version
-	}
-	next, err := timed.CommitVersion(call, table.Change{Name: name, Expected: version, Write: true, Value: value})
+	next, err := l.store.CommitVersion(call, table.Change{Name: name, Expected: version, Write: true, Value: value})
 	if err == nil {
 		return next
 	}
--- a/internal/upstream/rangegrants/server.go
+++ b/internal/upstream/rangegrants/server.go
@@ -247,26 +247,24 @@
 
 // granted reports whether the owner has taken the grant of a holding.
 func (t *term) granted(one ranges.Holding) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	server := t.servers[one.Owner]
-	if server == nil {
-		return false
-	}
-	known := server.grants[grantKey{keys: one.Range, fence: one.Fence}]
-	return known != nil && known.taken
+	return t.known(one).taken
 }
 
 // refused reports whether the owner refused the grant of a holding.
 func (t *term) refused(one ranges.Holding) bool {
+	return t.known(one).refused
+}
+
+// known returns what is known of the grant of a holding to its owner.
+func (t *term) known(one ranges.Holding) granted {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	server := t.servers[one.Owner]
-	if server == nil {
-		return false
+	if server := t.servers[one.Owner]; server != nil {
+		if known := server.grants[grantKey{keys: one.Range, fence: one.Fence}]; known != nil {
+			return *known
+		}
 	}
-	known := server.grants[grantKey{keys: one.Range, fence: one.Fence}]
-	return known != nil && known.refused
+	return granted{}
 }
 
 // heldUntil returns the uptime at which every hold of a server on any key of the range has run out. Grants that were meant for
