--- a/internal/upstream/rangegrants/world_test.go
+++ b/internal/upstream/rangegrants/world_test.go
@@ -34,12 +34,13 @@
 
 // world is a deployment in memory, in a synctest bubble: servers that take grants, a store, and assigners.
 type world struct {
-	t      *testing.T
-	began  time.Time
-	random *rand.Rand
-	log    zerolog.Logger
+	t     *testing.T
+	began time.Time
+	log   zerolog.Logger
 
 	mu sync.Mutex
+	// random is guarded by mu.
+	random *rand.Rand
 	// servers is guarded by mu.
 	servers map[fleet.UpstreamID]*fakeServer
 	changed chan struct{}
@@ -59,7 +60,7 @@
 	if os.Getenv("RANGEGRANTS_LOG") != "" {
 		w.log = zerolog.New(os.Stdout)
 	}
-	w.store = &fakeStore{world: w, rows: make(map[string]table.Row)}
+	w.store = &fakeStore{world: w, random: rand.New(rand.NewPCG(seed, 4)), rows: make(map[string]table.Row)}
 	for i := range servers {
 		w.start(fleet.UpstreamID(fmt.Sprint("s", i)))
 	}
@@ -170,9 +171,12 @@
 	o.mu.Lock()
 	one, failed := o.reach(address, o.cut())
 	late := one != nil && o.random.Float64() < one.late
+	var delay time.Duration
+	if late {
+		delay = time.Duration(2+o.random.IntN(8)) * time.Second
+	}
 	o.mu.Unlock()
 	if late {
-		delay := time.Duration(2+o.random.IntN(8)) * time.Second
 		go func() {
 			pass(delay)
 			o.mu.Lock()
@@ -304,10 +308,11 @@
 	world *world
 
 	mu sync.Mutex
-	// rows, last, down, lose and delay are guarded by mu.
-	rows map[string]table.Row
-	last table.Version
-	down bool
+	// random, rows, last, down, lose and late are guarded by mu.
+	random *rand.Rand
+	rows   map[string]table.Row
+	last   table.Version
+	down   bool
 	// lose and late are the parts of the writes that are done without an answer, at once or seconds later.
 	lose, late float64
 }
@@ -383,8 +388,8 @@
 		return 0, err
 	}
 	v.fakeStore.mu.Lock()
-	lost, late := v.world.random.Float64() < v.lose, v.world.random.Float64() < v.late
-	delay := time.Duration(1+v.world.random.IntN(5)) * time.Second
+	lost, late := v.random.Float64() < v.lose, v.random.Float64() < v.late
+	delay := time.Duration(1+v.random.IntN(5)) * time.Second
 	v.fakeStore.mu.Unlock()
 	if late {
 		go func() { pass(delay); _, _ = v.apply(changes) }()
