spec: model of range grants with nine mutants

Ruled out: absolute time up to a horizon (30 million states without an end); times are what is left of them. Conclusion: sole ownership rests on lease, fence, release and the bound of each hold; the write at the start of a term only protects the routers' table, and stopping renewals during a write is not needed for it.

--- /dev/null
+++ b/spec/ranges.pml
@@ -0,0 +1,305 @@
+/*
+ * Grants of one key range for a bounded time (docs/decisions/0007). Two daemons compete for the lease of the assigner, two
+ * servers take grants, and the store keeps the lease and the table. The claim: at no time do two servers hold the range.
+ * All times are what is left of them, in ticks, so that a run has no end. The product also stops renewals that a write under
+ * way would give away; the model does without, since the bound of each hold and the fences suffice.
+ *
+ * Each guard has a mutant, chosen with -DM_..., that removes it.
+ */
+#ifndef RESTARTS
+#define RESTARTS 0
+#endif
+#ifndef MOVES
+#define MOVES 1
+#endif
+
+/* The lease, a hold by the server's clock, what a slow clock adds to it, and the time after which the sender of an order has
+ * given it up and its bytes are lost. */
+#define LEASE 2
+#define HOLD 1
+#define DRIFT 1
+#define ORDER 1
+
+#define NONE 2
+#define MAX(x, y) (((x) > (y)) -> (x) : (y))
+#define DOWN(x) x = ((x) > 0 -> (x) - 1 : 0)
+
+#ifdef M_DRIFT
+#define LONGEST HOLD
+#else
+#define LONGEST (HOLD + DRIFT)
+#endif
+#ifdef M_ARRIVAL
+#define SENT_BOUND LONGEST
+#else
+#define SENT_BOUND (ORDER + LONGEST)
+#endif
+
+/* The store: the lease, and the table. */
+byte leaseHolder = NONE, leaseLeft;
+byte rowOwner, rowFence, rowFormer = NONE;
+
+/* The servers. bar is the highest fence seen; ended is set while no process listens. */
+byte bar[2], holdLeft[2], restarts;
+bit ended[2];
+
+/* The assigners: 0 has no term, 1 has read the table, 2 acts. latest is set while the store's table is the one known here. */
+byte phase[2], left[2], owner[2], fence[2], former[2], bound[4], moves;
+bit freed[2], latest[2];
+#define BOUND(a, s) bound[(a) * 2 + (s)]
+
+/* The write of an assigner: pending while its outcome is not known, writing while the store may still carry it out,
+ * replaces while it would succeed, and written once it has, until another one does. */
+bit pending[2], writing[2], replaces[2], written[2];
+byte writeOwner[2], writeFence[2], writeFormer[2];
+
+/* One grant and one release of each assigner under way. A grant has arrived once it has reached the server's machine; the
+ * server may carry it out later, with the hold counted from there. */
+bit grantSent[2], grantArrived[2], releaseSent[2], releaseDone[2];
+byte grantLeft[2], grantTo[2], grantFence[2], releaseTo[2], releaseFence[2];
+
+#ifdef M_LEASE
+#define VALID(a) 1
+#else
+#define VALID(a) (left[a] > 0)
+#endif
+
+#ifdef M_RELEASE
+#define FREE(a) 1
+#else
+#define FREE(a) (former[a] == NONE || freed[a])
+#endif
+
+inline check() { assert(!(holdLeft[0] > 0 && holdLeft[1] > 0)) }
+
+inline read(a) {
+	owner[a] = rowOwner; fence[a] = rowFence; former[a] = rowFormer; freed[a] = 0; latest[a] = 1
+}
+
+/* The table changes: whatever was to replace the former one fails. */
+inline changed() {
+	latest[0] = 0; latest[1] = 0; replaces[0] = 0; replaces[1] = 0; written[0] = 0; written[1] = 0
+}
+
+inline leave(a) {
+	phase[a] = 0; pending[a] = 0; left[a] = 0; owner[a] = 0; fence[a] = 0; former[a] = NONE; freed[a] = 0; latest[a] = 0;
+	BOUND(a, 0) = 0; BOUND(a, 1) = 0
+}
+
+inline elect(a) {
+	atomic {
+		phase[a] == 0 && leaseLeft == 0 ->
+		leaseHolder = a; leaseLeft = LEASE; left[a] = LEASE; read(a);
+#ifdef M_TERM
+		phase[a] = 2;
+#else
+		phase[a] = 1;
+#endif
+#ifndef M_BEFORE
+		/* The assigner before may have granted until its lease ended. */
+		BOUND(a, 0) = SENT_BOUND; BOUND(a, 1) = SENT_BOUND
+#endif
+	}
+}
+
+/* A term begins with a write after which every earlier write fails; if the table changed meanwhile, it is read again. */
+inline begin(a) {
+	atomic {
+		phase[a] == 1 && VALID(a) ->
+		if
+		:: latest[a] -> changed(); latest[a] = 1; phase[a] = 2
+		:: else -> read(a)
+		fi
+	}
+}
+
+inline renew(a) {
+	atomic {
+		phase[a] > 0 && leaseHolder == a && leaseLeft > 0 ->
+		leaseLeft = LEASE;
+		if
+		:: left[a] = LEASE	/* answered */
+		:: true			/* the answer is lost */
+		fi
+	}
+}
+
+/* The term ends with the lease. Orders and writes under way stay under way. */
+inline retire(a) {
+	atomic { phase[a] > 0 && left[a] == 0 -> leave(a) }
+}
+
+inline move(a) {
+	atomic {
+		phase[a] == 2 && VALID(a) && !pending[a] && !writing[a] && former[a] == NONE && moves < MOVES ->
+		moves++;
+		pending[a] = 1; writing[a] = 1; replaces[a] = latest[a]; written[a] = 0;
+		writeOwner[a] = 1 - owner[a]; writeFormer[a] = owner[a];
+#ifdef M_FENCE
+		writeFence[a] = fence[a];
+#else
+		writeFence[a] = fence[a] + 1;
+#endif
+#ifdef M_WRITE
+		owner[a] = writeOwner[a]; fence[a] = writeFence[a]; former[a] = writeFormer[a]; freed[a] = 0; pending[a] = 0
+#endif
+	}
+}
+
+/* The store carries a write out, now or long after its sender gave up, if the table is still the one that it replaces. */
+inline apply(a) {
+	atomic {
+		writing[a] ->
+		if
+		:: replaces[a] ->
+			rowOwner = writeOwner[a]; rowFence = writeFence[a]; rowFormer = writeFormer[a];
+			changed(); written[a] = 1;
+			assert(!(phase[1 - a] == 2 && left[1 - a] > 0))	/* no table changes under another acting assigner */
+		:: else
+		fi;
+		writing[a] = 0; writeOwner[a] = 0; writeFence[a] = 0; writeFormer[a] = 0
+	}
+}
+
+/* The assigner learns what became of its write. */
+inline learn(a) {
+	atomic {
+		phase[a] == 2 && pending[a] && !writing[a] ->
+		if
+		:: written[a] -> read(a); pending[a] = 0
+		:: else -> leave(a)	/* another daemon wrote */
+		fi;
+		written[a] = 0
+	}
+}
+
+inline release(a) {
+	atomic {
+		phase[a] == 2 && former[a] != NONE && !freed[a] && !releaseSent[a] && !pending[a] ->
+		releaseSent[a] = 1; releaseTo[a] = former[a]; releaseFence[a] = fence[a]
+	}
+}
+
+inline released(a) {
+	atomic {
+		releaseSent[a] && !releaseDone[a] ->
+		if
+		:: ended[releaseTo[a]]	/* nothing listens, and nothing is held */
+		:: else ->
+			holdLeft[releaseTo[a]] = 0;
+#ifndef M_BAR
+			bar[releaseTo[a]] = MAX(bar[releaseTo[a]], releaseFence[a])
+#endif
+		fi;
+		releaseDone[a] = 1
+	}
+}
+
+/* The answer of a release arrives, or is lost. */
+inline answered(a) {
+	atomic {
+		releaseDone[a] ->
+		if
+		:: phase[a] == 2 && former[a] == releaseTo[a] && fence[a] == releaseFence[a] -> freed[a] = 1
+		:: true
+		fi;
+		releaseSent[a] = 0; releaseDone[a] = 0; releaseTo[a] = 0; releaseFence[a] = 0
+	}
+}
+
+/* Without an answer the assigner waits until every hold that it or an earlier one can have given has run out. */
+inline expire(a) {
+	atomic {
+		phase[a] == 2 && former[a] != NONE && !freed[a] && !pending[a] && BOUND(a, former[a]) == 0 -> freed[a] = 1
+	}
+}
+
+inline forget(a) {
+	grantSent[a] = 0; grantArrived[a] = 0; grantLeft[a] = 0; grantTo[a] = 0; grantFence[a] = 0
+}
+
+inline grant(a) {
+	atomic {
+		phase[a] == 2 && VALID(a) && !grantSent[a] && FREE(a) ->
+		grantSent[a] = 1; grantLeft[a] = ORDER; grantTo[a] = owner[a]; grantFence[a] = fence[a];
+		BOUND(a, owner[a]) = MAX(BOUND(a, owner[a]), SENT_BOUND);
+		if
+		:: ended[owner[a]] -> forget(a)		/* the connection is refused */
+		:: else
+		fi
+	}
+}
+
+inline arrive(a) {
+	atomic {
+		grantSent[a] && !grantArrived[a] && !ended[grantTo[a]] -> grantArrived[a] = 1; grantLeft[a] = HOLD + DRIFT
+	}
+}
+
+inline take(a) {
+	atomic {
+		grantArrived[a] ->
+		if
+		:: grantFence[a] >= bar[grantTo[a]] ->
+			bar[grantTo[a]] = grantFence[a];
+			holdLeft[grantTo[a]] = MAX(holdLeft[grantTo[a]], grantLeft[a])
+		:: else
+		fi;
+		forget(a);
+		check()
+	}
+}
+
+inline lose(a) {
+	atomic { grantSent[a] && !grantArrived[a] -> forget(a) }
+}
+
+/* A server's process ends, and another one starts at its address without any memory. Orders under way are lost with its
+ * connections. */
+inline crash(s) {
+	atomic {
+		!ended[s] && restarts < RESTARTS -> restarts++; ended[s] = 1; holdLeft[s] = 0; bar[s] = 0;
+		if :: grantSent[0] && grantTo[0] == s -> forget(0) :: else fi;
+		if :: grantSent[1] && grantTo[1] == s -> forget(1) :: else fi
+	}
+}
+
+inline restart(s) {
+	atomic { ended[s] -> ended[s] = 0 }
+}
+
+/* An order that has not arrived is lost when its sender gives up. */
+#define OVERDUE(a) (grantSent[a] && !grantArrived[a] && grantLeft[a] == 0)
+
+inline tick() {
+	atomic {
+		!OVERDUE(0) && !OVERDUE(1) ->
+		DOWN(leaseLeft); DOWN(left[0]); DOWN(left[1]); DOWN(holdLeft[0]); DOWN(holdLeft[1]);
+		DOWN(grantLeft[0]); DOWN(grantLeft[1]);
+		DOWN(bound[0]); DOWN(bound[1]); DOWN(bound[2]); DOWN(bound[3])
+	}
+}
+
+active proctype system() {
+	former[0] = NONE; former[1] = NONE;
+	do
+	:: elect(0) :: elect(1)
+	:: begin(0) :: begin(1)
+	:: renew(0) :: renew(1)
+	:: retire(0) :: retire(1)
+	:: move(0) :: move(1)
+	:: apply(0) :: apply(1)
+	:: learn(0) :: learn(1)
+	:: release(0) :: release(1)
+	:: released(0) :: released(1)
+	:: answered(0) :: answered(1)
+	:: expire(0) :: expire(1)
+	:: grant(0) :: grant(1)
+	:: arrive(0) :: arrive(1)
+	:: take(0) :: take(1)
+	:: lose(0) :: lose(1)
+	:: crash(0) :: crash(1)
+	:: restart(0) :: restart(1)
+	:: tick()
+	od
+}
