--- a/internal/bench/recovery/table.go
+++ b/internal/bench/recovery/table.go
@@ -104,15 +104,15 @@
 }
 
 // Place returns the desired owner and standby of each partition.
-func (p *placer) Place(spots []assigner.Spot, live []assigner.Server) []assigner.Spot {
+func (p *placer) Place(places []assigner.Place, live []assigner.Server) []assigner.Place {
 	position := make(map[string]int, len(live))
 	for i, server := range live {
 		position[string(server.ID)] = i
 	}
 	move := p.done.Swap(p.shift.Load()) != p.shift.Load()
 	moved := make(map[int]bool)
-	for i := range spots {
-		at, found := position[string(spots[i].Owner)]
+	for i := range places {
+		at, found := position[string(places[i].Owner)]
 		if !found {
 			at = i % len(live)
 		}
@@ -120,10 +120,10 @@
 			moved[at] = true
 			at = (at + 1) % len(live)
 		}
-		spots[i].Owner, spots[i].Standby = live[at].ID, live[(at+1+i/len(live))%len(live)].ID
-		if spots[i].Standby == spots[i].Owner {
-			spots[i].Standby = live[(at+1)%len(live)].ID
+		places[i].Owner, places[i].Standby = live[at].ID, live[(at+1+i/len(live))%len(live)].ID
+		if places[i].Standby == places[i].Owner {
+			places[i].Standby = live[(at+1)%len(live)].ID
 		}
 	}
-	return spots
+	return places
 }
--- a/internal/bench/requests/command/policies.go
+++ b/internal/bench/requests/command/policies.go
@@ -8,10 +8,10 @@
 )
 
 func policies(_ context.Context, out printer, o options) error {
-	out.row("load", "scene", "policy", "median ms", "99th ms", "busiest/mean", "shed %")
+	out.row("load", "scenario", "policy", "median ms", "99th ms", "busiest/mean", "shed %")
 	for _, use := range []float64{0.5, 0.8} {
 		simulation := requests.Simulation{Workers: 10, Slots: 6, Hosts: hosts, Work: work, Use: use}
-		for _, simulation.Scene = range requests.Scenes() {
+		for _, simulation.Scenario = range requests.Scenarios() {
 			for _, policy := range requests.Policies() {
 				c := figures{}
 				for run := range o.runs {
@@ -21,7 +21,7 @@
 					c.add("imbalance", result.Imbalance)
 					c.add("shed", 100*result.Shed)
 				}
-				out.row(fmt.Sprint(use), string(simulation.Scene), string(policy), c.spread("median", 1), c.spread("99th", 1),
+				out.row(fmt.Sprint(use), string(simulation.Scenario), string(policy), c.spread("median", 1), c.spread("99th", 1),
 					c.spread("imbalance", 2), c.spread("shed", 1))
 			}
 		}
--- a/internal/bench/requests/simulation.go
+++ b/internal/bench/requests/simulation.go
@@ -34,21 +34,21 @@
 	return []Policy{PolicyProduct, PolicyRandom, PolicyRoundRobin, PolicyLeast, PolicyThreshold}
 }
 
-// Scene is what is wrong with the workers of a simulation.
-type Scene string
+// Scenario is what is wrong with the workers of a simulation.
+type Scenario string
 
 const (
-	// SceneEven means that all workers are alike.
-	SceneEven Scene = "even"
-	// SceneSlow means that one worker takes three times as long.
-	SceneSlow Scene = "one worker slow"
-	// SceneLiar means that one worker takes three times as long and reports no load.
-	SceneLiar Scene = "one slow, reports none"
+	// ScenarioEven means that all workers are alike.
+	ScenarioEven Scenario = "even"
+	// ScenarioSlow means that one worker takes three times as long.
+	ScenarioSlow Scenario = "one worker slow"
+	// ScenarioLiar means that one worker takes three times as long and reports no load.
+	ScenarioLiar Scenario = "one slow, reports none"
 )
 
-// Scenes returns all scenes.
-func Scenes() []Scene {
-	return []Scene{SceneEven, SceneSlow, SceneLiar}
+// Scenarios returns all scenarios.
+func Scenarios() []Scenario {
+	return []Scenario{ScenarioEven, ScenarioSlow, ScenarioLiar}
 }
 
 // Simulation is a discrete simulation of daemons that choose among workers by stale reports. It uses the product's
@@ -58,8 +58,8 @@
 	// Work is the mean of the exponential time of a request.
 	Work time.Duration
 	// Use is the offered load as a part of the capacity of even workers.
-	Use   float64
-	Scene Scene
+	Use      float64
+	Scenario Scenario
 }
 
 // Simulated is the result of a simulation.
@@ -86,19 +86,19 @@
 	run func(now time.Time)
 }
 
-type agenda []event
+type eventQueue []event
 
-func (a agenda) Len() int           { return len(a) }
-func (a agenda) Less(i, j int) bool { return a[i].at.Before(a[j].at) }
-func (a agenda) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (q eventQueue) Len() int           { return len(q) }
+func (q eventQueue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
+func (q eventQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
 
 // Push adds an event; container/heap calls it.
-func (a *agenda) Push(x any) { *a = append(*a, x.(event)) }
+func (q *eventQueue) Push(x any) { *q = append(*q, x.(event)) }
 
 // Pop removes the last event; container/heap calls it.
-func (a *agenda) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
 	return last
 }
 
@@ -118,7 +118,7 @@
 	Simulation
 	policy  Policy
 	random  *rand.Rand
-	agenda  agenda
+	events  eventQueue
 	workers []*fakeWorker
 	pools   []*balance.Pool
 	// own counts the requests of each host in flight at each worker.
@@ -141,7 +141,7 @@
 	candidates := make([]balance.Candidate, 0, s.Workers)
 	for i := range s.Workers {
 		one := &fakeWorker{id: fleet.UpstreamID(fmt.Sprint(i)), factor: 1, since: start}
-		if i == 0 && s.Scene != SceneEven {
+		if i == 0 && s.Scenario != ScenarioEven {
 			one.factor = 3
 		}
 		w.workers = append(w.workers, one)
@@ -156,8 +156,8 @@
 	w.at(start, w.arrive)
 	w.at(start, w.report)
 	end := w.counted.Add(simulatedTime)
-	for w.agenda[0].at.Before(end) {
-		next := heap.Pop(&w.agenda).(event)
+	for w.events[0].at.Before(end) {
+		next := heap.Pop(&w.events).(event)
 		next.run(next.at)
 	}
 	return w.result(end)
@@ -176,7 +176,7 @@
 }
 
 func (w *world) at(at time.Time, run func(time.Time)) {
-	heap.Push(&w.agenda, event{at: at, run: run})
+	heap.Push(&w.events, event{at: at, run: run})
 }
 
 // arrive lets one request arrive at a random host and plans the next.
@@ -254,7 +254,7 @@
 	w.at(now.Add(reportEvery), w.report)
 	for i, one := range w.workers {
 		load := balance.Load{Running: one.running, Waiting: len(one.waiting)}
-		if i == 0 && w.Scene == SceneLiar {
+		if i == 0 && w.Scenario == ScenarioLiar {
 			load = balance.Load{}
 		}
 		w.reports[i] = load.Running + load.Waiting
--- a/internal/caller/front/front.go
+++ b/internal/caller/front/front.go
@@ -70,10 +70,10 @@
 	busy int
 	// ended is guarded by mu; it is set when the front takes no more requests and closed when nothing is in flight any more.
 	ended chan struct{}
-	// quiet is set with ended and closed, when settled is set, once the listener is closed and no connection is in use.
+	// quiet is set with ended and closed, when quietClosed is set, once the listener is closed and no connection is in use.
 	quiet chan struct{}
-	// closed and settled are guarded by mu.
-	closed, settled bool
+	// closed and quietClosed are guarded by mu.
+	closed, quietClosed bool
 	// leaving is set when callers are to use other daemons.
 	leaving atomic.Bool
 }
@@ -172,8 +172,8 @@
 
 // settle notes that no connection is in use any more. The caller holds mu.
 func (f *Front) settle() {
-	if f.closed && f.busy == 0 && !f.settled {
-		f.settled = true
+	if f.closed && f.busy == 0 && !f.quietClosed {
+		f.quietClosed = true
 		close(f.quiet)
 	}
 }
--- a/internal/daemon/dev/owners.go
+++ b/internal/daemon/dev/owners.go
@@ -37,7 +37,7 @@
 	Doubles int
 
 	servers []*worker
-	seen    [devPartitions]sight
+	seen    [devPartitions]observation
 }
 
 // Gap is a time in which a partition had no holder.
@@ -49,8 +49,8 @@
 	For      time.Duration
 }
 
-// sight is what the watch remembers of a partition.
-type sight struct {
+// observation is what the watch remembers of a partition.
+type observation struct {
 	holder *worker
 	held   time.Time
 	// missing is set while no holder is found, and ever once none was found.
@@ -82,7 +82,7 @@
 	}
 }
 
-func (w *OwnerWatch) look(partition fleet.PartitionID, seen *sight) {
+func (w *OwnerWatch) look(partition fleet.PartitionID, seen *observation) {
 	if seen.holder != nil && seen.holder.holds(partition) {
 		w.found(partition, seen, seen.holder)
 		return
@@ -98,7 +98,7 @@
 	}
 }
 
-func (w *OwnerWatch) found(partition fleet.PartitionID, seen *sight, holder *worker) {
+func (w *OwnerWatch) found(partition fleet.PartitionID, seen *observation, holder *worker) {
 	now := w.Fleet.Timer.Now()
 	if seen.missing {
 		gap := Gap{
--- a/internal/daemon/host/host.go
+++ b/internal/daemon/host/host.go
@@ -21,8 +21,8 @@
 	"rosemarywick.example/rosemarywick/internal/platform/table"
 )
 
-// farewell is how long the mesh keeps running after the daemon announced its end, so that its peers read it.
-const farewell = 300 * time.Millisecond
+// leaveNotice is how long the mesh keeps running after the daemon announced its end, so that its peers read it.
+const leaveNotice = 300 * time.Millisecond
 
 // Daemon is one router process. The exported fields are set before Run.
 type Daemon struct {
@@ -141,7 +141,7 @@
 	stages.stop(stageRoles)
 	stages.stop(stageRequests)
 	d.peers.spread.Leave()
-	_ = timer.Wait(ctx, d.Timer, farewell)
+	_ = timer.Wait(ctx, d.Timer, leaveNotice)
 	stages.stop(stageFleet)
 }
 
--- a/internal/daemon/host/placer.go
+++ b/internal/daemon/host/placer.go
@@ -16,43 +16,43 @@
 }
 
 // Place returns the desired owner and standby of each partition.
-func (p *placer) Place(spots []assigner.Spot, servers []assigner.Server) []assigner.Spot {
+func (p *placer) Place(places []assigner.Place, servers []assigner.Server) []assigner.Place {
 	state := placement.State{Partitions: p.partitions, Load: make(map[fleet.PartitionID]float64)}
-	for _, spot := range spots {
+	for _, place := range places {
 		state.Current = append(state.Current, placement.Entry{
-			Partition: spot.Partition, Owner: spot.Owner, Standby: spot.Standby,
+			Partition: place.Partition, Owner: place.Owner, Standby: place.Standby,
 		})
-		if spot.Load > 0 {
-			state.Load[spot.Partition] = spot.Load
+		if place.Load > 0 {
+			state.Load[place.Partition] = place.Load
 		}
 	}
 	for _, server := range servers {
 		state.Servers = append(state.Servers, placement.Server{ID: server.ID, Domain: server.Domain, Weight: server.Weight})
 	}
-	state.Pins = p.pinned(spots)
-	desired := make(map[fleet.PartitionID]placement.Entry, len(spots))
+	state.Pins = p.pinned(places)
+	desired := make(map[fleet.PartitionID]placement.Entry, len(places))
 	for _, entry := range p.policy.Rebalance(state) {
 		desired[entry.Partition] = entry
 	}
-	placed := make([]assigner.Spot, 0, len(spots))
-	for _, spot := range spots {
-		entry := desired[spot.Partition]
-		spot.Owner, spot.Standby = entry.Owner, entry.Standby
-		placed = append(placed, spot)
+	placed := make([]assigner.Place, 0, len(places))
+	for _, place := range places {
+		entry := desired[place.Partition]
+		place.Owner, place.Standby = entry.Owner, entry.Standby
+		placed = append(placed, place)
 	}
 	return placed
 }
 
 // pinned returns the server of each pinned key's entry.
-func (p *placer) pinned(spots []assigner.Spot) map[fleet.PartitionID]fleet.UpstreamID {
+func (p *placer) pinned(places []assigner.Place) map[fleet.PartitionID]fleet.UpstreamID {
 	servers := make(map[fleet.KeyHash]fleet.UpstreamID)
 	for _, pin := range p.pins() {
 		servers[fleet.HashKey(pin.Key)] = pin.Upstream
 	}
 	pinned := make(map[fleet.PartitionID]fleet.UpstreamID)
-	for _, spot := range spots {
-		if server, found := servers[spot.Key]; found && spot.Key != 0 {
-			pinned[spot.Partition] = server
+	for _, place := range places {
+		if server, found := servers[place.Key]; found && place.Key != 0 {
+			pinned[place.Partition] = server
 		}
 	}
 	return pinned
--- a/internal/ownership/assigner/directplan.go
+++ b/internal/ownership/assigner/directplan.go
@@ -30,14 +30,14 @@
 }
 
 func (d *Direct) place() {
-	spots := make([]Spot, 0, len(d.slots))
+	places := make([]Place, 0, len(d.slots))
 	for i, entry := range d.slots {
-		spots = append(spots, Spot{Partition: fleet.PartitionID(i), Owner: entry.owner, Standby: entry.standby, Fence: entry.fence})
+		places = append(places, Place{Partition: fleet.PartitionID(i), Owner: entry.owner, Standby: entry.standby, Fence: entry.fence})
 	}
-	for _, spot := range d.Placer.Place(spots, d.servers) {
-		if int(spot.Partition) < len(d.slots) {
-			entry := &d.slots[spot.Partition]
-			entry.target, entry.standby = spot.Owner, spot.Standby
+	for _, place := range d.Placer.Place(places, d.servers) {
+		if int(place.Partition) < len(d.slots) {
+			entry := &d.slots[place.Partition]
+			entry.target, entry.standby = place.Owner, place.Standby
 		}
 	}
 }
@@ -107,7 +107,7 @@
 	row := StoredPlacement{Index: index, Version: d.store.versions[index]}
 	for i := index * PlacementSize; i < min((index+1)*PlacementSize, len(d.slots)); i++ {
 		entry := d.slots[i]
-		row.Spots = append(row.Spots, Spot{
+		row.Places = append(row.Places, Place{
 			Partition: fleet.PartitionID(i), Owner: entry.owner, Standby: entry.standby, Fence: entry.fence,
 		})
 	}
@@ -129,10 +129,10 @@
 	d.store.known = true
 	for _, row := range rows {
 		d.store.versions[row.Index] = row.Version
-		for _, spot := range row.Spots {
-			if int(spot.Partition) < len(d.slots) && d.slots[spot.Partition].fence.Epoch != d.epoch {
-				entry := &d.slots[spot.Partition]
-				entry.owner, entry.standby, entry.fence = spot.Owner, spot.Standby, spot.Fence
+		for _, place := range row.Places {
+			if int(place.Partition) < len(d.slots) && d.slots[place.Partition].fence.Epoch != d.epoch {
+				entry := &d.slots[place.Partition]
+				entry.owner, entry.standby, entry.fence = place.Owner, place.Standby, place.Fence
 			}
 		}
 	}
--- a/internal/ownership/assigner/place.go
+++ b/internal/ownership/assigner/place.go
@@ -42,48 +42,48 @@
 		return
 	}
 	a.plan.placedFor, a.plan.replace = live, false
-	for _, spot := range a.Placer.Place(a.spots(), live) {
-		a.applySpot(spot)
+	for _, place := range a.Placer.Place(a.places(), live) {
+		a.applyPlace(place)
 	}
 }
 
-// spots returns the present place of each partition.
-func (a *Assigner) spots() []Spot {
-	spots := make([]Spot, 0, len(a.plan.slots))
+// places returns the present place of each partition.
+func (a *Assigner) places() []Place {
+	places := make([]Place, 0, len(a.plan.slots))
 	for id, entry := range a.plan.slots {
-		spots = append(spots, a.spot(id, entry))
+		places = append(places, a.placeOf(id, entry))
 	}
-	slices.SortFunc(spots, func(x, y Spot) int { return int(x.Partition) - int(y.Partition) })
-	return spots
+	slices.SortFunc(places, func(x, y Place) int { return int(x.Partition) - int(y.Partition) })
+	return places
 }
 
-func (a *Assigner) spot(id fleet.PartitionID, entry *slot) Spot {
+func (a *Assigner) placeOf(id fleet.PartitionID, entry *slot) Place {
 	owner := entry.owner
 	if entry.granting != "" {
 		owner = entry.granting
 	}
-	return Spot{
+	return Place{
 		Partition: id, Owner: owner, Standby: entry.standby, Fence: entry.fence, Key: entry.key,
 		Load: a.plan.loads[id],
 	}
 }
 
-// applySpot takes over what the placer decided for one partition.
-func (a *Assigner) applySpot(spot Spot) {
-	entry := a.plan.slots[spot.Partition]
+// applyPlace takes over what the placer decided for one partition.
+func (a *Assigner) applyPlace(place Place) {
+	entry := a.plan.slots[place.Partition]
 	if entry == nil {
 		return
 	}
-	if entry.target != spot.Owner && !entry.rejoining {
-		entry.target = spot.Owner
-		a.plan.pend(spot.Partition)
+	if entry.target != place.Owner && !entry.rejoining {
+		entry.target = place.Owner
+		a.plan.pend(place.Partition)
 	}
-	if entry.standby != spot.Standby {
-		entry.standby = spot.Standby
+	if entry.standby != place.Standby {
+		entry.standby = place.Standby
 		if entry.held() && !entry.moving {
 			entry.fence = a.nextFence()
 		}
-		a.plan.note(spot.Partition)
+		a.plan.note(place.Partition)
 	}
 }
 
@@ -156,8 +156,8 @@
 	for _, row := range rows {
 		known := a.plan.row(row.Index)
 		known.version = row.Version
-		for _, spot := range row.Spots {
-			if !a.adoptSpot(spot) {
+		for _, place := range row.Places {
+			if !a.adoptPlace(place) {
 				known.dirty = true
 			}
 		}
@@ -165,19 +165,19 @@
 	return a.leave()
 }
 
-// adoptSpot takes over a stored place and reports whether it agrees with the plan.
-func (a *Assigner) adoptSpot(spot Spot) bool {
-	entry := a.plan.slots[spot.Partition]
+// adoptPlace takes over a stored place and reports whether it agrees with the plan.
+func (a *Assigner) adoptPlace(place Place) bool {
+	entry := a.plan.slots[place.Partition]
 	if entry == nil {
-		if spot.Key == 0 {
+		if place.Key == 0 {
 			return true
 		}
-		entry = a.addEntry(spot.Partition, spot.Key)
+		entry = a.addEntry(place.Partition, place.Key)
 	}
 	if a.Role() == RoleActing && (entry.held() || entry.fence.Epoch == a.epoch) {
-		return entry.owner == spot.Owner && entry.standby == spot.Standby && entry.fence == spot.Fence
+		return entry.owner == place.Owner && entry.standby == place.Standby && entry.fence == place.Fence
 	}
-	entry.owner, entry.standby, entry.fence = spot.Owner, spot.Standby, spot.Fence
+	entry.owner, entry.standby, entry.fence = place.Owner, place.Standby, place.Fence
 	return true
 }
 
@@ -215,9 +215,9 @@
 	row := StoredPlacement{Index: index, Version: a.plan.row(index).version}
 	for id := fleet.PartitionID(index * PlacementSize); id < fleet.PartitionID((index+1)*PlacementSize); id++ {
 		if entry := a.plan.slots[id]; entry != nil {
-			spot := a.spot(id, entry)
-			spot.Owner, spot.Load = entry.owner, 0
-			row.Spots = append(row.Spots, spot)
+			place := a.placeOf(id, entry)
+			place.Owner, place.Load = entry.owner, 0
+			row.Places = append(row.Places, place)
 		}
 	}
 	return row
--- a/internal/ownership/assigner/row.go
+++ b/internal/ownership/assigner/row.go
@@ -26,8 +26,8 @@
 	Token string
 }
 
-// Spot is the place of one partition.
-type Spot struct {
+// Place is the place of one partition.
+type Place struct {
 	Partition fleet.PartitionID
 	Owner     fleet.UpstreamID
 	Standby   fleet.UpstreamID
@@ -48,7 +48,7 @@
 	Index int
 	// Version is the version read, or the one expected by a write.
 	Version Version
-	Spots   []Spot
+	Places  []Place
 }
 
 // Server is a server that may own partitions.
@@ -61,9 +61,9 @@
 
 // Placer decides where partitions should be.
 type Placer interface {
-	// Place returns the desired owner and standby of each partition in spots, whose owners are the present ones.
+	// Place returns the desired owner and standby of each partition in places, whose owners are the present ones.
 	// It moves as few as possible. The servers are alive and do not leave.
-	Place(spots []Spot, servers []Server) []Spot
+	Place(places []Place, servers []Server) []Place
 }
 
 // WriteResult says how a write to the table ended.
--- a/internal/ownership/assigner/sim_test.go
+++ b/internal/ownership/assigner/sim_test.go
@@ -169,12 +169,12 @@
 // placer wants each partition at a server that depends on its number and the shift.
 type placer struct{ *sim }
 
-func (p placer) Place(spots []assigner.Spot, servers []assigner.Server) []assigner.Spot {
-	for i := range spots {
-		at := int(spots[i].Partition) + p.shift
-		spots[i].Owner, spots[i].Standby = servers[at%len(servers)].ID, servers[(at+1)%len(servers)].ID
+func (p placer) Place(places []assigner.Place, servers []assigner.Server) []assigner.Place {
+	for i := range places {
+		at := int(places[i].Partition) + p.shift
+		places[i].Owner, places[i].Standby = servers[at%len(servers)].ID, servers[(at+1)%len(servers)].ID
 	}
-	return spots
+	return places
 }
 
 func (s *sim) after(delay time.Duration, run func()) {
--- a/internal/ownership/assigner/store.go
+++ b/internal/ownership/assigner/store.go
@@ -203,7 +203,7 @@
 		patience = a.Timing.WatcherPatience
 	}
 	waited := a.now.Sub(a.plan.memberChange)
-	if waited < patience || !a.answering(members) || !a.ledger.Settled(members) {
+	if waited < patience || !a.answering(members) || !a.ledger.Replaceable(members) {
 		return false
 	}
 	if a.recovering() && waited < 2*a.Timing.WatcherPatience {
--- a/internal/ownership/assigner/world_test.go
+++ b/internal/ownership/assigner/world_test.go
@@ -118,13 +118,13 @@
 
 // checkStored guards against a written assignment that is lost: replaced by an older one, or missing.
 func (s *sim) checkStored(d *daemon, before, after assigner.StoredPlacement) {
-	for _, old := range before.Spots {
-		at := slices.IndexFunc(after.Spots, func(spot assigner.Spot) bool { return spot.Partition == old.Partition })
+	for _, old := range before.Places {
+		at := slices.IndexFunc(after.Places, func(place assigner.Place) bool { return place.Partition == old.Partition })
 		switch {
 		case at < 0 && (old.Key == 0 || slices.Contains(s.hot, old.Key)):
 			s.fail("%s drops stored partition %d", d.id, old.Partition)
-		case at >= 0 && after.Spots[at].Fence.Less(old.Fence):
-			s.fail("%s writes partition %d back from %v to %v", d.id, old.Partition, old.Fence, after.Spots[at].Fence)
+		case at >= 0 && after.Places[at].Fence.Less(old.Fence):
+			s.fail("%s writes partition %d back from %v to %v", d.id, old.Partition, old.Fence, after.Places[at].Fence)
 		}
 	}
 }
@@ -193,9 +193,9 @@
 		if known := s.published[id]; known.Owner != owners[0] && !known.Moving {
 			s.fail("key %d: map names %q, owner is %v", key, known.Owner, owners)
 		}
-		for _, spot := range s.placements[0].Spots {
-			if spot.Partition == id && spot.Owner != owners[0] {
-				s.fail("key %d: table names %q, owner is %v", key, spot.Owner, owners)
+		for _, place := range s.placements[0].Places {
+			if place.Partition == id && place.Owner != owners[0] {
+				s.fail("key %d: table names %q, owner is %v", key, place.Owner, owners)
 			}
 		}
 	}
--- a/internal/ownership/lease/settled.go
+++ b/internal/ownership/lease/replaceable.go
@@ -6,10 +6,10 @@
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 )
 
-// Settled reports whether the members may be replaced by next: a majority has accepted this epoch, every member has
+// Replaceable reports whether the members may be replaced by next: a majority has accepted this epoch, every member has
 // listed its holdings or lost its lease, and none that is missing in next holds anything. Without this a later epoch,
 // which knows only the members of the last two rows, could grant what a forgotten member still holds.
-func (l *Ledger) Settled(next []Member) bool {
+func (l *Ledger) Replaceable(next []Member) bool {
 	if !l.Quorum() || !l.Complete() {
 		return false
 	}
--- a/internal/ownership/ranges/ranges_test.go
+++ b/internal/ownership/ranges/ranges_test.go
@@ -46,8 +46,8 @@
 	return result
 }
 
-// settled is the table after all moves.
-func settled(table *ranges.Table) *ranges.Table {
+// afterMoves is the table after all moves.
+func afterMoves(table *ranges.Table) *ranges.Table {
 	next := table.Clone()
 	for i := range next.Holdings {
 		next.Holdings[i].Formers = nil
@@ -191,7 +191,7 @@
 	table := before
 	for range 4 {
 		next, _ := planner(servers(1, 2, 3, 4, 5), load).Next(table)
-		table = settled(next)
+		table = afterMoves(next)
 	}
 	load.Prepare()
 	sums := make(map[fleet.UpstreamID]float64)
--- a/internal/peer/mesh/mesh_test.go
+++ b/internal/peer/mesh/mesh_test.go
@@ -25,8 +25,8 @@
 
 const patience = 10 * time.Second
 
-// station is one mesh on loopback with what it received.
-type station struct {
+// node is one mesh on loopback with what it received.
+type node struct {
 	*mesh.Mesh
 
 	socket   *lossy
@@ -94,7 +94,7 @@
 }
 
 // start starts a mesh on a fresh socket, or again on the address that it had.
-func (g *group) start(id fleet.HostID, config *tls.Config) *station {
+func (g *group) start(id fleet.HostID, config *tls.Config) *node {
 	address, known := g.resolve(id)
 	if !known {
 		address = netip.MustParseAddrPort("127.0.0.1:0")
@@ -107,7 +107,7 @@
 	g.mu.Lock()
 	g.addresses[id] = address
 	g.mu.Unlock()
-	s := &station{socket: &lossy{PacketConn: socket}, received: make(chan string, 1000), block: make(chan struct{})}
+	s := &node{socket: &lossy{PacketConn: socket}, received: make(chan string, 1000), block: make(chan struct{})}
 	s.Mesh = &mesh.Mesh{
 		Host: fleet.Host{ID: id, Peer: address}, Incarnation: uint64(time.Now().UnixNano()), TLS: config,
 		Clock: timer.System{}, Log: zerolog.Nop(), Packets: s.socket, Resolve: g.resolve, IdleTimeout: 2 * time.Second,
@@ -136,17 +136,17 @@
 	return s
 }
 
-func (s *station) send(to fleet.HostID, text string) error {
+func (s *node) send(to fleet.HostID, text string) error {
 	return s.sendWithin(patience, to, "note", []byte(text))
 }
 
-func (s *station) sendWithin(timeout time.Duration, to fleet.HostID, topic string, payload []byte) error {
+func (s *node) sendWithin(timeout time.Duration, to fleet.HostID, topic string, payload []byte) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	return s.Send(ctx, to, topic, payload)
 }
 
-func (g *group) receive(s *station) string {
+func (g *group) receive(s *node) string {
 	g.t.Helper()
 	wake := timer.System{}.After(patience)
 	defer wake.Stop()
@@ -170,7 +170,7 @@
 	}
 }
 
-func (s *station) peers() (hosts []fleet.HostID) {
+func (s *node) peers() (hosts []fleet.HostID) {
 	for _, link := range s.Links() {
 		if link.Peer {
 			hosts = append(hosts, link.Host)
@@ -267,9 +267,9 @@
 
 // Guards against a peer whose handler is stuck, or that does not respond at all, and that holds up messages to others.
 func TestStuckPeerDelaysNobody(t *testing.T) {
-	for name, stick := range map[string]func(b *station){
-		"blocked handler": func(*station) {},
-		"paused":          func(b *station) { b.socket.cut.Store(true) },
+	for name, stick := range map[string]func(b *node){
+		"blocked handler": func(*node) {},
+		"paused":          func(b *node) { b.socket.cut.Store(true) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/peer/spread/faults_test.go
+++ b/internal/peer/spread/faults_test.go
@@ -202,8 +202,8 @@
 	}
 }
 
-// settled checks that every daemon counts the given members and holds the version.
-func (net *network) settled(members int, version uint64) {
+// converged checks that every daemon counts the given members and holds the version.
+func (net *network) converged(members int, version uint64) {
 	net.t.Helper()
 	low, _ := net.version()
 	net.expect("lowest version", low, version)
@@ -233,7 +233,7 @@
 			net.sleep(time.Minute)
 			net.publish("entry-00", 2)
 			net.sleep(time.Second)
-			net.settled(fleetSize, 2)
+			net.converged(fleetSize, 2)
 		}},
 		{"list lags: shows a lost host, lacks a new one", func(net *network) {
 			net.kill("entry-05")
@@ -241,7 +241,7 @@
 			net.sleep(time.Minute)
 			net.publish("entry-20", 2)
 			net.sleep(time.Second)
-			net.settled(fleetSize, 2)
+			net.converged(fleetSize, 2)
 		}},
 		{"list unavailable", func(net *network) {
 			net.list.SetOutage(standin.OutageRefused)
@@ -249,7 +249,7 @@
 			net.sleep(30 * time.Second)
 			net.publish("entry-00", 2)
 			net.sleep(time.Second)
-			net.settled(fleetSize-1, 2)
+			net.converged(fleetSize-1, 2)
 		}},
 		{"three neighbours lost at once", func(net *network) {
 			for _, id := range []fleet.HostID{"entry-01", "entry-05", "entry-09"} {
@@ -258,7 +258,7 @@
 			net.sleep(40 * time.Second)
 			net.publish("entry-00", 2)
 			net.sleep(time.Second)
-			net.settled(fleetSize-3, 2)
+			net.converged(fleetSize-3, 2)
 		}},
 		{"host restarted with empty memory", func(net *network) {
 			net.publish("entry-00", 5)
@@ -270,7 +270,7 @@
 			net.sleep(time.Second)
 			net.start(place(5))
 			net.sleep(5 * time.Second)
-			net.settled(fleetSize, 5)
+			net.converged(fleetSize, 5)
 			at, total := net.nodes["entry-00"].runner.InForce(5)
 			net.expect("in force before it adopts", [2]int{at, total}, [2]int{fleetSize - 1, fleetSize})
 			net.nodes["entry-05"].runner.Adopt(5)
@@ -295,7 +295,7 @@
 			}
 			net.setFaults(func() { net.delay = nil })
 			net.sleep(30 * time.Second)
-			net.settled(fleetSize, 199)
+			net.converged(fleetSize, 199)
 		}},
 		{"peer slow: offers items and delivers them late", func(net *network) {
 			net.setFaults(func() {
@@ -326,7 +326,7 @@
 			})
 			net.publish("entry-04", 2)
 			net.sleep(10 * time.Second)
-			net.settled(fleetSize, 2)
+			net.converged(fleetSize, 2)
 		}},
 		{"region partitioned for an hour and healed", func(net *network) {
 			net.setFaults(func() {
@@ -343,7 +343,7 @@
 			net.expect("version on the other side", item.Version.Major, uint64(3))
 			net.setFaults(func() { net.blocked = nil })
 			net.sleep(45 * time.Second)
-			net.settled(fleetSize, 7)
+			net.converged(fleetSize, 7)
 		}},
 	}
 	for _, test := range cases {
@@ -361,7 +361,7 @@
 				net.sleep(5 * time.Second)
 				net.publish("entry-02", 1)
 				net.sleep(time.Second)
-				net.settled(fleetSize, 1)
+				net.converged(fleetSize, 1)
 				test.run(net)
 			})
 		})
--- a/internal/routing/admission/admission_test.go
+++ b/internal/routing/admission/admission_test.go
@@ -59,7 +59,7 @@
 	is.True(refused.RetryAfter >= 40*time.Millisecond) // the five ahead
 }
 
-// Guards against one long interval, such as a freeze of the upstream, after which nobody is let into the line again.
+// Guards against one long interval, such as a freeze of the upstream, after which nobody is let into the queue again.
 func TestForecastRecovers(t *testing.T) {
 	is := is.New(t)
 	gate, now := newGate(1, 100), start
@@ -71,7 +71,7 @@
 	is.Equal(verdict, admission.Verdict(admission.Queued{}))
 }
 
-// Guards against a tenant that fills the line and takes the slots of the others.
+// Guards against a tenant that fills the queue and takes the slots of the others.
 func TestFairShare(t *testing.T) {
 	is := is.New(t)
 	gate, now := newGate(1, 40), start
@@ -81,13 +81,13 @@
 	}
 	displaced := 0
 	for range 30 {
-		_, settled := gate.Enter(now, ticket("big", time.Hour))
-		for _, one := range settled {
+		_, decided := gate.Enter(now, ticket("big", time.Hour))
+		for _, one := range decided {
 			is.Equal(one.Verdict.(admission.Refused).Cause, cause.TenantShare)
 			displaced++
 		}
 	}
-	is.Equal(displaced, 30) // three quarters of the line belong to the big tenant
+	is.Equal(displaced, 30) // three quarters of the queue belong to the big tenant
 	verdict, _ := gate.Enter(now, ticket("small", time.Hour))
 	_, refused := verdict.(admission.Refused)
 	is.True(refused)
@@ -115,15 +115,15 @@
 	is.Equal(serve(gate, &now), newest)
 }
 
-// Guards against more requests in flight than the limit and tickets that are lost or settled twice.
+// Guards against more requests in flight than the limit and tickets that are lost or decided twice.
 func TestGateKeepsCount(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		slots, now := rapid.IntRange(1, 4).Draw(t, "slots"), start
 		gate, inFlight, waiting := newGate(slots, 5), 0, map[*admission.Ticket]bool{}
-		settle := func(settled []admission.Settled) {
-			for _, one := range settled {
+		settle := func(decided []admission.Decided) {
+			for _, one := range decided {
 				if !waiting[one.Ticket] {
-					t.Fatal("settled a ticket that did not wait")
+					t.Fatal("decided a ticket that did not wait")
 				}
 				delete(waiting, one.Ticket)
 				if _, ok := one.Verdict.(admission.Admitted); ok {
@@ -138,14 +138,14 @@
 				settle(gate.Leave(now, "u", admission.Served{Latency: 10 * time.Millisecond}))
 			} else {
 				one := ticket(rapid.SampledFrom([]fleet.TenantName{"big", "small", ""}).Draw(t, "tenant"), now.Sub(start)+100*time.Millisecond)
-				verdict, settled := gate.Enter(now, one)
+				verdict, decided := gate.Enter(now, one)
 				switch verdict.(type) {
 				case admission.Admitted:
 					inFlight++
 				case admission.Queued:
 					waiting[one] = true
 				}
-				settle(settled)
+				settle(decided)
 			}
 			if inFlight > slots || len(waiting) > 5 {
 				t.Fatalf("%d in flight, %d waiting", inFlight, len(waiting))
--- a/internal/routing/admission/line.go
+++ b/internal/routing/admission/fairqueue.go
@@ -21,8 +21,8 @@
 	Bulk bool
 }
 
-// line holds the waiting tickets, a queue for each tenant.
-type line struct {
+// fairQueue holds the waiting tickets, a queue for each tenant.
+type fairQueue struct {
 	// length counts the tickets of all queues.
 	length int
 	queues map[fleet.TenantName]*queue
@@ -38,27 +38,27 @@
 	weight float64
 }
 
-func (l *line) push(ticket *Ticket, weight int) {
-	if l.queues == nil {
-		l.queues = make(map[fleet.TenantName]*queue)
+func (q *fairQueue) push(ticket *Ticket, weight int) {
+	if q.queues == nil {
+		q.queues = make(map[fleet.TenantName]*queue)
 	}
-	own := l.queues[ticket.Tenant]
+	own := q.queues[ticket.Tenant]
 	if own == nil {
 		own = &queue{}
-		l.queues[ticket.Tenant] = own
+		q.queues[ticket.Tenant] = own
 	}
 	own.weight = float64(max(1, weight))
 	if len(own.tickets) == 0 {
-		own.pass = max(own.pass, l.clock)
+		own.pass = max(own.pass, q.clock)
 	}
 	own.tickets = append(own.tickets, ticket)
-	l.length++
+	q.length++
 }
 
 // next returns the queue of the tenant that is furthest below its share, or nil.
-func (l *line) next() *queue {
+func (q *fairQueue) next() *queue {
 	var best *queue
-	for _, candidate := range l.queues {
+	for _, candidate := range q.queues {
 		if len(candidate.tickets) > 0 && (best == nil || candidate.pass < best.pass) {
 			best = candidate
 		}
@@ -67,31 +67,31 @@
 }
 
 // take removes the ticket at index from a queue and charges the tenant for it.
-func (l *line) take(from *queue, index int) *Ticket {
+func (q *fairQueue) take(from *queue, index int) *Ticket {
 	ticket := from.tickets[index]
-	l.clock = from.pass
+	q.clock = from.pass
 	from.pass += 1 / from.weight
-	l.cut(from, index)
+	q.cut(from, index)
 	return ticket
 }
 
-func (l *line) cut(from *queue, index int) {
+func (q *fairQueue) cut(from *queue, index int) {
 	copy(from.tickets[index:], from.tickets[index+1:])
 	from.tickets[len(from.tickets)-1] = nil
 	from.tickets = from.tickets[:len(from.tickets)-1]
-	l.length--
+	q.length--
 }
 
-// remove takes a ticket out of the line and reports whether it was there.
-func (l *line) remove(ticket *Ticket) bool {
-	own := l.queues[ticket.Tenant]
+// remove takes a ticket out of the queue and reports whether it was there.
+func (q *fairQueue) remove(ticket *Ticket) bool {
+	own := q.queues[ticket.Tenant]
 	if own == nil {
 		return false
 	}
 	for i, other := range own.tickets {
 		if other == ticket {
-			l.cut(own, i)
-			l.forget(ticket.Tenant, own)
+			q.cut(own, i)
+			q.forget(ticket.Tenant, own)
 			return true
 		}
 	}
@@ -99,30 +99,30 @@
 }
 
 // forget drops the empty queue of a tenant that owes nothing, so that the map stays small.
-func (l *line) forget(tenant fleet.TenantName, own *queue) {
-	if len(own.tickets) == 0 && own.pass <= l.clock {
-		delete(l.queues, tenant)
+func (q *fairQueue) forget(tenant fleet.TenantName, own *queue) {
+	if len(own.tickets) == 0 && own.pass <= q.clock {
+		delete(q.queues, tenant)
 	}
 }
 
 // ahead returns how many tickets are served before a new one of the tenant, by the fair shares.
-func (l *line) ahead(tenant fleet.TenantName, weight int) float64 {
+func (q *fairQueue) ahead(tenant fleet.TenantName, weight int) float64 {
 	mine, weights := 0.0, float64(max(1, weight))
-	for name, other := range l.queues {
+	for name, other := range q.queues {
 		if name == tenant {
 			mine = float64(len(other.tickets))
 		} else if len(other.tickets) > 0 {
 			weights += other.weight
 		}
 	}
-	return min(float64(l.length), mine*weights/float64(max(1, weight)))
+	return min(float64(q.length), mine*weights/float64(max(1, weight)))
 }
 
-// most returns the queue that exceeds its share of the line by the most.
-func (l *line) most() *queue {
+// most returns the queue that exceeds its share of the queue by the most.
+func (q *fairQueue) most() *queue {
 	var result *queue
 	highest := math.Inf(-1)
-	for _, candidate := range l.queues {
+	for _, candidate := range q.queues {
 		if part := float64(len(candidate.tickets)) / candidate.weight; part > highest {
 			highest, result = part, candidate
 		}
@@ -132,21 +132,21 @@
 
 // displace makes room in a full line: the newest ticket of the tenant that is furthest above its share gives way, unless
 // the new ticket's own tenant is that one.
-func (l *line) displace(ticket *Ticket, weight int) (*Ticket, cause.Cause) {
-	over := l.most()
+func (q *fairQueue) displace(ticket *Ticket, weight int) (*Ticket, cause.Cause) {
+	over := q.most()
 	mine := 0
-	if own := l.queues[ticket.Tenant]; own != nil {
+	if own := q.queues[ticket.Tenant]; own != nil {
 		mine = len(own.tickets)
 	}
 	switch {
-	case over == nil || over == l.queues[ticket.Tenant] && len(l.queues) == 1:
+	case over == nil || over == q.queues[ticket.Tenant] && len(q.queues) == 1:
 		return nil, cause.QueueFull
 	case float64(mine+1)/float64(max(1, weight)) > float64(len(over.tickets))/over.weight:
 		return nil, cause.QueueFull
-	case over == l.queues[ticket.Tenant]:
+	case over == q.queues[ticket.Tenant]:
 		return nil, cause.TenantShare
 	}
 	last := over.tickets[len(over.tickets)-1]
-	l.cut(over, len(over.tickets)-1)
+	q.cut(over, len(over.tickets)-1)
 	return last, cause.TenantShare
 }
--- a/internal/routing/admission/gate.go
+++ b/internal/routing/admission/gate.go
@@ -17,7 +17,7 @@
 	Upstream fleet.UpstreamID
 }
 
-// Queued makes the ticket wait; it is settled later, or withdrawn.
+// Queued makes the ticket wait; it is decided later, or withdrawn.
 type Queued struct{}
 
 // Refused rejects the ticket.
@@ -31,21 +31,21 @@
 func (Queued) verdict()   {}
 func (Refused) verdict()  {}
 
-// Settled is a waiting ticket that got its verdict.
-type Settled struct {
+// Decided is a waiting ticket that got its verdict.
+type Decided struct {
 	Ticket  *Ticket
 	Verdict Verdict
 }
 
 const (
-	// intervalWeight and missWeight smooth what the gate learns from its line.
+	// intervalWeight and missWeight smooth what the gate learns from its queue.
 	intervalWeight = 16
 	missWeight     = 16
 	// forecastMargin multiplies the forecast of the wait, because intervals vary: with 1, a third of the rejected
 	// requests at twice the capacity waited until their deadlines had become unmeetable; with 2, less than a tenth, at
 	// the same goodput.
 	forecastMargin = 2
-	// missedMost is the share of missed deadlines in the line above which the newest request goes first.
+	// missedMost is the share of missed deadlines in the queue above which the newest request goes first.
 	missedMost = 0.25
 )
 
@@ -61,12 +61,12 @@
 	// Weight returns the share of a tenant. Nil gives all tenants the same.
 	Weight func(fleet.TenantName) int
 
-	lanes map[fleet.UpstreamID]*lane
-	line  line
+	lanes   map[fleet.UpstreamID]*lane
+	waiting fairQueue
 	// service follows the time for which a request occupies a slot.
 	service time.Duration
-	// interval follows the time between two admissions from the line, and last is the time of the latest, or of the
-	// moment from which the line was not empty.
+	// interval follows the time between two admissions from the queue, and last is the time of the latest, or of the
+	// moment from which the queue was not empty.
 	interval time.Duration
 	last     time.Time
 	// misses follows the share of waiting tickets that could no longer meet their deadlines.
@@ -98,38 +98,38 @@
 	return g.Weight(tenant)
 }
 
-// Enter admits, queues or refuses a ticket. A ticket that waits may be settled at once because it displaced another.
-func (g *Gate) Enter(now time.Time, ticket *Ticket) (Verdict, []Settled) {
-	if g.line.length == 0 {
+// Enter admits, queues or refuses a ticket. A ticket that waits may be decided at once because it displaced another.
+func (g *Gate) Enter(now time.Time, ticket *Ticket) (Verdict, []Decided) {
+	if g.waiting.length == 0 {
 		if id, ok := g.choose(now, ticket); ok {
 			return Admitted{Upstream: id}, nil
 		}
 	}
 	weight := g.weight(ticket.Tenant)
-	wait := g.forecast(now, g.line.ahead(ticket.Tenant, weight)+1)
+	wait := g.forecast(now, g.waiting.ahead(ticket.Tenant, weight)+1)
 	if now.Add(forecastMargin*wait + g.service).After(ticket.Deadline) {
 		return Refused{Cause: cause.DeadlineUnmeetable, RetryAfter: wait}, nil
 	}
-	var settled []Settled
-	if g.line.length >= g.Room {
-		displaced, why := g.line.displace(ticket, weight)
+	var decided []Decided
+	if g.waiting.length >= g.Room {
+		displaced, why := g.waiting.displace(ticket, weight)
 		if displaced == nil {
 			return Refused{Cause: why, RetryAfter: wait}, nil
 		}
-		settled = append(settled, Settled{Ticket: displaced, Verdict: Refused{Cause: why, RetryAfter: wait}})
+		decided = append(decided, Decided{Ticket: displaced, Verdict: Refused{Cause: why, RetryAfter: wait}})
 	}
-	if g.line.length == 0 {
+	if g.waiting.length == 0 {
 		g.last = now
 	}
-	g.line.push(ticket, weight)
-	return Queued{}, settled
+	g.waiting.push(ticket, weight)
+	return Queued{}, decided
 }
 
-// forecast returns how long it takes to admit count tickets from the line.
+// forecast returns how long it takes to admit count tickets from the queue.
 func (g *Gate) forecast(now time.Time, count float64) time.Duration {
-	// Into an empty line a ticket is let by the time of the requests in flight alone: only admissions from the line
-	// correct the interval, and one long interval would otherwise keep the line empty for good.
-	if g.interval > 0 && g.line.length > 0 {
+	// Into an empty queue a ticket is let by the time of the requests in flight alone: only admissions from the queue
+	// correct the interval, and one long interval would otherwise keep the queue empty for good.
+	if g.interval > 0 && g.waiting.length > 0 {
 		return time.Duration(count * float64(max(g.interval, now.Sub(g.last))))
 	}
 	width := 0
@@ -150,8 +150,8 @@
 	return id, ok
 }
 
-// Leave ends the use of a slot and settles the tickets that can go on or can no longer meet their deadline.
-func (g *Gate) Leave(now time.Time, id fleet.UpstreamID, feedback Feedback) []Settled {
+// Leave ends the use of a slot and decides the tickets that can go on or can no longer meet their deadline.
+func (g *Gate) Leave(now time.Time, id fleet.UpstreamID, feedback Feedback) []Decided {
 	lane := g.lane(id)
 	Learn(lane.limit, lane.inFlight, feedback, now)
 	lane.inFlight--
@@ -161,32 +161,32 @@
 		}
 		g.service += (served.Latency - g.service) / quickWeight
 	}
-	return g.Settle(now)
+	return g.Dispatch(now)
 }
 
-// Settle admits waiting tickets while there is room.
-func (g *Gate) Settle(now time.Time) []Settled {
-	var settled []Settled
-	for g.line.length > 0 {
-		from := g.line.next()
+// Dispatch admits waiting tickets while there is room.
+func (g *Gate) Dispatch(now time.Time) []Decided {
+	var decided []Decided
+	for g.waiting.length > 0 {
+		from := g.waiting.next()
 		index, hopeless := g.pick(now, from)
 		if hopeless {
 			g.misses += (1 - g.misses) / missWeight
-			settled = append(settled, Settled{Ticket: from.tickets[index], Verdict: g.unmeetable(now)})
-			g.line.cut(from, index)
+			decided = append(decided, Decided{Ticket: from.tickets[index], Verdict: g.unmeetable(now)})
+			g.waiting.cut(from, index)
 			continue
 		}
 		id, ok := g.choose(now, from.tickets[index])
 		if !ok {
-			return settled
+			return decided
 		}
 		g.admitted(now)
-		settled = append(settled, Settled{Ticket: g.line.take(from, index), Verdict: Admitted{Upstream: id}})
+		decided = append(decided, Decided{Ticket: g.waiting.take(from, index), Verdict: Admitted{Upstream: id}})
 	}
-	return settled
+	return decided
 }
 
-// admitted takes in the time of an admission from the line.
+// admitted takes in the time of an admission from the queue.
 func (g *Gate) admitted(now time.Time) {
 	passed := now.Sub(g.last)
 	if g.interval == 0 {
@@ -198,7 +198,7 @@
 }
 
 // pick returns the ticket to serve next from a queue. The oldest comes first as long as the forecast of Enter holds, since
-// every waiting ticket can then be served in time. When many tickets miss their deadlines in the line, there is more work
+// every waiting ticket can then be served in time. When many tickets miss their deadlines in the queue, there is more work
 // than forecast, and the newest comes first: it is the one most likely to be served in time.
 func (g *Gate) pick(now time.Time, from *queue) (index int, hopeless bool) {
 	if g.hopeless(now, from.tickets[0]) {
@@ -215,7 +215,7 @@
 }
 
 func (g *Gate) unmeetable(now time.Time) Refused {
-	return Refused{Cause: cause.DeadlineUnmeetable, RetryAfter: g.forecast(now, float64(g.line.length))}
+	return Refused{Cause: cause.DeadlineUnmeetable, RetryAfter: g.forecast(now, float64(g.waiting.length))}
 }
 
 // LatestStart returns the time after which a request can no longer meet the deadline.
@@ -223,9 +223,9 @@
 	return deadline.Add(-g.service)
 }
 
-// Withdraw takes a waiting ticket out. It returns false if the ticket was settled before.
+// Withdraw takes a waiting ticket out. It returns false if the ticket was decided before.
 func (g *Gate) Withdraw(now time.Time, ticket *Ticket) bool {
-	removed := g.line.remove(ticket)
+	removed := g.waiting.remove(ticket)
 	if removed && g.hopeless(now, ticket) {
 		g.misses += (1 - g.misses) / missWeight
 	}
--- a/internal/routing/admission/view.go
+++ b/internal/routing/admission/view.go
@@ -8,7 +8,7 @@
 
 // Waiting returns the number of tickets that wait.
 func (g *Gate) Waiting() int {
-	return g.line.length
+	return g.waiting.length
 }
 
 // LimitOf returns how many requests the gate allows in flight at an upstream at the time.
--- a/internal/routing/balance/pick.go
+++ b/internal/routing/balance/pick.go
@@ -8,8 +8,8 @@
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 )
 
-// Wish is what a request asks of the choice.
-type Wish struct {
+// Criteria is what a request asks of the choice.
+type Criteria struct {
 	// Avoid names an upstream that is used only if there is no other.
 	Avoid fleet.UpstreamID
 	// Repeatable is set for a request that may be lost without harm, so that it may try a suspected upstream.
@@ -23,17 +23,17 @@
 
 // Pick returns the upstream to use: the better of two that are drawn at random by weight. It returns false if none can be
 // used now.
-func (p *Pool) Pick(now time.Time, wish Wish) (fleet.UpstreamID, bool) {
+func (p *Pool) Pick(now time.Time, criteria Criteria) (fleet.UpstreamID, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if trial := p.trial(now, wish); trial != nil {
+	if trial := p.trial(now, criteria); trial != nil {
 		return trial.ID, true
 	}
-	usable := p.usable(now, wish)
+	usable := p.usable(now, criteria)
 	if len(usable) == 0 {
 		return "", false
 	}
-	if wish.Bulk {
+	if criteria.Bulk {
 		usable = p.near(usable)
 	}
 	first := p.draw(now, usable)
@@ -51,12 +51,12 @@
 }
 
 // trial returns a suspected upstream whose next trial is due, if the request may be used for it.
-func (p *Pool) trial(now time.Time, wish Wish) *member {
-	if !wish.Repeatable {
+func (p *Pool) trial(now time.Time, criteria Criteria) *member {
+	if !criteria.Repeatable {
 		return nil
 	}
 	for _, one := range p.members {
-		if one.suspect && !one.out(now) && !now.Before(one.nextTrial) && one.ID != wish.Avoid && wish.free(one.ID) {
+		if one.suspect && !one.out(now) && !now.Before(one.nextTrial) && one.ID != criteria.Avoid && criteria.free(one.ID) {
 			one.doubt(now)
 			return one
 		}
@@ -66,7 +66,7 @@
 
 // usable returns the upstreams to choose among. If more than half look bad, the fault is more likely on this side or in
 // the judgement than in all of them, and all that are not leaving are used.
-func (p *Pool) usable(now time.Time, wish Wish) []*member {
+func (p *Pool) usable(now time.Time, criteria Criteria) []*member {
 	staying, good := make([]*member, 0, len(p.members)), make([]*member, 0, len(p.members))
 	for _, one := range p.members {
 		if one.out(now) {
@@ -84,8 +84,8 @@
 	var avoided *member
 	for _, one := range good {
 		switch {
-		case !wish.free(one.ID):
-		case one.ID == wish.Avoid:
+		case !criteria.free(one.ID):
+		case one.ID == criteria.Avoid:
 			avoided = one
 		default:
 			free = append(free, one)
@@ -111,8 +111,8 @@
 	return near
 }
 
-func (w Wish) free(id fleet.UpstreamID) bool {
-	return w.Free == nil || w.Free(id)
+func (c Criteria) free(id fleet.UpstreamID) bool {
+	return c.Free == nil || c.Free(id)
 }
 
 // draw returns one upstream at random by weight.
--- a/internal/routing/balance/pool_test.go
+++ b/internal/routing/balance/pool_test.go
@@ -35,10 +35,10 @@
 }
 
 // picks returns how many of 1,000 choices fall on each upstream.
-func picks(pool *balance.Pool, at time.Time, wish balance.Wish) map[fleet.UpstreamID]int {
+func picks(pool *balance.Pool, at time.Time, criteria balance.Criteria) map[fleet.UpstreamID]int {
 	result := map[fleet.UpstreamID]int{}
 	for range 1000 {
-		if id, ok := pool.Pick(at, wish); ok {
+		if id, ok := pool.Pick(at, criteria); ok {
 			result[id]++
 		}
 	}
@@ -92,7 +92,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			pool, candidates := newPool(4)
 			test.spoil(pool, candidates)
-			got := picks(pool, test.at, balance.Wish{})["0"]
+			got := picks(pool, test.at, balance.Criteria{})["0"]
 			if got < test.low || got > test.high {
 				t.Fatalf("chosen %d times of 1,000, expected %d to %d", got, test.low, test.high)
 			}
@@ -106,10 +106,10 @@
 	pool, _ := newPool(3)
 	see(pool, start, "0", balance.Unreachable{})
 	later := start.Add(600 * time.Millisecond)
-	is.Equal(picks(pool, later, balance.Wish{})["0"], 0)
-	is.Equal(picks(pool, later, balance.Wish{Repeatable: true})["0"], 1) // one trial at a time
+	is.Equal(picks(pool, later, balance.Criteria{})["0"], 0)
+	is.Equal(picks(pool, later, balance.Criteria{Repeatable: true})["0"], 1) // one trial at a time
 	see(pool, later, "0", balance.Answered{Latency: time.Millisecond})
-	is.True(picks(pool, later, balance.Wish{})["0"] > 0) // back, slowly
+	is.True(picks(pool, later, balance.Criteria{})["0"] > 0) // back, slowly
 }
 
 // Guards against large answers that cross failure domains while an upstream beside the daemon is free, and against ones that
@@ -119,8 +119,8 @@
 	pool, candidates := newPool(4)
 	candidates[0].Place.Domain, candidates[1].Place.Domain = "far", "far"
 	pool.Set(start, candidates)
-	got := picks(pool, start, balance.Wish{Bulk: true})
+	got := picks(pool, start, balance.Criteria{Bulk: true})
 	is.Equal(got["0"]+got["1"], 0)
 	busy := func(id fleet.UpstreamID) bool { return id == "0" }
-	is.Equal(picks(pool, start, balance.Wish{Bulk: true, Free: busy})["0"], 1000)
+	is.Equal(picks(pool, start, balance.Criteria{Bulk: true, Free: busy})["0"], 1000)
 }
--- a/internal/routing/router/answer.go
+++ b/internal/routing/router/answer.go
@@ -25,13 +25,13 @@
 const mostResumes = 3
 
 // answer wraps the answer of an upstream.
-func (f *flight) answer(visit *visit, responded forward.Responded) Answer {
+func (p *pending) answer(slot *usedSlot, responded forward.Responded) Answer {
 	why := cause.OK
-	objective := f.request.Objective
+	objective := p.request.Objective
 	if objective == 0 {
-		objective = f.service.Target
+		objective = p.service.Target
 	}
-	if f.router.Clock.Now().Sub(f.started) > objective {
+	if p.router.Clock.Now().Sub(p.started) > objective {
 		why = cause.SlowUpstream
 	}
 	if responded.Status >= http.StatusInternalServerError {
@@ -39,7 +39,7 @@
 	}
 	answered := &Answered{
 		Status: responded.Status, Header: responded.Header, Outcome: cause.Complete, Cause: why,
-		flight: f, body: responded.Body, responded: responded, visit: visit,
+		pending: p, body: responded.Body, responded: responded, slot: slot,
 	}
 	if responded.Whole {
 		answered.leave(responded)
@@ -47,11 +47,11 @@
 	return answered
 }
 
-// leave ends the visit.
+// leave ends the slot.
 func (a *Answered) leave(result forward.Result) {
-	if a.visit != nil {
-		a.flight.release(a.visit, result)
-		a.visit = nil
+	if a.slot != nil {
+		a.pending.release(a.slot, result)
+		a.slot = nil
 	}
 }
 
@@ -67,11 +67,11 @@
 	}
 	switch {
 	case err == nil:
-		a.flight.end(cause.Complete, a.Cause, a.Status)
-	case errors.Is(err, errCaller) || a.flight.caller.Err() != nil:
-		a.flight.end(cause.Unknown, cause.CallerGone, 0)
+		a.pending.end(cause.Complete, a.Cause, a.Status)
+	case errors.Is(err, errCaller) || a.pending.caller.Err() != nil:
+		a.pending.end(cause.Unknown, cause.CallerGone, 0)
 	default:
-		a.flight.end(cause.Unknown, cause.AnswerCut, 0)
+		a.pending.end(cause.Unknown, cause.AnswerCut, 0)
 	}
 	return err
 }
@@ -84,10 +84,10 @@
 	a.done = true
 	_ = a.body.Close()
 	a.leave(forward.Lost{Local: true})
-	a.flight.end(cause.Unknown, cause.CallerGone, 0)
+	a.pending.end(cause.Unknown, cause.CallerGone, 0)
 }
 
-// stream copies the present body and ends its visit.
+// stream copies the present body and ends its slot.
 func (a *Answered) stream(w io.Writer) (int64, error) {
 	written, err := copyAnswer(w, a.body, !a.responded.Whole)
 	_ = a.body.Close()
@@ -142,11 +142,11 @@
 
 // resume fetches the rest of a download that ended early after written bytes.
 func (a *Answered) resume(w io.Writer, written int64) (int64, error) {
-	f := a.flight
+	p := a.pending
 	tag := a.Header.Get("ETag")
 	total, err := strconv.ParseInt(a.Header.Get("Content-Length"), 10, 64)
 	strong := strings.HasPrefix(tag, `"`)
-	if err != nil || !strong || a.Status != http.StatusOK || f.request.Method != http.MethodGet {
+	if err != nil || !strong || a.Status != http.StatusOK || p.request.Method != http.MethodGet {
 		return written, ErrIncomplete
 	}
 	for range mostResumes {
@@ -169,15 +169,15 @@
 
 // rest asks another upstream for the bytes from an offset on, and returns nil if it has not the same content.
 func (a *Answered) rest(from int64, tag string, total int64) *forward.Responded {
-	f := a.flight
-	if f.ctx.Err() != nil || !f.service.budget.Take() {
+	p := a.pending
+	if p.ctx.Err() != nil || !p.service.budget.Take() {
 		return nil
 	}
-	visit, refused := f.acquire()
+	slot, refused := p.acquire()
 	if refused != nil {
 		return nil
 	}
-	whole := f.request
+	whole := p.request
 	ranged := *whole
 	ranged.Header = whole.Header.Clone()
 	if ranged.Header == nil {
@@ -185,10 +185,10 @@
 	}
 	ranged.Header.Set("Range", "bytes="+strconv.FormatInt(from, 10)+"-")
 	ranged.Header.Set("If-Range", tag)
-	f.request = &ranged
-	result := f.send(visit)
-	f.request = whole
-	f.avoid = visit.upstream.ID
+	p.request = &ranged
+	result := p.send(slot)
+	p.request = whole
+	p.avoid = slot.upstream.ID
 	part, ok := result.(forward.Responded)
 	if ok && (part.Status != http.StatusPartialContent || part.Header.Get("ETag") != tag ||
 		part.Header.Get("Content-Range") != contentRange(from, total)) {
@@ -196,10 +196,10 @@
 		ok = false
 	}
 	if !ok {
-		f.release(visit, result)
+		p.release(slot, result)
 		return nil
 	}
-	a.body, a.responded, a.visit = part.Body, part, visit
+	a.body, a.responded, a.slot = part.Body, part, slot
 	return &part
 }
 
--- a/internal/routing/router/request.go
+++ b/internal/routing/router/request.go
@@ -49,13 +49,13 @@
 	Outcome cause.Outcome
 	Cause   cause.Cause
 
-	flight *flight
+	pending *pending
 	// responded is the answer that body belongs to.
 	responded forward.Responded
 	body      io.ReadCloser
-	// visit is nil when the slot was given back.
-	visit *visit
-	done  bool
+	// slot is nil when the slot was given back.
+	slot *usedSlot
+	done bool
 }
 
 // Rejected is the answer of the router itself.
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -88,7 +88,7 @@
 	services map[fleet.ServiceName]*service
 	document *document.Document
 
-	flights flights
+	inProgress inProgress
 }
 
 // Run abandons attempts at servers that lost the partition of a repeatable request, until ctx ends.
@@ -99,7 +99,7 @@
 	}
 	for {
 		changed := r.Owners.Changed()
-		r.flights.superseded(r.Owners)
+		r.inProgress.superseded(r.Owners)
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -111,37 +111,37 @@
 // Do routes one request. The answer must be copied or closed. ctx ends when the caller goes away.
 func (r *Router) Do(ctx context.Context, request *Request) Answer {
 	now := r.Clock.Now()
-	flight := &flight{router: r, request: request, caller: ctx, started: now}
-	flight.record = cause.Record{
+	p := &pending{router: r, request: request, caller: ctx, started: now}
+	p.record = cause.Record{
 		Request: request.ID, Host: r.Host.ID, Service: request.Service, Tenant: request.Tenant, Started: now,
 	}
-	flight.service = r.service(request.Service)
-	if flight.service == nil {
-		return flight.refuse(refusal{outcome: cause.NotRun, cause: cause.NoSuchService})
+	p.service = r.service(request.Service)
+	if p.service == nil {
+		return p.refuse(refusal{outcome: cause.NotRun, cause: cause.NoSuchService})
 	}
-	flight.record.ConfigVersion = flight.service.version
+	p.record.ConfigVersion = p.service.version
 	timeout := request.Timeout
 	if timeout <= 0 {
-		timeout = flight.service.Timeout
+		timeout = p.service.Timeout
 	}
-	flight.deadline = now.Add(timeout)
+	p.deadline = now.Add(timeout)
 	var cancel context.CancelFunc
-	flight.ctx, cancel = context.WithDeadline(ctx, flight.deadline)
-	flight.cancel = cancel
-	if flight.service.Keyed() {
+	p.ctx, cancel = context.WithDeadline(ctx, p.deadline)
+	p.cancel = cancel
+	if p.service.Keyed() {
 		if request.Key == "" {
-			return flight.refuse(refusal{outcome: cause.NotRun, cause: cause.MissingKey})
+			return p.refuse(refusal{outcome: cause.NotRun, cause: cause.MissingKey})
 		}
-		key, err := hash(flight.service.Key, request.Key)
+		key, err := hash(p.service.Key, request.Key)
 		if err != nil {
-			return flight.refuse(refusal{outcome: cause.NotRun, cause: cause.BadRequest})
+			return p.refuse(refusal{outcome: cause.NotRun, cause: cause.BadRequest})
 		}
-		flight.key, flight.record.Key, flight.record.Keyed = key, key, true
+		p.key, p.record.Key, p.record.Keyed = key, key, true
 	}
-	if refused := flight.claim(); refused != nil {
-		return flight.refuse(*refused)
+	if refused := p.claim(); refused != nil {
+		return p.refuse(*refused)
 	}
-	return flight.fly()
+	return p.run()
 }
 
 // hash returns the hash by which the map knows a key: a numbered key stands for itself.
--- a/internal/routing/router/superseded_test.go
+++ b/internal/routing/router/superseded_test.go
@@ -37,12 +37,12 @@
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
-			var all flights
-			f := &flight{
+			var all inProgress
+			p := &pending{
 				ctx: context.Background(), request: &Request{Delivery: test.delivery},
 				service: &service{Service: &document.Service{Guard: test.guard}},
 			}
-			ctx, cancel := all.add(f, before, test.waiting)
+			ctx, cancel := all.add(p, before, test.waiting)
 			defer cancel()
 			all.superseded(after)
 			is.New(t).Equal(ctx.Err() != nil, test.want)
--- a/internal/routing/router/view.go
+++ b/internal/routing/router/view.go
@@ -28,21 +28,21 @@
 		if one == nil {
 			continue
 		}
-		door := service.lobby
-		if one.door != nil {
-			door = one.door
+		queue := service.queue
+		if one.queue != nil {
+			queue = one.queue
 		}
-		queued, limit := door.view(id)
+		queued, limit := queue.view(id)
 		views[id] = UpstreamView{View: view, Queued: queued, Limit: limit}
 	}
 	return views
 }
 
 // view returns the number of waiting requests and the limit of an upstream.
-func (s *station) view(id fleet.UpstreamID) (queued, limit int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.gate.Waiting(), s.gate.LimitOf(id, s.clock.Now())
+func (q *waitQueue) view(id fleet.UpstreamID) (queued, limit int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.gate.Waiting(), q.gate.LimitOf(id, q.clock.Now())
 }
 
 // Rejoined takes in that an upstream which was leaving takes work again.
--- a/internal/upstream/grants/rows.go
+++ b/internal/upstream/grants/rows.go
@@ -30,7 +30,7 @@
 // positions of the servers, so that a row of 256 partitions stays below 8 kB.
 type wirePlacement struct {
 	Servers []string    `json:"servers"`
-	Spots   [][6]uint64 `json:"spots"`
+	Places  [][6]uint64 `json:"places"`
 }
 
 func groupName(service fleet.ServiceName) string {
@@ -84,7 +84,7 @@
 	return members
 }
 
-func encodePlacement(spots []assigner.Spot) ([]byte, error) {
+func encodePlacement(places []assigner.Place) ([]byte, error) {
 	wire := wirePlacement{Servers: []string{""}}
 	positions := map[fleet.UpstreamID]uint64{"": 0}
 	position := func(server fleet.UpstreamID) uint64 {
@@ -96,31 +96,31 @@
 		}
 		return at
 	}
-	for _, spot := range spots {
-		wire.Spots = append(wire.Spots, [6]uint64{
-			uint64(spot.Partition), position(spot.Owner), position(spot.Standby),
-			uint64(spot.Fence.Epoch), spot.Fence.Counter, uint64(spot.Key),
+	for _, place := range places {
+		wire.Places = append(wire.Places, [6]uint64{
+			uint64(place.Partition), position(place.Owner), position(place.Standby),
+			uint64(place.Fence.Epoch), place.Fence.Counter, uint64(place.Key),
 		})
 	}
 	encoded, err := json.Marshal(wire)
 	return encoded, errors.Wrap(err, "grants: encode placement row")
 }
 
-func decodePlacement(encoded []byte) ([]assigner.Spot, error) {
+func decodePlacement(encoded []byte) ([]assigner.Place, error) {
 	var wire wirePlacement
 	if err := json.Unmarshal(encoded, &wire); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "grants: decode placement row"), ErrMalformed)
 	}
-	spots := make([]assigner.Spot, 0, len(wire.Spots))
-	for _, spot := range wire.Spots {
-		if spot[1] >= uint64(len(wire.Servers)) || spot[2] >= uint64(len(wire.Servers)) {
+	places := make([]assigner.Place, 0, len(wire.Places))
+	for _, place := range wire.Places {
+		if place[1] >= uint64(len(wire.Servers)) || place[2] >= uint64(len(wire.Servers)) {
 			return nil, errors.Wrap(ErrMalformed, "placement row: server position out of range")
 		}
-		spots = append(spots, assigner.Spot{
-			Partition: fleet.PartitionID(spot[0]), Owner: fleet.UpstreamID(wire.Servers[spot[1]]),
-			Standby: fleet.UpstreamID(wire.Servers[spot[2]]),
-			Fence:   fleet.Fence{Epoch: fleet.Epoch(spot[3]), Counter: spot[4]}, Key: fleet.KeyHash(spot[5]),
+		places = append(places, assigner.Place{
+			Partition: fleet.PartitionID(place[0]), Owner: fleet.UpstreamID(wire.Servers[place[1]]),
+			Standby: fleet.UpstreamID(wire.Servers[place[2]]),
+			Fence:   fleet.Fence{Epoch: fleet.Epoch(place[3]), Counter: place[4]}, Key: fleet.KeyHash(place[5]),
 		})
 	}
-	return spots, nil
+	return places, nil
 }
--- a/internal/upstream/grants/rowstore.go
+++ b/internal/upstream/grants/rowstore.go
@@ -135,12 +135,12 @@
 		if err != nil {
 			return nil, errors.Mark(errors.Wrapf(err, "grants: placement row %q", row.Name), ErrMalformed)
 		}
-		spots, err := decodePlacement(row.Value)
+		places, err := decodePlacement(row.Value)
 		if err != nil {
 			return nil, err
 		}
 		placements = append(placements, assigner.StoredPlacement{
-			Index: index, Version: assigner.Version(row.Version), Spots: spots,
+			Index: index, Version: assigner.Version(row.Version), Places: places,
 		})
 	}
 	return placements, nil
@@ -149,7 +149,7 @@
 func (s *rowStore) writePlacement(ctx context.Context, job assigner.WritePlacement) assigner.WriteResult {
 	changes := []table.Change{{Name: groupName(s.service), Expected: table.Version(job.Group)}}
 	for _, row := range job.Rows {
-		value, err := encodePlacement(row.Spots)
+		value, err := encodePlacement(row.Places)
 		if err != nil {
 			s.warn("placement row not encoded", err)
 			return assigner.WriteFailed
--- a/internal/upstream/grants/runner_test.go
+++ b/internal/upstream/grants/runner_test.go
@@ -152,18 +152,18 @@
 // spread places each partition on a live server by its number and leaves owners that are alive where they are.
 type spread struct{}
 
-func (spread) Place(spots []assigner.Spot, servers []assigner.Server) []assigner.Spot {
+func (spread) Place(places []assigner.Place, servers []assigner.Server) []assigner.Place {
 	live := make(map[fleet.UpstreamID]bool)
 	for _, server := range servers {
 		live[server.ID] = true
 	}
-	for i := range spots {
-		if !live[spots[i].Owner] {
-			spots[i].Owner = servers[i%len(servers)].ID
+	for i := range places {
+		if !live[places[i].Owner] {
+			places[i].Owner = servers[i%len(servers)].ID
 		}
-		spots[i].Standby = servers[(i+1)%len(servers)].ID
+		places[i].Standby = servers[(i+1)%len(servers)].ID
 	}
-	return spots
+	return places
 }
 
 func newWorld(servers int) (*world, []fleet.Upstream) {
--- a/internal/upstream/standin/handler.go
+++ b/internal/upstream/standin/handler.go
@@ -203,19 +203,19 @@
 		if r.Header.Get("Range") != "" {
 			left = 1 // a rest never comes whole
 		}
-		rw = &cutter{ResponseWriter: rw, left: left}
+		rw = &truncatingWriter{ResponseWriter: rw, left: left}
 	}
 	http.ServeContent(rw, r, "", time.Time{}, strings.NewReader(string(content)))
 }
 
-// cutter resets the connection after some bytes of the body.
-type cutter struct {
+// truncatingWriter resets the connection after some bytes of the body.
+type truncatingWriter struct {
 	http.ResponseWriter
 	left int
 }
 
 // Write passes bytes on until none is left and resets the connection then.
-func (c *cutter) Write(p []byte) (int, error) {
+func (c *truncatingWriter) Write(p []byte) (int, error) {
 	if len(p) < c.left {
 		c.left -= len(p)
 		return c.ResponseWriter.Write(p)
