table, router, rangegrants, entry: fewer reads of the store for each change

Change: the pause after a change of the ranges grows with the fleet (25 ms for each daemon, 2 s at most), that after a change of upstreams is 0.3 of the drain time. A request that is misrouted, cannot be sent, waits for the map or meets a crowded owner ends the pause. Moves that end within 60 ms are written together. Conclusion: a daemon that serves few requests of a range need not know at once that it moved; the wrong answer of the former owner is the cheaper notice.

--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -103,12 +103,14 @@
 	// usualHoldPart is the usual length of a grant as a part of the longest one. A server that falls silent is replaced
 	// after it, and it outlasts the election of an assigner.
 	usualHoldPart = 0.35
-	// upstreamsPause is the time between a change of an upstream's entry and the next look. Many change together when a
-	// service is replaced, and a leaving upstream may be used for longer than this.
-	upstreamsPause = 300 * time.Millisecond
-	// rangesPause is the time between a change of a table of ranges and the next look: the ranges of one move become free
-	// one after the other.
-	rangesPause = 80 * time.Millisecond
+	// upstreamsPart is the time between a change of an upstream's entry and the next look, as a part of the time for which
+	// a leaving upstream may be used. Many entries change together when a service starts or is replaced.
+	upstreamsPart = 0.3
+	// rangesPause is the time between a change of a table of ranges and the next look, for each daemon of the fleet: all of
+	// them together look 40 times a second at most, but for those whose requests meet a range that has moved.
+	rangesPause = 25 * time.Millisecond
+	// rangesPauseMost bounds it.
+	rangesPauseMost = 2 * time.Second
 	// leasePart is the lease of the assigner as a part of the longest grant.
 	leasePart = 0.2
 )
@@ -128,7 +130,8 @@
 	group, serving := errgroup.WithContext(serving)
 	group.Go(func() error { return d.serveReady(serving, ready) })
 	group.Go(func() error { return d.observer.run(serving, d.Metrics) })
-	followers := d.followers()
+	upstreams, ranges := d.followUpstreams(), d.followRanges()
+	followers := []*table.Follower{d.followConfiguration(), upstreams, ranges}
 	d.loads.failed = func() {
 		for _, follower := range followers {
 			follower.Doubt()
@@ -139,6 +142,10 @@
 	}
 	group.Go(func() error { return d.registry.Run(serving) })
 	group.Go(func() error { return d.configuration.follow(serving) })
+	d.router.Stale = func() {
+		ranges.Hurry()
+		upstreams.Hurry()
+	}
 	group.Go(func() error { return d.router.Run(serving) })
 	group.Go(func() error { return d.loads.run(serving) })
 	group.Go(func() error { return d.assign(ctx) })
@@ -196,21 +203,29 @@
 	}
 }
 
-// followers keep the daemon up to date with the store.
-func (d *Daemon) followers() []*table.Follower {
-	return []*table.Follower{
-		{
-			Feed: d.Store, Clock: d.Timer, Log: d.Log, Table: d.Tables.Configuration,
-			Reset: d.configuration.apply, Apply: d.configuration.apply,
-		},
-		{
-			Feed: d.Store, Clock: d.Timer, Log: d.Log, Table: d.Tables.Upstreams,
-			Reset: d.resetUpstreams, Apply: d.applyUpstreams, Regained: d.registry.Regained, Pause: upstreamsPause,
-		},
-		{
-			Feed: d.Store, Clock: d.Timer, Log: d.Log, Table: rangegrants.RangesTable,
-			Reset: d.owners.apply, Apply: d.owners.apply, Pause: rangesPause,
-		},
+// followConfiguration keeps the daemon up to date with the operators' row.
+func (d *Daemon) followConfiguration() *table.Follower {
+	return &table.Follower{
+		Feed: d.Store, Clock: d.Timer, Log: d.Log, Table: d.Tables.Configuration,
+		Reset: d.configuration.apply, Apply: d.configuration.apply,
+	}
+}
+
+// followUpstreams keeps the daemon up to date with the entries of the upstreams.
+func (d *Daemon) followUpstreams() *table.Follower {
+	return &table.Follower{
+		Feed: d.Store, Clock: d.Timer, Log: d.Log, Table: d.Tables.Upstreams,
+		Reset: d.resetUpstreams, Apply: d.applyUpstreams, Regained: d.registry.Regained,
+		Pause: func() time.Duration { return scaled(d.Limits.Drain, upstreamsPart) },
+	}
+}
+
+// followRanges keeps the daemon up to date with the tables of ranges.
+func (d *Daemon) followRanges() *table.Follower {
+	return &table.Follower{
+		Feed: d.Store, Clock: d.Timer, Log: d.Log, Table: rangegrants.RangesTable,
+		Reset: d.owners.apply, Apply: d.owners.apply,
+		Pause: func() time.Duration { return min(rangesPauseMost, time.Duration(d.daemons())*rangesPause) },
 	}
 }
 
--- a/internal/platform/table/follow.go
+++ b/internal/platform/table/follow.go
@@ -42,8 +42,9 @@
 	Apply func([]Row)
 	// Regained is called when the store answers after a failure. It may be nil.
 	Regained func()
-	// Pause is the time between a change and the next call, so that changes that come together cost one call.
-	Pause time.Duration
+	// Pause returns the time between a change and the next call, so that changes that come together cost one call. It may
+	// be nil. Hurry ends it early.
+	Pause func() time.Duration
 
 	// failing belongs to Run and is set while the store does not answer.
 	failing bool
@@ -53,6 +54,17 @@
 	abort context.CancelFunc
 	// doubted is guarded by mu and set when the store failed to answer another call.
 	doubted bool
+	// hurry is guarded by mu and ends the pause after a change; it is nil outside of one.
+	hurry context.CancelFunc
+}
+
+// Hurry takes in that the rows seem to be out of date: the next call for changes is made at once.
+func (f *Follower) Hurry() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.hurry != nil {
+		f.hurry()
+	}
 }
 
 // Doubt takes in that the store failed to answer another call. The call that waits for changes may be silent for good then,
@@ -128,11 +140,27 @@
 		return changes.Version, nil
 	}
 	f.Apply(changes.Rows)
-	// A pause that ends early only makes the next call earlier.
-	_ = timer.Wait(ctx, f.Clock, f.Pause)
+	f.rest(ctx)
 	return changes.Version, nil
 }
 
+// rest waits for the pause after a change, unless it is ended early.
+func (f *Follower) rest(ctx context.Context) {
+	if f.Pause == nil {
+		return
+	}
+	pause, end := context.WithCancel(ctx)
+	defer end()
+	f.mu.Lock()
+	f.hurry = end
+	f.mu.Unlock()
+	// A pause that ends early only makes the next call earlier.
+	_ = timer.Wait(pause, f.Clock, f.Pause())
+	f.mu.Lock()
+	f.hurry = nil
+	f.mu.Unlock()
+}
+
 // regain takes in that the store has answered. Consumers learn it before the rows that follow.
 func (f *Follower) regain() {
 	if !f.failing {
--- a/internal/platform/table/follow_test.go
+++ b/internal/platform/table/follow_test.go
@@ -64,10 +64,10 @@
 }
 
 // follow starts a follower and returns what it saw.
-func follow(t *testing.T, f *feed, pause time.Duration) (*table.Follower, *sightings) {
-	seen := &sightings{}
+func follow(t *testing.T, f *feed, pause time.Duration) (*table.Follower, *observations) {
+	seen := &observations{}
 	follower := &table.Follower{
-		Feed: f, Table: "t", Clock: timer.System{}, Log: zerolog.Nop(), Pause: pause,
+		Feed: f, Table: "t", Clock: timer.System{}, Log: zerolog.Nop(), Pause: func() time.Duration { return pause },
 		Reset:    func([]table.Row) { seen.add(func() { seen.resets++ }) },
 		Apply:    func(rows []table.Row) { seen.add(func() { seen.version = rows[len(rows)-1].Version; seen.applied++ }) },
 		Regained: func() { seen.add(func() { seen.regained++ }) },
@@ -80,19 +80,19 @@
 	return follower, seen
 }
 
-type sightings struct {
+type observations struct {
 	mu                        sync.Mutex
 	resets, applied, regained int
 	version                   table.Version
 }
 
-func (s *sightings) add(do func()) {
+func (s *observations) add(do func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	do()
 }
 
-func (s *sightings) get() (resets, applied, regained int, version table.Version) {
+func (s *observations) get() (resets, applied, regained int, version table.Version) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.resets, s.applied, s.regained, s.version
@@ -151,3 +151,23 @@
 func pass(span time.Duration) {
 	_ = timer.Wait(context.Background(), timer.System{}, span)
 }
+
+// Guards against a reader that needs the latest rows and waits for the end of the pause.
+func TestHurries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &feed{version: 1}
+		follower, seen := follow(t, f, 2*time.Second)
+		f.change(func() { f.version = 2 })
+		pass(20 * time.Millisecond)
+		f.change(func() { f.version = 3 })
+		pass(100 * time.Millisecond)
+		_, _, _, version := seen.get()
+		is.Equal(version, table.Version(2)) // the change within the pause waits
+		follower.Hurry()
+		pass(20 * time.Millisecond)
+		_, _, _, version = seen.get()
+		is.Equal(version, table.Version(3))
+		follower.Hurry() // without a pause it changes nothing
+	})
+}
--- a/internal/routing/router/keyed.go
+++ b/internal/routing/router/keyed.go
@@ -19,6 +19,9 @@
 		}
 		one := p.service.upstreams[assignment.Owner]
 		p.record.Partition, p.record.Fence = assignment.Partition, assignment.Fence
+		if one.queue.crowded() {
+			p.stale() // the key may have been moved to relieve the server
+		}
 		ctx, cancel := p.router.inProgress.add(p, assignment, true)
 		_, refused = p.enter(ctx, one.queue)
 		superseded := ctx.Err() != nil && p.ctx.Err() == nil
@@ -57,6 +60,7 @@
 			return assignment, &refusal{outcome: cause.NotRun, cause: cause.Moving, retryAfter: time.Second}
 		}
 		waiting = true
+		p.stale()
 		if limit := p.service.OwnerWait; limit > 0 {
 			pause = min(pause, limit-p.router.Clock.Now().Sub(asked))
 		}
@@ -70,6 +74,13 @@
 	}
 }
 
+// stale tells that the map seems to be out of date.
+func (p *pending) stale() {
+	if p.router.Stale != nil {
+		p.router.Stale()
+	}
+}
+
 // look returns the assignment of the key, and if it cannot be used now, why and for how long.
 func (p *pending) look() (fleet.Assignment, time.Duration, cause.Cause) {
 	// The confirmation is read before the map: a map that was confirmed later may be used until the earlier end, but not
--- a/internal/routing/router/pending.go
+++ b/internal/routing/router/pending.go
@@ -208,6 +208,7 @@
 	case forward.Rejected:
 		seen, learned = balance.Refused{}, admission.Shed{}
 		if result.Misplaced {
+			p.stale()
 			seen, learned = balance.Unreachable{}, admission.Abandoned{}
 		}
 		if result.Draining {
@@ -215,15 +216,18 @@
 			p.service.suspects.denied(now, slot.assignment)
 		}
 	case forward.NotOwner:
+		p.stale()
 		seen = balance.Answered{Latency: now.Sub(slot.began)}
 		p.service.suspects.denied(now, slot.assignment)
 	case forward.NotSent:
+		p.stale()
 		if result.Local {
 			seen = balance.Silent{}
 		} else if p.service.Keyed() {
 			p.service.suspects.unreachable(now, slot.upstream.ID)
 		}
 	case forward.Lost:
+		p.stale()
 		if result.Local {
 			seen = balance.Silent{}
 		}
--- a/internal/routing/router/queue.go
+++ b/internal/routing/router/queue.go
@@ -34,6 +34,13 @@
 	change(&q.gate)
 }
 
+// crowded reports whether requests wait.
+func (q *waitQueue) crowded() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.waiting) > 0
+}
+
 // enter blocks until the ticket is admitted or refused.
 func (q *waitQueue) enter(ctx context.Context, ticket *admission.Ticket) admission.Verdict {
 	q.mu.Lock()
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -64,6 +64,9 @@
 	Config Configuration
 	// Owners may be nil if no service has keys.
 	Owners Owners
+	// Stale is called when a request meets an entry of the map that is out of date or being changed. It may be nil, and must
+	// not block.
+	Stale func()
 	// Confirmations may be nil if no keyed service has the guard "none"; requests to such a service are rejected then.
 	Confirmations Confirmations
 	// Claims may be nil; requests with an idempotency key for an at-most-once route are rejected then.
--- a/internal/upstream/rangegrants/assigner.go
+++ b/internal/upstream/rangegrants/assigner.go
@@ -121,8 +121,9 @@
 	// show in the load before the next one.
 	planEvery  = time.Second
 	shiftEvery = 900 * time.Millisecond
-	// settlePause is how long the planning waits for more when it is woken by a task.
-	settlePause = 20 * time.Millisecond
+	// settlePause is how long the planning waits for more moves to end before it writes that one has ended. Requests for the
+	// range wait meanwhile.
+	settlePause = 60 * time.Millisecond
 	// gatherTime is how long the servers have to be the same before the first table is made.
 	gatherTime = time.Second
 	// probeEvery is how often a server that did not answer is asked whether it is back.
--- a/internal/upstream/rangegrants/release.go
+++ b/internal/upstream/rangegrants/release.go
@@ -81,7 +81,6 @@
 	if server := t.servers[next]; server != nil {
 		server.poke()
 	}
-	t.poke()
 }
 
 // released reports whether a former owner has released a range or is known to hold nothing of it any more. A release that has
--- a/internal/upstream/rangegrants/server.go
+++ b/internal/upstream/rangegrants/server.go
@@ -55,12 +55,7 @@
 	return one
 }
 
-func (s *server) poke() {
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
-}
+func (s *server) poke() { notify(s.wake) }
 
 // run grants and renews until the term ends.
 func (s *server) run(ctx context.Context) {
@@ -162,7 +157,7 @@
 		s.heard = s.term.Uptime.Uptime()
 		first := s.taken(key, sent, hold)
 		if first && len(one.Formers) > 0 {
-			s.term.poke()
+			s.term.settle()
 		}
 		return true
 	case Superseded:
--- a/internal/upstream/rangegrants/term.go
+++ b/internal/upstream/rangegrants/term.go
@@ -21,8 +21,8 @@
 	lease *lease
 	// began is the uptime at the start of the term, from which the holds of the assigner before are bounded.
 	began time.Duration
-	// wake makes the planning look again.
-	wake chan struct{}
+	// wake makes the planning look again, and settled makes it do so a little later.
+	wake, settled chan struct{}
 	// tasks counts the goroutines of servers, releases and probes.
 	tasks sync.WaitGroup
 	// version and shifted belong to the planning goroutine.
@@ -45,7 +45,7 @@
 
 func newTerm(a *Assigner, held *lease) *term {
 	return &term{
-		Assigner: a, lease: held, began: a.Uptime.Uptime(), wake: make(chan struct{}, 1),
+		Assigner: a, lease: held, began: a.Uptime.Uptime(), wake: make(chan struct{}, 1), settled: make(chan struct{}, 1),
 		servers: make(map[ranges.Owner]*server), releases: make(map[releaseKey]*release),
 		down: make(map[ranges.Owner]bool),
 	}
@@ -156,7 +156,8 @@
 		select {
 		case <-changed:
 		case <-t.wake:
-			// Ranges that become free together are written together, since every daemon reads each table.
+		case <-t.settled:
+			// Moves that end together are written together, since every daemon reads each table.
 			_ = timer.Wait(ctx, t.Clock, settlePause)
 		case <-tick.C:
 			observed = t.Loads.Collect(ctx, t.Service)
@@ -286,9 +287,15 @@
 }
 
 // poke wakes the planning.
-func (t *term) poke() {
+func (t *term) poke() { notify(t.wake) }
+
+// settle wakes the planning for the end of a move.
+func (t *term) settle() { notify(t.settled) }
+
+// notify wakes the reader of a channel with room for one notice, unless a notice waits there.
+func notify(channel chan<- struct{}) {
 	select {
-	case t.wake <- struct{}{}:
+	case channel <- struct{}{}:
 	default:
 	}
 }
