table, entry: calls for changes wait 20 s; a lost store is passed on

Change: they wait 20 s (the store allows 30). So that a silent store is noticed as soon as before, a follower that loses it ends the calls of the others too; a doubt is not passed on again, which a test without the bench shows (without that rule two followers end each other's calls for ever).

--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -132,12 +132,15 @@
 	group.Go(func() error { return d.observer.run(serving, d.Metrics) })
 	upstreams, ranges := d.followUpstreams(), d.followRanges()
 	followers := []*table.Follower{d.followConfiguration(), upstreams, ranges}
-	d.loads.failed = func() {
+	// Connections fall silent together.
+	doubt := func() {
 		for _, follower := range followers {
 			follower.Doubt()
 		}
 	}
+	d.loads.failed = doubt
 	for _, follower := range followers {
+		follower.Lost = doubt
 		group.Go(func() error { return follower.Run(serving) })
 	}
 	group.Go(func() error { return d.registry.Run(serving) })
--- a/internal/platform/table/follow.go
+++ b/internal/platform/table/follow.go
@@ -21,8 +21,9 @@
 }
 
 const (
-	// feedWait is how long one call for changes waits. A store that is silent is noticed at its end, and each call costs.
-	feedWait = 10 * time.Second
+	// feedWait is how long one call for changes waits. Each call costs; a store that is silent is noticed at the end of the
+	// call, or by the Doubt that any other failure casts on it.
+	feedWait = 20 * time.Second
 	// bodyLimit bounds an answer with all that it brings: a large configuration takes seconds over a slow link.
 	bodyLimit = 8 * time.Second
 	// feedPauseFirst and feedPauseMost bound the pause after a failure, which doubles.
@@ -30,6 +31,9 @@
 	feedPauseMost  = 300 * time.Millisecond
 )
 
+// errDoubted marks the error of a call that Doubt has ended. The doubt is passed on by whoever had it.
+var errDoubted = errors.New("table: call given up because the store failed to answer another one")
+
 // Follower keeps a consumer up to date with one table. The exported fields are set before Run.
 type Follower struct {
 	Feed  Feed
@@ -40,6 +44,8 @@
 	Reset func([]Row)
 	// Apply is called with the rows that changed; one that was deleted has a nil value.
 	Apply func([]Row)
+	// Lost is called at the first failure after an answer, unless Doubt caused it. It may be nil.
+	Lost func()
 	// Regained is called when the store answers after a failure. It may be nil.
 	Regained func()
 	// Pause returns the time between a change and the next call, so that changes that come together cost one call. It may
@@ -95,6 +101,9 @@
 		case !f.failing && ctx.Err() == nil:
 			f.Log.Warn().Err(err).Str("table", f.Table).Msg("table cannot be followed")
 			f.failing = true
+			if f.Lost != nil && !errors.Is(err, errDoubted) {
+				f.Lost()
+			}
 		}
 		// The loop ends with ctx.
 		_ = timer.Wait(ctx, f.Clock, pause)
@@ -131,7 +140,11 @@
 	changes, err := f.Feed.Changes(call, f.Table, version, wait)
 	f.mu.Lock()
 	f.abort = nil
+	doubted := f.doubted
 	f.mu.Unlock()
+	if err != nil && doubted {
+		return 0, errors.Mark(err, errDoubted)
+	}
 	if err != nil {
 		return 0, err
 	}
--- a/internal/platform/table/follow_test.go
+++ b/internal/platform/table/follow_test.go
@@ -71,6 +71,7 @@
 		Reset:    func([]table.Row) { seen.add(func() { seen.resets++ }) },
 		Apply:    func(rows []table.Row) { seen.add(func() { seen.version = rows[len(rows)-1].Version; seen.applied++ }) },
 		Regained: func() { seen.add(func() { seen.regained++ }) },
+		Lost:     seen.passOn,
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -84,6 +85,20 @@
 	mu                        sync.Mutex
 	resets, applied, regained int
 	version                   table.Version
+	// lost counts the calls of Lost, which doubt is told of.
+	lost  int
+	doubt func()
+}
+
+// passOn counts a loss and casts doubt on the other followers.
+func (s *observations) passOn() {
+	s.mu.Lock()
+	s.lost++
+	doubt := s.doubt
+	s.mu.Unlock()
+	if doubt != nil {
+		doubt()
+	}
 }
 
 func (s *observations) add(do func()) {
@@ -171,3 +186,49 @@
 		follower.Hurry() // without a pause it changes nothing
 	})
 }
+
+// Guards against followers that end each other's calls for ever once one of them has failed, and against a silence that only
+// one of them notices.
+func TestLostOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		stores := []*feed{{version: 1}, {version: 1}}
+		var followers []*table.Follower
+		var seen []*observations
+		for _, store := range stores {
+			follower, one := follow(t, store, 0)
+			followers, seen = append(followers, follower), append(seen, one)
+		}
+		for _, one := range seen {
+			one.add(func() {
+				one.doubt = func() {
+					for _, other := range followers {
+						other.Doubt()
+					}
+				}
+			})
+		}
+		lost := func() (result []int) {
+			for _, one := range seen {
+				one.add(func() { result = append(result, one.lost) })
+			}
+			return result
+		}
+		stores[0].change(func() { stores[0].silent = true })
+		pass(time.Second)
+		followers[0].Doubt()
+		pass(3 * time.Second) // the call after the doubt is silent too
+		stores[0].change(func() { stores[0].silent = false })
+		pass(5 * time.Second)
+		is.Equal(lost(), []int{0, 0}) // a doubt is passed on by whoever had it
+		_, _, regained, _ := seen[0].get()
+		is.Equal(regained, 1)
+		stores[0].change(func() { stores[0].silent = true; stores[0].version++ })
+		pass(40 * time.Second)
+		stores[0].change(func() { stores[0].silent = false })
+		pass(20 * time.Second)
+		is.Equal(lost(), []int{1, 0})
+		_, _, regained, _ = seen[1].get()
+		is.Equal(regained, 1) // it was doubted once
+	})
+}
