observe/history, cli: explain a request from logs alone

Each log line of a daemon on the users' platform names its host. Ruled out: asking daemons too; the flag is for when none is left.

--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -122,7 +122,7 @@
 	if err != nil {
 		return errors.Wrap(err, "entry: listen for the balancer")
 	}
-	d.Log.Info().Str("host", string(d.Host.ID)).Str("domain", string(d.Host.Place.Domain)).Str("run", d.run).
+	d.Log.Info().Str("domain", string(d.Host.Place.Domain)).Str("run", d.run).
 		Str("callers", d.Callers.String()).Msg("daemon starting")
 	// What requests need goes on until the last one has ended.
 	serving, end := context.WithCancel(context.WithoutCancel(ctx))
@@ -158,11 +158,13 @@
 	})
 	err = group.Wait()
 	d.router.Close()
-	d.Log.Info().Str("host", string(d.Host.ID)).Err(err).Msg("daemon stopped")
+	d.Log.Info().Err(err).Msg("daemon stopped")
 	return err
 }
 
 func (d *Daemon) prepare() {
+	// Logs of many hosts are searched together.
+	d.Log = d.Log.With().Str("host", string(d.Host.ID)).Logger()
 	d.run = string(d.Host.ID) + "/" + newRun()
 	d.registry = &registry.Registry{Clock: d.Timer, Log: d.Log, Drain: d.Limits.Drain, Return: returnTime}
 	d.configuration = &configuration{
--- /dev/null
+++ b/internal/operator/cli/logs.go
@@ -0,0 +1,94 @@
+package cli
+
+import (
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"rosemarywick.example/rosemarywick/internal/core/cause"
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/observe/history"
+	"rosemarywick.example/rosemarywick/internal/observe/records"
+)
+
+// standardInput stands for the standard input where a file is named.
+const standardInput = "-"
+
+// explainFromLogs says what the logs of daemons tell about a request.
+func (r *Root) explainFromLogs(id string, files []string) error {
+	search := &history.Search{Request: fleet.RequestID(id)}
+	for _, name := range files {
+		if err := r.searchFile(search, name); err != nil {
+			return err
+		}
+	}
+	story, found := search.Story()
+	if !found {
+		writef(r.Out, "no line about request %s; daemons log only late, rejected and repeated requests, 20 a second each\n", id)
+		printUnreadable(r.Out, story)
+		return connect.NewError(connect.CodeNotFound, errNoRecord)
+	}
+	printStory(r.Out, id, &story)
+	return nil
+}
+
+func (r *Root) searchFile(search *history.Search, name string) error {
+	if name == standardInput {
+		return errors.Wrap(search.Read(r.In), "standard input")
+	}
+	file, err := os.Open(name)
+	if err != nil {
+		return usage("--log: %v", err)
+	}
+	defer func() { _ = file.Close() }() // nothing was written
+	return errors.Wrap(search.Read(file), name)
+}
+
+// storyTime is how times are shown; daemons log milliseconds.
+const storyTime = "2006-01-02T15:04:05.000Z"
+
+func printStory(out io.Writer, id string, story *history.Story) {
+	request := &story.Request
+	why := cause.Cause(request.Value("cause"))
+	writef(out, "request:   %s\n", id)
+	writef(out, "outcome:   %s\n", request.Value("outcome"))
+	writef(out, "cause:     %s (%s)\n", why, records.Meaning(why))
+	writef(out, "received:  %s on %s\n", story.Began.UTC().Format(storyTime), request.Host)
+	writef(out, "took:      %s, of which %s in the queue\n", story.Ended.Sub(story.Began),
+		history.Milliseconds(request.Value("queued")).Round(time.Millisecond))
+	writef(out, "service:   %s, class %s, configuration %s\n", request.Value("service"), orNone(request.Value("class")),
+		request.Value("config"))
+	if key := request.Value("key"); key != "" {
+		writef(out, "key:       %s by fence %s\n", key, request.Value("fence"))
+	}
+	for _, one := range request.Fields {
+		if number, found := strings.CutPrefix(one.Name, "attempt-"); found {
+			writef(out, "attempt %s: %s\n", number, one.Value)
+		}
+	}
+	for i := range story.Others {
+		writef(out, "also:      %s on %s: %s\n", story.Others[i].Time.UTC().Format(storyTime), story.Others[i].Host,
+			story.Others[i].Value("outcome"))
+	}
+	if story.Omitted > 0 {
+		writef(out, "           %d older events omitted\n", story.Omitted)
+	}
+	for i := range story.Events {
+		one := &story.Events[i]
+		writef(out, "%+8.3f s %s: %s\n", one.Time.Sub(story.Began).Seconds(), one.Host, one)
+	}
+	for _, host := range story.Unaligned {
+		writef(out, "clock:     that of %s could not be compared with that of %s\n", host, request.Host)
+	}
+	printUnreadable(out, *story)
+}
+
+func printUnreadable(out io.Writer, story history.Story) {
+	if story.Unreadable > 0 {
+		writef(out, "skipped:   %d lines that are not a daemon's\n", story.Unreadable)
+	}
+}
--- a/internal/operator/cli/records.go
+++ b/internal/operator/cli/records.go
@@ -41,8 +41,14 @@
 	command.Flags().StringVar(&request.Host, "host", "", "search only the records of this host")
 	command.Flags().StringVar(&at, "at", "",
 		"about when the request was received, as `TIME` such as 2026-12-04T08:00:00Z; speeds the search of stored records up")
+	var logs []string
+	command.Flags().StringArrayVar(&logs, "log", nil,
+		"log `file` of a daemon, or - for standard input; no daemon is asked then, and logs of several can be given")
 	remote := r.withRemote(command)
 	command.RunE = func(command *cobra.Command, args []string) error {
+		if len(logs) > 0 {
+			return r.explainFromLogs(args[0], logs)
+		}
 		request.RequestId = args[0]
 		if at != "" {
 			received, err := time.Parse(time.RFC3339, at)
