--- a/internal/observe/history/history_test.go
+++ b/internal/observe/history/history_test.go
@@ -24,7 +24,9 @@
 
 // logs are those of three daemons. The clock of h2, the assigner, is 5 s ahead; nothing tells that of h3.
 var logs = strings.Join([]string{
+	at("h1", 0.5) + `event="table of the ranges adopted" service=stock version=6`, // not in force any more
 	at("h1", 1) + `event="table of the ranges adopted" service=stock version=7`,
+	at("h1", 2.4) + `event="table of the ranges adopted" service=stock version=9`, // too late
 	at("h1", 2) + `event="table of the ranges adopted" service=stock version=8`,
 	at("h1", 2.3) + `event="request ended" request=r1 service=stock key=300 took=900 queued=300 outcome=unknown ` +
 		`cause=upstream-reset attempt-1="i-1 upstream-reset 500ms"`,
--- a/internal/observe/history/search.go
+++ b/internal/observe/history/search.go
@@ -31,7 +31,7 @@
 // Names of the events that every daemon logs of its own view. Those of other hosts say nothing about the request.
 var ownView = []string{
 	"upstream registered", "upstream changed its entry", "upstream's entry disappeared", "upstream is gone",
-	"configuration adopted", "older configuration ignored", "configuration cannot be read", "table of the ranges adopted",
+	"configuration adopted", "older configuration ignored", "configuration cannot be read", tableAdopted,
 	"table cannot be followed", "table is followed again", "history of the table was lost; reading all rows",
 	"daemon starting", "daemon stopping; the balancer is told to use other daemons", "daemon stopped",
 }
@@ -162,12 +162,33 @@
 		service := line.Value("service")
 		ofService := service == request.Value("service")
 		holdsKey := keyed && ofService && inRange(line.Value("range"), key)
-		ofAll := line.Value("range") == "" && (ofService || service == "" && own && slices.Contains(ownView, line.Event) &&
-			!strings.HasPrefix(line.Event, "upstream"))
+		ofAll := line.Value("range") == "" && !strings.HasPrefix(line.Event, "upstream") &&
+			(ofService || service == "" && own && slices.Contains(ownView, line.Event))
 		if line.mentions(upstreams) || holdsKey || ofAll {
 			result = append(result, line)
 		}
 	}
+	return dropOldTables(result, story.Began, story.Ended)
+}
+
+// tableAdopted is the event of a new table of ranges, of which there may be several each second.
+const tableAdopted = "table of the ranges adopted"
+
+// dropOldTables leaves out the adopted tables that were not in force during the request.
+func dropOldTables(events []Line, began, ended time.Time) []Line {
+	last := -1
+	for i := range events {
+		if events[i].Event == tableAdopted && events[i].Time.Before(began) && (last < 0 || !events[i].Time.Before(events[last].Time)) {
+			last = i
+		}
+	}
+	var result []Line
+	for i := range events {
+		during := !events[i].Time.Before(began) && !events[i].Time.After(ended)
+		if events[i].Event != tableAdopted || i == last || during {
+			result = append(result, events[i])
+		}
+	}
 	return result
 }
 
--- a/internal/operator/cli/logs.go
+++ b/internal/operator/cli/logs.go
@@ -58,7 +58,7 @@
 	writef(out, "outcome:   %s\n", request.Value("outcome"))
 	writef(out, "cause:     %s (%s)\n", why, records.Meaning(why))
 	writef(out, "received:  %s on %s\n", story.Began.UTC().Format(storyTime), request.Host)
-	writef(out, "took:      %s, of which %s in the queue\n", story.Ended.Sub(story.Began),
+	writef(out, "took:      %s, of which %s in the queue\n", story.Ended.Sub(story.Began).Round(time.Millisecond),
 		history.Milliseconds(request.Value("queued")).Round(time.Millisecond))
 	writef(out, "service:   %s, class %s, configuration %s\n", request.Value("service"), orNone(request.Value("class")),
 		request.Value("config"))
