ownership/placement: a server that joins gets idle partitions

Cause: TestRollingReplacementOfServers failed on a fast machine without the race detector (2 of 5: the last replaced server held nothing for 20 s): once the load is known, Place leaves an excess to Rebalance, which moves only partitions with load. With load on three of 256 partitions a joined server got none. The runs that passed had ended before the load was known. Change: Rebalance gives a server that owns nothing its share of the idle partitions, from the servers with the most. Ruled out: the deputy that the logs name at the same moment (the rows are written as in passing runs). Check: TestJoinedServerGetsIdlePartitions fails without the change; tests of placement and assigner pass.

--- a/internal/ownership/placement/placement_test.go
+++ b/internal/ownership/placement/placement_test.go
@@ -175,6 +175,27 @@
 	}
 }
 
+// Guards against a server that joins and gets nothing because the load lies on a few partitions that cannot be divided.
+func TestJoinedServerGetsIdlePartitions(t *testing.T) {
+	is := is.New(t)
+	state := placement.State{Partitions: 256, Servers: servers(14, 3)}
+	state.Current = placement.Policy{}.Place(state)
+	state.Servers = servers(15, 3)
+	state.Load = map[fleet.PartitionID]float64{3: 50, 90: 50, 200: 50}
+	next := placement.Policy{}.Rebalance(state)
+	is.True(counts(next)[state.Servers[14].ID] >= 256/15)
+	before := make(map[fleet.PartitionID]fleet.UpstreamID)
+	for _, one := range state.Current {
+		before[one.Partition] = one.Owner
+	}
+	for _, one := range next {
+		is.True(one.Owner == before[one.Partition] || one.Owner == state.Servers[14].ID) // nothing else moves
+		is.True(state.Load[one.Partition] == 0 || one.Owner == before[one.Partition])
+	}
+	state.Current = next
+	is.Equal(placement.Policy{}.Rebalance(state), next) // and it stays so
+}
+
 // Guards against planned moves above the bound and against recoveries that are held back by it.
 func TestMovesBound(t *testing.T) {
 	is := is.New(t)
--- a/internal/ownership/placement/rebalance.go
+++ b/internal/ownership/placement/rebalance.go
@@ -7,7 +7,7 @@
 
 // Rebalance returns the desired placement like Place and, where the load is known, also moves partitions and hot keys
 // away from servers whose load exceeds the cap. Each such move reduces the load of the fuller of the two servers
-// involved by more than the cost of a move.
+// involved by more than the cost of a move. A server that owns nothing is given idle partitions.
 func (p Policy) Rebalance(state State) []Entry {
 	state.Current = p.Place(state)
 	if len(state.Load) == 0 || len(state.Servers) == 0 {
@@ -15,6 +15,7 @@
 	}
 	b := newBoard(state, p.withDefaults())
 	b.level()
+	b.spreadIdle()
 	b.chooseStandbys()
 	return b.entries()
 }
