cli, entry: a log that never blocks and counts what it leaves out

Cause: the users ask that logs never block a request. The program wrote each line straight to standard output, so that a reader that stops stopped every goroutine that logs. Lines about requests beyond the budget are counted on the metrics address.

--- a/cmd/rosemarywick/main.go
+++ b/cmd/rosemarywick/main.go
@@ -5,6 +5,8 @@
 	"context"
 	"os"
 
+	"github.com/rs/zerolog"
+
 	"rosemarywick.example/rosemarywick/internal/core/settings"
 	"rosemarywick.example/rosemarywick/internal/core/timer"
 	"rosemarywick.example/rosemarywick/internal/daemon/dev"
@@ -23,7 +25,9 @@
 	root := &cli.Root{
 		Serve: serve,
 		Dev:   runFleet,
-		Entry: func(ctx context.Context, level string) error { return platform.Run(ctx, cli.Logger(os.Stdout, level)) },
+		Entry: func(ctx context.Context, level string) error {
+			return cli.WithLogger(os.Stdout, level, func(log zerolog.Logger) error { return platform.Run(ctx, log) })
+		},
 		In:    os.Stdin,
 		Out:   os.Stdout,
 		Err:   os.Stderr,
@@ -33,16 +37,18 @@
 }
 
 func serve(ctx context.Context, loaded *settings.Settings) error {
-	log := cli.Logger(os.Stderr, loaded.LogLevel)
-	daemon := &host.Daemon{Settings: loaded, Timer: timer.System{}, Log: log}
-	return daemon.Run(ctx)
+	return cli.WithLogger(os.Stderr, loaded.LogLevel, func(log zerolog.Logger) error {
+		daemon := &host.Daemon{Settings: loaded, Timer: timer.System{}, Log: log}
+		return daemon.Run(ctx)
+	})
 }
 
 func runFleet(ctx context.Context, options cli.DevOptions) error {
-	log := cli.Logger(os.Stderr, options.LogLevel)
-	fleet := &dev.Fleet{
-		Shape: dev.Shape(options.Shape), Daemons: options.Daemons, SettingsFiles: options.SettingsFiles,
-		Timer: timer.System{}, Log: log, Out: options.Out,
-	}
-	return fleet.Run(ctx)
+	return cli.WithLogger(os.Stderr, options.LogLevel, func(log zerolog.Logger) error {
+		fleet := &dev.Fleet{
+			Shape: dev.Shape(options.Shape), Daemons: options.Daemons, SettingsFiles: options.SettingsFiles,
+			Timer: timer.System{}, Log: log, Out: options.Out,
+		}
+		return fleet.Run(ctx)
+	})
 }
--- a/internal/daemon/entry/entry_test.go
+++ b/internal/daemon/entry/entry_test.go
@@ -1,6 +1,10 @@
 package entry
 
 import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -97,6 +101,10 @@
 		o.Record(cause.Record{Request: "r", Outcome: cause.NotRun, Cause: cause.QueueFull})
 	}
 	is.Equal(lines.count, linesBurst)
+	served := httptest.NewRecorder()
+	o.metrics.Handler().ServeHTTP(served, httptest.NewRequest(http.MethodGet, "/metrics", http.NoBody))
+	// What was left out is counted.
+	is.True(strings.Contains(served.Body.String(), fmt.Sprintf("\nrosemarywick_log_lines_omitted_total %d\n", 9*linesBurst)))
 }
 
 // counter counts writes.
--- a/internal/daemon/entry/observer.go
+++ b/internal/daemon/entry/observer.go
@@ -49,7 +49,11 @@
 	if record.Keyed && (record.Queued > longWait || record.Outcome != cause.Complete) {
 		o.pressed()
 	}
-	if !record.Notable() || !o.budget.AllowN(o.clock(), 1) {
+	if !record.Notable() {
+		return
+	}
+	if !o.budget.AllowN(o.clock(), 1) {
+		o.metrics.ObserveOmitted()
 		return
 	}
 	event := o.log.Info().Str("request", string(record.Request)).Str("service", string(record.Service)).
--- a/internal/observe/metrics/metrics.go
+++ b/internal/observe/metrics/metrics.go
@@ -56,6 +56,7 @@
 	outcomes  *prometheus.CounterVec
 	causes    *prometheus.CounterVec
 	imbalance *prometheus.GaugeVec
+	omitted   prometheus.Counter
 
 	mu sync.RWMutex
 	// services and tenants are guarded by mu and replaced as a whole.
@@ -82,7 +83,10 @@
 			Name: "rosemarywick_load_imbalance_ratio", Help: "Maximum over mean load of the owners of a service.",
 		}, []string{labelService}),
 	}
-	m.registry.MustRegister(m.ownership, m.phases, m.outcomes, m.causes, m.imbalance)
+	m.omitted = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "rosemarywick_log_lines_omitted_total", Help: "Lines about single requests left out of the log for their number.",
+	})
+	m.registry.MustRegister(m.ownership, m.phases, m.outcomes, m.causes, m.imbalance, m.omitted)
 	return m
 }
 
@@ -159,6 +163,11 @@
 	m.causes.WithLabelValues(service, string(request.Cause)).Inc()
 }
 
+// ObserveOmitted counts a line about a request that was left out of the log.
+func (m *Metrics) ObserveOmitted() {
+	m.omitted.Inc()
+}
+
 // ObserveLoad sets the load imbalance of a service from the load of each of its owners, those without load included.
 func (m *Metrics) ObserveLoad(service fleet.ServiceName, loads map[fleet.UpstreamID]float64) {
 	m.mu.RLock()
