--- a/internal/ownership/assigner/assigner.go
+++ b/internal/ownership/assigner/assigner.go
@@ -16,11 +16,11 @@
 	Term time.Duration
 	// Drift bounds the deviation of each clock's rate; 0.01 stands for 1%.
 	Drift float64
-	// DeputyPatience is how long the deputy waits for the holder.
-	DeputyPatience time.Duration
-	// WatcherPatience is how long the first watcher waits for holder and deputy; each further one waits half as long
+	// DeputyTimeout is how long the deputy waits for the holder.
+	DeputyTimeout time.Duration
+	// WatcherTimeout is how long the first watcher waits for holder and deputy; each further one waits half as long
 	// again, so that they do not write at the same time.
-	WatcherPatience time.Duration
+	WatcherTimeout time.Duration
 	// ServerSilence is how long a server may be silent before partitions are no longer granted to it.
 	ServerSilence time.Duration
 	// Settle is how long the set of live servers must stay the same before partitions are placed or members changed.
@@ -32,14 +32,14 @@
 // DefaultTiming returns the durations of the design page.
 func DefaultTiming() Timing {
 	return Timing{
-		Round:           80 * time.Millisecond,
-		Term:            500 * time.Millisecond,
-		Drift:           0.01,
-		DeputyPatience:  200 * time.Millisecond,
-		WatcherPatience: time.Second,
-		ServerSilence:   240 * time.Millisecond,
-		Settle:          100 * time.Millisecond,
-		Retry:           300 * time.Millisecond,
+		Round:          80 * time.Millisecond,
+		Term:           500 * time.Millisecond,
+		Drift:          0.01,
+		DeputyTimeout:  200 * time.Millisecond,
+		WatcherTimeout: time.Second,
+		ServerSilence:  240 * time.Millisecond,
+		Settle:         100 * time.Millisecond,
+		Retry:          300 * time.Millisecond,
 	}
 }
 
--- a/internal/ownership/assigner/plan.go
+++ b/internal/ownership/assigner/plan.go
@@ -307,7 +307,7 @@
 			return server
 		}
 	}
-	if a.plan.placedFor == nil && a.now.Sub(a.beganAt) < a.Timing.WatcherPatience {
+	if a.plan.placedFor == nil && a.now.Sub(a.beganAt) < a.Timing.WatcherTimeout {
 		return "" // Partitions without any owner wait for the first placement.
 	}
 	return a.leastLoaded()
--- a/internal/ownership/assigner/role.go
+++ b/internal/ownership/assigner/role.go
@@ -95,7 +95,7 @@
 		a.begin(a.row.content.Reserve, ReasonHandOver)
 		return
 	}
-	if beat.Placements != a.watch.placements && a.now.Sub(a.plan.readAt) >= a.Timing.WatcherPatience {
+	if beat.Placements != a.watch.placements && a.now.Sub(a.plan.readAt) >= a.Timing.WatcherTimeout {
 		a.watch.placements = beat.Placements
 		a.readPlacement()
 	}
@@ -112,7 +112,7 @@
 // time to replace members, since otherwise holder and deputy would supersede one another while no majority answers.
 func (a *Assigner) hasMajority() bool {
 	if !a.ledger.Quorum() || len(a.row.content.Members) == 0 {
-		return a.now.Sub(a.beganAt) < 3*a.Timing.WatcherPatience
+		return a.now.Sub(a.beganAt) < 3*a.Timing.WatcherTimeout
 	}
 	return a.now.Sub(a.evidenceAt) < 4*a.Timing.Round
 }
@@ -126,7 +126,7 @@
 	if !a.plan.known {
 		a.readPlacementIfUnknown()
 	}
-	if a.now.Sub(a.watch.heard) > a.Timing.DeputyPatience {
+	if a.now.Sub(a.watch.heard) > a.Timing.DeputyTimeout {
 		a.begin(a.row.content.Reserve, ReasonHolderSilent)
 	}
 }
@@ -150,15 +150,15 @@
 		a.watch.heard = a.now
 		return
 	}
-	patience := a.Timing.WatcherPatience + time.Duration(rank)*a.Timing.WatcherPatience/2
+	wait := a.Timing.WatcherTimeout + time.Duration(rank)*a.Timing.WatcherTimeout/2
 	if a.row.version == 0 {
-		patience = time.Duration(rank) * a.Timing.WatcherPatience / 2
+		wait = time.Duration(rank) * a.Timing.WatcherTimeout / 2
 	}
-	if a.now.Sub(a.watch.heard) >= patience {
+	if a.now.Sub(a.watch.heard) >= wait {
 		a.takeOver()
 		return
 	}
-	if a.now.Sub(a.watch.asked) >= a.Timing.WatcherPatience/4 {
+	if a.now.Sub(a.watch.asked) >= a.Timing.WatcherTimeout/4 {
 		a.watch.asked = a.now
 		a.ask(a.row.content.Holder)
 		a.ask(a.row.content.Deputy)
@@ -248,7 +248,7 @@
 	case a.Role() == RoleDeputy:
 		return false
 	}
-	return !a.watch.standsBy.IsZero() && now.Sub(a.watch.standsBy) <= a.Timing.DeputyPatience
+	return !a.watch.standsBy.IsZero() && now.Sub(a.watch.standsBy) <= a.Timing.DeputyTimeout
 }
 
 // HandOver gives up the role because this daemon is about to stop, and tells the deputy to start at once.
@@ -266,7 +266,7 @@
 	return a.leave()
 }
 
-// sendBeats sends the heartbeats, two in each round: after the loss of the holder the deputy's patience begins with the
+// sendBeats sends the heartbeats, two in each round: after the loss of the holder the deputy's timeout begins with the
 // last heartbeat, and with one in each round a takeover on a loaded machine left no time to renew the leases.
 func (a *Assigner) sendBeats() {
 	if a.now.Sub(a.watch.beat) < a.Timing.Round/2 {
@@ -300,7 +300,7 @@
 		a.watch.former = make(map[fleet.HostID]time.Time)
 	}
 	for _, host := range []fleet.HostID{a.row.content.Holder, a.row.content.Deputy} {
-		a.watch.former[host] = a.now.Add(2 * a.Timing.WatcherPatience)
+		a.watch.former[host] = a.now.Add(2 * a.Timing.WatcherTimeout)
 	}
 	if content.Deputy != a.row.content.Deputy || content.Reserve != a.row.content.Reserve {
 		a.watch.standsBy = time.Time{}
--- a/internal/ownership/assigner/store.go
+++ b/internal/ownership/assigner/store.go
@@ -174,7 +174,7 @@
 
 // deputySilent reports whether there is a host that could be deputy and the present one does not answer.
 func (a *Assigner) deputySilent() bool {
-	if a.now.Sub(a.watch.ready) < a.Timing.WatcherPatience || a.now.Sub(a.beganAt) < a.Timing.WatcherPatience {
+	if a.now.Sub(a.watch.ready) < a.Timing.WatcherTimeout || a.now.Sub(a.beganAt) < a.Timing.WatcherTimeout {
 		return false
 	}
 	return a.chooseDeputy(a.row.content.Deputy) != ""
@@ -198,15 +198,15 @@
 	if a.plan.memberChange.IsZero() {
 		a.plan.memberChange = a.now
 	}
-	patience := a.Timing.Settle
+	wait := a.Timing.Settle
 	if same || (len(row.Members) == 0 && len(members) < len(a.servers)) {
-		patience = a.Timing.WatcherPatience
+		wait = a.Timing.WatcherTimeout
 	}
 	waited := a.now.Sub(a.plan.memberChange)
-	if waited < patience || !a.answering(members) || !a.ledger.Replaceable(members) {
+	if waited < wait || !a.answering(members) || !a.ledger.Replaceable(members) {
 		return false
 	}
-	if a.recovering() && waited < 2*a.Timing.WatcherPatience {
+	if a.recovering() && waited < 2*a.Timing.WatcherTimeout {
 		return false
 	}
 	a.plan.memberChange = time.Time{}
--- a/internal/peer/mesh/mesh_test.go
+++ b/internal/peer/mesh/mesh_test.go
@@ -23,7 +23,7 @@
 	"rosemarywick.example/rosemarywick/internal/peer/wire"
 )
 
-const patience = 10 * time.Second
+const timeout = 10 * time.Second
 
 // node is one mesh on loopback with what it received.
 type node struct {
@@ -137,7 +137,7 @@
 }
 
 func (s *node) send(to fleet.HostID, text string) error {
-	return s.sendWithin(patience, to, "note", []byte(text))
+	return s.sendWithin(timeout, to, "note", []byte(text))
 }
 
 func (s *node) sendWithin(timeout time.Duration, to fleet.HostID, topic string, payload []byte) error {
@@ -148,7 +148,7 @@
 
 func (g *group) receive(s *node) string {
 	g.t.Helper()
-	wake := timer.System{}.After(patience)
+	wake := timer.System{}.After(timeout)
 	defer wake.Stop()
 	select {
 	case text := <-s.received:
@@ -161,7 +161,7 @@
 
 func (g *group) eventually(condition func() bool) {
 	g.t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	for !condition() {
 		if timer.Wait(ctx, timer.System{}, 5*time.Millisecond) != nil {
@@ -199,7 +199,7 @@
 	is.Equal(len(a.Links()), 1) // the response used the same connection
 	is.Equal(a.ups.Load(), int32(0))
 	is.True(errors.Is(a.send("nobody", ""), mesh.ErrUnreachable))
-	is.NoErr(a.sendWithin(patience, "b", "note", make([]byte, wire.MaxEnvelope))) // too large: dropped with a log line
+	is.NoErr(a.sendWithin(timeout, "b", "note", make([]byte, wire.MaxEnvelope))) // too large: dropped with a log line
 	is.NoErr(a.send("b", "after"))
 	is.Equal(g.receive(b), "a:after") // and the connection lives on
 }
@@ -275,7 +275,7 @@
 			is := is.New(t)
 			g := newGroup(t)
 			a, b, c := g.start("a", g.config("a")), g.start("b", g.config("b")), g.start("c", g.config("c"))
-			is.NoErr(a.sendWithin(patience, "b", "block", nil))
+			is.NoErr(a.sendWithin(timeout, "b", "block", nil))
 			is.NoErr(a.send("c", "first"))
 			is.Equal(g.receive(c), "a:first")
 			stick(b)
--- a/internal/platform/contract/table.go
+++ b/internal/platform/contract/table.go
@@ -16,8 +16,8 @@
 	"rosemarywick.example/rosemarywick/internal/platform/table"
 )
 
-// patience is the context timeout of the cases in which a service does not respond.
-const patience = 100 * time.Millisecond
+// timeout is the context timeout of the cases in which a service does not respond.
+const timeout = 100 * time.Millisecond
 
 // transactionRows is a number of rows that one transaction of every implementation can hold.
 const transactionRows = 100
@@ -116,7 +116,7 @@
 func silentCommit(t *testing.T, store table.Store, faults *standin.Table) {
 	is := is.New(t)
 	faults.SetOutage(standin.OutageSilent)
-	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
 	defer cancel()
 	is.True(errors.Is(store.Commit(ctx, write("a", 0, "1")), table.ErrUnknown))
 	_, err := store.Read(ctx, "a")
@@ -125,8 +125,8 @@
 
 func slowCommit(t *testing.T, store table.Store, faults *standin.Table) {
 	is := is.New(t)
-	faults.SetLatency(3 * patience)
-	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	faults.SetLatency(3 * timeout)
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
 	defer cancel()
 	is.True(errors.Is(store.Commit(ctx, write("a", 0, "1")), table.ErrUnknown))
 }
@@ -194,7 +194,7 @@
 	_, err = store.Read(t.Context(), "z")
 	is.True(errors.Is(err, table.ErrUnavailable)) // reads have a limit of their own
 	faults.SetOverload(standin.OverloadDelayed)
-	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
 	defer cancel()
 	is.True(errors.Is(store.Commit(ctx, write("z", 0, "")), table.ErrUnknown)) // it waits for longer than the caller does
 }
