--- a/internal/operator/cli/config.go
+++ b/internal/operator/cli/config.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"io"
-	"os"
-	"path/filepath"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
@@ -26,16 +24,14 @@
 	return command
 }
 
-// readText reads a document from a file, or from standard input if the file is "-".
+// readText reads a document from a file or from standard input.
 func (r *Root) readText(path string) (name, text string, err error) {
-	var content []byte
-	if path == "-" {
-		name = "stdin"
-		content, err = io.ReadAll(io.LimitReader(r.In, config.MaxText+1))
-	} else {
-		name = filepath.Base(path)
-		content, err = os.ReadFile(path)
+	name, file, err := r.open(path)
+	if err != nil {
+		return "", "", errors.Wrap(err, "read document")
 	}
+	defer func() { _ = file.Close() }() // nothing was written
+	content, err := io.ReadAll(io.LimitReader(file, config.MaxText+1))
 	if err != nil {
 		return "", "", errors.Wrap(err, "read document")
 	}
--- a/internal/operator/cli/logs.go
+++ b/internal/operator/cli/logs.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"os"
 	"strings"
 	"time"
 
@@ -15,9 +14,6 @@
 	"rosemarywick.example/rosemarywick/internal/observe/records"
 )
 
-// standardInput stands for the standard input where a file is named.
-const standardInput = "-"
-
 // explainFromLogs says what the logs of daemons tell about a request.
 func (r *Root) explainFromLogs(id string, files []string) error {
 	search := &history.Search{Request: fleet.RequestID(id)}
@@ -36,11 +32,8 @@
 	return nil
 }
 
-func (r *Root) searchFile(search *history.Search, name string) error {
-	if name == standardInput {
-		return errors.Wrap(search.Read(r.In), "standard input")
-	}
-	file, err := os.Open(name)
+func (r *Root) searchFile(search *history.Search, path string) error {
+	name, file, err := r.open(path)
 	if err != nil {
 		return usage("--log: %v", err)
 	}
