daemon/entry: the pause after a change of upstreams is bounded

Cause: found in the read-through; the pause is a part of the drain time, and the assigner makes its first table once the entries have been the same for a second. With a drain time above 3.4 s the pause would pass for that. Change: 0.8 s at most. The users' sites have 2.5 s, where it stays 0.75 s.

--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -106,6 +106,9 @@
 	// upstreamsPart is the time between a change of an upstream's entry and the next look, as a part of the time for which
 	// a leaving upstream may be used. Many entries change together when a service starts or is replaced.
 	upstreamsPart = 0.3
+	// upstreamsPauseMost bounds it. The first table is made once the entries have been the same for a second, so that a
+	// longer pause would pass for the end of the start.
+	upstreamsPauseMost = 800 * time.Millisecond
 	// rangesPause is the time between a change of a table of ranges and the next look, for each daemon of the fleet: all of
 	// them together look 40 times a second at most, but for those whose requests meet a range that has moved.
 	rangesPause = 25 * time.Millisecond
@@ -221,7 +224,7 @@
 	return &table.Follower{
 		Feed: d.Store, Clock: d.Timer, Log: d.Log, Table: d.Tables.Upstreams,
 		Reset: d.resetUpstreams, Apply: d.applyUpstreams, Regained: d.registry.Regained,
-		Pause: func() time.Duration { return scaled(d.Limits.Drain, upstreamsPart) },
+		Pause: func() time.Duration { return min(upstreamsPauseMost, scaled(d.Limits.Drain, upstreamsPart)) },
 	}
 }
 
--- a/internal/daemon/entry/entry_test.go
+++ b/internal/daemon/entry/entry_test.go
@@ -87,6 +87,21 @@
 	})
 }
 
+// Guards against a pause between two looks at the entries that passes for the end of a start where drain times are long, so
+// that the first table is made for a part of the upstreams.
+func TestPauseAfterUpstreams(t *testing.T) {
+	for drain, want := range map[time.Duration]time.Duration{
+		2500 * time.Millisecond: 750 * time.Millisecond,
+		time.Minute:             upstreamsPauseMost,
+	} {
+		t.Run(drain.String(), func(t *testing.T) {
+			is := is.New(t)
+			daemon := &Daemon{Limits: Limits{Drain: drain}, registry: &registry.Registry{}}
+			is.Equal(daemon.followUpstreams().Pause(), want)
+		})
+	}
+}
+
 // Guards against log lines about single requests without a bound, and against calm requests that have one.
 func TestObserverBounded(t *testing.T) {
 	is := is.New(t)
