platform, rangegrants: orders name the server that they are meant for

Cause: an order named an address only.

Ruled out: a fence too low in the table; the assigner had already written a higher one for the ended server's ranges.

Conclusion: an order reaches its server or none. Two runs under one id are still told apart by refused connections and the entry's birth only.

--- a/internal/upstream/rangegrants/assigner.go
+++ b/internal/upstream/rangegrants/assigner.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -30,7 +29,7 @@
 // Superseded means that the server has seen a higher fence and has done nothing.
 type Superseded struct{}
 
-// Absent means that no process listens at the address, or one that holds no keys.
+// Absent means that no process listens at the address, or one that is not the server meant.
 type Absent struct{}
 
 // Silent means that no answer came. The order may have been carried out, or may be yet, unless it was not sent.
@@ -54,12 +53,13 @@
 }
 
 // Orders sends orders to servers. A call returns when the context ends; bytes that are still under way then must not
-// arrive later.
+// arrive later. Another server that has got the address of the one meant does not carry out a grant: it has not seen the
+// fences of that one, so that they would not bar it.
 type Orders interface {
-	Grant(ctx context.Context, server netip.AddrPort, grant Grant) Answer
-	Release(ctx context.Context, server netip.AddrPort, keys fleet.KeyRange, fence ranges.Fence) Answer
-	// Probe reports whether the server at the address is the one named and takes work.
-	Probe(ctx context.Context, server netip.AddrPort, id fleet.UpstreamID) bool
+	Grant(ctx context.Context, server ranges.Owner, grant Grant) Answer
+	Release(ctx context.Context, server ranges.Owner, keys fleet.KeyRange, fence ranges.Fence) Answer
+	// Probe reports whether the server at the address is the one meant and takes work.
+	Probe(ctx context.Context, server ranges.Owner) bool
 }
 
 // Server is a server of the service as the registry describes it.
--- a/internal/upstream/rangegrants/rangegrants_test.go
+++ b/internal/upstream/rangegrants/rangegrants_test.go
@@ -119,6 +119,22 @@
 	}
 }
 
+// Guards against a renewal that is carried out by another server, which has started at the address of its owner before the
+// assigner noticed the owner's end: the new server has seen no fence yet and does not refuse the old one.
+func TestAddressReused(t *testing.T) {
+	for seed := range uint64(10) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, seed, 5)
+			one := w.assign("a")
+			w.await(5*time.Second, "at first")
+			pass(time.Duration(5000+113*seed) * time.Millisecond)
+			w.succeed("s1", "n")
+			w.await(hold, "after another server has its address")
+			w.finish(one)
+		})
+	}
+}
+
 // Guards against orders of an assigner whose machine was suspended for longer than its lease. The monotonic clock of the
 // process stands still meanwhile, so that its own timers do not end the term.
 func TestSuspendedAssigner(t *testing.T) {
--- a/internal/upstream/rangegrants/release.go
+++ b/internal/upstream/rangegrants/release.go
@@ -43,7 +43,7 @@
 			return
 		}
 		call, cancel := context.WithTimeout(ctx, min(releaseTimeout, left+time.Millisecond))
-		answer := t.Orders.Release(call, key.former.Address, key.keys, key.fence)
+		answer := t.Orders.Release(call, key.former, key.keys, key.fence)
 		cancel()
 		switch answer := answer.(type) {
 		case Taken:
@@ -51,7 +51,7 @@
 			return
 		case Absent:
 			if absent++; absent > 1 {
-				t.finish(key, next, "", "no process listens at its address")
+				t.finish(key, next, "", "its process has ended")
 				return
 			}
 		case Silent, Superseded:
--- a/internal/upstream/rangegrants/server.go
+++ b/internal/upstream/rangegrants/server.go
@@ -93,7 +93,7 @@
 	if !due {
 		return true
 	}
-	answer := s.term.Orders.Grant(call, s.owner.Address, Grant{
+	answer := s.term.Orders.Grant(call, s.owner, Grant{
 		Range: one.Range, Fence: one.Fence, Hold: hold, Handover: s.term.handover(one),
 	})
 	// The hold begins no later than the answer, or than the end of the connection if there was none.
@@ -172,7 +172,7 @@
 	case Absent:
 		if s.absences++; s.absences > 1 {
 			s.ended()
-			s.term.fail(ctx, s.owner, true, "no process listens at its address")
+			s.term.fail(ctx, s.owner, true, "its process has ended")
 		} else if timer.Wait(ctx, s.term.Clock, absentAgain) == nil {
 			s.poke()
 		}
@@ -226,7 +226,7 @@
 func (t *term) probe(ctx context.Context, owner ranges.Owner) {
 	for timer.Wait(ctx, t.Clock, probeEvery) == nil {
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
-		answered := t.Orders.Probe(call, owner.Address, owner.ID)
+		answered := t.Orders.Probe(call, owner)
 		cancel()
 		if !answered {
 			continue
@@ -263,12 +263,12 @@
 }
 
 // heldUntil returns the uptime at which every hold of a server on any key of the range has run out. Grants that were meant for
-// another run at the same address count, since the present one may have taken them. The caller holds mu.
+// another run under the same id count, since the present one may have taken them. The caller holds mu.
 func (t *term) heldUntil(owner ranges.Owner, keys fleet.KeyRange) time.Duration {
 	// The assigner before this one may have granted until its lease ended, which was before this term began.
 	until := t.began + orderTimeout + freeAfter(t.LongHold)
 	for _, server := range t.servers {
-		if server.owner.Address != owner.Address {
+		if server.owner.ID != owner.ID || server.owner.Address != owner.Address {
 			continue
 		}
 		for key, known := range server.grants {
--- a/internal/upstream/rangegrants/world_test.go
+++ b/internal/upstream/rangegrants/world_test.go
@@ -46,14 +46,16 @@
 	store   *fakeStore
 	// grants counts the grants that a server took for the first time.
 	grants int
-	// conflict is the first moment at which two servers held a key.
+	// taken holds the ranges that each server took, with their fences.
+	taken map[fleet.UpstreamID][]heldRange
+	// conflict is the first moment at which two servers held a key, or took it with the same fence.
 	conflict error
 }
 
 func newWorld(t *testing.T, seed uint64, servers int) *world {
 	w := &world{
 		t: t, began: time.Now(), random: rand.New(rand.NewPCG(seed, 1)), servers: make(map[fleet.UpstreamID]*fakeServer),
-		changed: make(chan struct{}),
+		taken: make(map[fleet.UpstreamID][]heldRange), changed: make(chan struct{}),
 	}
 	w.log = zerolog.Nop()
 	if os.Getenv("RANGEGRANTS_LOG") != "" {
@@ -94,6 +96,19 @@
 	if before := w.servers[id]; before != nil {
 		address = before.owner.Address
 	}
+	return w.startAt(id, address)
+}
+
+// succeed ends a server and starts another one at its address. The entry of the ended one stays registered.
+func (w *world) succeed(former, id fleet.UpstreamID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.servers[former].absent, w.servers[former].holds = true, nil
+	w.startAt(id, w.servers[former].owner.Address)
+}
+
+// startAt starts a server at an address. The caller holds mu.
+func (w *world) startAt(id fleet.UpstreamID, address netip.AddrPort) *fakeServer {
 	run := fleet.Incarnation(fmt.Sprint(time.Since(w.began)))
 	one := &fakeServer{owner: ranges.Owner{ID: id, Run: run, Address: address}}
 	w.servers[id] = one
@@ -139,16 +154,16 @@
 
 var errSilent = errors.New("no answer")
 
-// reach delivers an order and returns nil if it cannot be answered now. The caller holds mu.
-func (w *world) reach(address netip.AddrPort, cut bool) (*fakeServer, rangegrants.Answer) {
+// reach delivers an order, or returns why it cannot be. The caller holds mu.
+func (w *world) reach(server ranges.Owner, cut bool) (*fakeServer, rangegrants.Answer) {
 	for _, one := range w.servers {
-		if one.owner.Address != address {
+		if one.owner.Address != server.Address || one.absent {
 			continue
 		}
 		switch {
 		case one.cut || cut:
 			return nil, rangegrants.Silent{Unsent: true, Err: errSilent}
-		case one.absent:
+		case one.owner.ID != server.ID:
 			return nil, rangegrants.Absent{}
 		}
 		return one, nil
@@ -164,11 +179,11 @@
 }
 
 // order sends an order. One that is late is carried out seconds after its sender gave up.
-func (o orders) order(ctx context.Context, address netip.AddrPort, do func(*fakeServer, time.Time) rangegrants.Answer) rangegrants.Answer {
+func (o orders) order(ctx context.Context, server ranges.Owner, do func(*fakeServer, time.Time) rangegrants.Answer) rangegrants.Answer {
 	_ = timer.Wait(ctx, timer.System{}, 5*time.Millisecond)
 	arrived := time.Now()
 	o.mu.Lock()
-	one, failed := o.reach(address, o.cut())
+	one, failed := o.reach(server, o.cut())
 	late := one != nil && o.random.Float64() < one.late
 	var delay time.Duration
 	if late {
@@ -198,8 +213,8 @@
 }
 
 // Grant grants a range.
-func (o orders) Grant(ctx context.Context, address netip.AddrPort, grant rangegrants.Grant) rangegrants.Answer {
-	return o.order(ctx, address, func(one *fakeServer, arrived time.Time) rangegrants.Answer {
+func (o orders) Grant(ctx context.Context, server ranges.Owner, grant rangegrants.Grant) rangegrants.Answer {
+	return o.order(ctx, server, func(one *fakeServer, arrived time.Time) rangegrants.Answer {
 		return o.grant(one, grant, arrived)
 	})
 }
@@ -216,6 +231,7 @@
 	one.holds = append(one.holds, heldRange{keys: grant.Range, fence: grant.Fence, until: until})
 	w.grants++
 	w.check(one, grant.Range, until)
+	w.checkFence(one, grant, until)
 	return rangegrants.Taken{}
 }
 
@@ -237,9 +253,25 @@
 	}
 }
 
+// checkFence notes whether another server took a key of the grant with its fence or a higher one. The caller holds mu.
+func (w *world) checkFence(one *fakeServer, grant rangegrants.Grant, until time.Time) {
+	if !until.After(time.Now()) {
+		return
+	}
+	for id, taken := range w.taken {
+		for _, before := range taken {
+			if id != one.owner.ID && before.keys.Overlaps(grant.Range) && before.fence >= grant.Fence && w.conflict == nil {
+				w.conflict = errors.Newf("at %s %s took %s with fence %d, %s had it with %d", w.Uptime(), one.owner.ID, grant.Range,
+					grant.Fence, id, before.fence)
+			}
+		}
+	}
+	w.taken[one.owner.ID] = append(w.taken[one.owner.ID], heldRange{keys: grant.Range, fence: grant.Fence, until: until})
+}
+
 // Release releases a range.
-func (o orders) Release(ctx context.Context, address netip.AddrPort, keys fleet.KeyRange, fence ranges.Fence) rangegrants.Answer {
-	return o.order(ctx, address, func(one *fakeServer, _ time.Time) rangegrants.Answer {
+func (o orders) Release(ctx context.Context, server ranges.Owner, keys fleet.KeyRange, fence ranges.Fence) rangegrants.Answer {
+	return o.order(ctx, server, func(one *fakeServer, _ time.Time) rangegrants.Answer {
 		one.barred = append(one.barred, heldRange{keys: keys, fence: fence})
 		var kept []heldRange
 		for _, held := range one.holds {
@@ -270,10 +302,10 @@
 }
 
 // Probe asks a server whether it works.
-func (o orders) Probe(_ context.Context, address netip.AddrPort, _ fleet.UpstreamID) bool {
+func (o orders) Probe(_ context.Context, server ranges.Owner) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	one, _ := o.reach(address, o.cut())
+	one, _ := o.reach(server, o.cut())
 	return one != nil
 }
 
