ownership/assigner: a host that suspected the holder wrongly waits longer

Cause: with each process standing still half of the time, for up to 0.5 s at a stretch, the deputy took over 1.5 times a second although the holder was alive, and each new epoch has to hear from a majority before it grants. That is what keeps keys without an owner for seconds after the stops in TestRollingReplacementOfServers: its logs show 127 changes of the role in 70 s.

--- a/internal/ownership/assigner/assigner.go
+++ b/internal/ownership/assigner/assigner.go
@@ -161,6 +161,7 @@
 	if a.Role() != RoleActing || epoch <= a.epoch || a.omit == lease.RuleStepDown {
 		return
 	}
+	a.suspectedWrongly()
 	a.stepDown(ReasonHigherEpoch)
 }
 
--- a/internal/ownership/assigner/role.go
+++ b/internal/ownership/assigner/role.go
@@ -10,6 +10,14 @@
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 )
 
+const (
+	// mostWrong is how often the timeout of the deputy is doubled at most, so that it stays below that of the watchers.
+	mostWrong = 2
+	// wrongMemory is for how long a wrong suspicion makes a host wait longer. It covers several turns of the role among
+	// the few hosts that may take it.
+	wrongMemory = 30 * time.Second
+)
+
 // watchers is the number of hosts that watch a group besides holder and deputy. More would only add messages.
 const watchers = 4
 
@@ -32,6 +40,11 @@
 	stopping bool
 	// standsBy is the last time at which the deputy that the row names said so; zero if it never did.
 	standsBy time.Time
+	// suspected is the holder that this host replaced because it was silent, until it is heard again.
+	suspected fleet.HostID
+	// wrong counts the suspicions that proved wrong lately, and wrongAt is the time of the last one.
+	wrong   int
+	wrongAt time.Time
 	// placements is the count in the last heartbeat heard.
 	placements uint64
 }
@@ -51,6 +64,10 @@
 // Received handles a message from the assigner on another host.
 func (a *Assigner) Received(now time.Time, from fleet.HostID, message Message) []Action {
 	a.enter(now)
+	if from == a.watch.suspected {
+		a.watch.suspected = ""
+		a.suspectedWrongly()
+	}
 	switch message := message.(type) {
 	case Heartbeat:
 		a.receivedHeartbeat(from, message)
@@ -114,7 +131,7 @@
 	if !a.ledger.Quorum() || len(a.row.content.Members) == 0 {
 		return a.now.Sub(a.beganAt) < 3*a.Timing.WatcherTimeout
 	}
-	return a.now.Sub(a.evidenceAt) < 4*a.Timing.Round
+	return a.now.Sub(a.evidenceAt) < 4*a.Timing.Round<<a.wrongLately()
 }
 
 // tickDeputy takes over when the holder has been silent for too long.
@@ -126,11 +143,27 @@
 	if !a.plan.known {
 		a.readPlacementIfUnknown()
 	}
-	if a.now.Sub(a.watch.heard) > a.Timing.DeputyTimeout {
+	if a.now.Sub(a.watch.heard) > a.Timing.DeputyTimeout<<a.wrongLately() {
+		a.watch.suspected = a.row.content.Holder
 		a.begin(a.row.content.Reserve, ReasonHolderSilent)
 	}
 }
 
+// suspectedWrongly notes that a holder was replaced though it was alive.
+func (a *Assigner) suspectedWrongly() {
+	a.watch.wrong, a.watch.wrongAt = min(a.wrongLately()+1, mostWrong), a.now
+}
+
+// wrongLately returns how often the timeout of the deputy, and the time in which an assigner has to hear from a majority, are
+// to be doubled. On machines that are short of processor time the role changed hands more than once a second without that,
+// and each holder was replaced before it could grant anything.
+func (a *Assigner) wrongLately() int {
+	if a.now.Sub(a.watch.wrongAt) > wrongMemory {
+		return 0
+	}
+	return a.watch.wrong
+}
+
 // mayUseReserve reports whether this host may use the reserved epoch: the row names it as deputy, it was written after
 // this process first read the row, so that no earlier process of the host can have used the epoch, and no such epoch
 // has been seen.
