daemon/host, peer: each log line names its host once

Cause: the daemon of dev had its host in the logger and in some of its events too, and events about peers called the other host "host" as well, so that a line had the field twice and readers took either one.

Change: Run sets the host once; events about another host call it peer.

--- a/internal/daemon/dev/instance.go
+++ b/internal/daemon/dev/instance.go
@@ -77,8 +77,7 @@
 	}
 	one := &instance{settings: loaded, packets: &socket{PacketConn: packets}, ended: make(chan struct{})}
 	one.daemon = &host.Daemon{
-		Settings: loaded, Timer: f.Timer, Log: f.Log.With().Str("host", string(loaded.Host.ID)).Logger(),
-		Packets: one.packets,
+		Settings: loaded, Timer: f.Timer, Log: f.Log, Packets: one.packets,
 	}
 	lifetime, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	one.cancel = cancel
--- a/internal/daemon/host/host.go
+++ b/internal/daemon/host/host.go
@@ -62,11 +62,12 @@
 // Run serves until ctx ends and then stops gracefully: it stops to be ready, hands over its roles, finishes the requests
 // in flight and leaves the fleet, all within the stop timeout of the settings.
 func (d *Daemon) Run(ctx context.Context) error {
+	d.Log = d.Log.With().Str("host", string(d.Settings.Host.ID)).Logger()
 	if err := d.prepare(); err != nil {
 		return err
 	}
 	defer d.closeClients()
-	d.Log.Info().Str("host", string(d.Settings.Host.ID)).Str("domain", string(d.Settings.Host.Place.Domain)).
+	d.Log.Info().Str("domain", string(d.Settings.Host.Place.Domain)).
 		Str("callers", d.Settings.Callers.String()).Msg("daemon starting")
 	stages := newStages(ctx)
 	d.start(stages)
@@ -74,7 +75,7 @@
 	err := stages.wait(ctx)
 	d.stop(stages)
 	failed := stages.finish()
-	d.Log.Info().Str("host", string(d.Settings.Host.ID)).Msg("daemon stopped")
+	d.Log.Info().Msg("daemon stopped")
 	if err != nil {
 		return err
 	}
--- a/internal/peer/mesh/dial.go
+++ b/internal/peer/mesh/dial.go
@@ -40,7 +40,7 @@
 				return
 			}
 		} else {
-			m.Log.Debug().Err(err).Str("host", string(host.ID)).Msg("peer not connected")
+			m.Log.Debug().Err(err).Str("peer", string(host.ID)).Msg("peer not connected")
 		}
 		// The random part keeps hosts from dialing a returning host all at once.
 		pause := backoff/2 + rand.N(backoff/2)
--- a/internal/peer/mesh/link.go
+++ b/internal/peer/mesh/link.go
@@ -190,7 +190,7 @@
 	for {
 		envelope, err := wire.ReadEnvelope(l.reader)
 		if err != nil {
-			m.Log.Debug().Err(err).Str("host", string(l.host)).Msg("peer connection ended")
+			m.Log.Debug().Err(err).Str("peer", string(l.host)).Msg("peer connection ended")
 			return
 		}
 		if hello := envelope.GetHello(); hello != nil {
@@ -208,7 +208,7 @@
 		select {
 		case envelope := <-l.out:
 			if err := m.writeBatch(l, envelope); err != nil {
-				m.Log.Debug().Err(err).Str("host", string(l.host)).Msg("peer accepts no data")
+				m.Log.Debug().Err(err).Str("peer", string(l.host)).Msg("peer accepts no data")
 				m.drop(run, l)
 				return
 			}
--- a/internal/peer/spread/links.go
+++ b/internal/peer/spread/links.go
@@ -64,7 +64,7 @@
 		for messages := r.take(id, link); len(messages) > 0; messages = r.take(id, link) {
 			for _, message := range messages {
 				if err := r.send(ctx, id, message); err != nil {
-					r.Log.Debug().Err(err).Str("host", string(id)).Msg("items not sent")
+					r.Log.Debug().Err(err).Str("peer", string(id)).Msg("items not sent")
 					break
 				}
 			}
--- a/internal/peer/spread/members.go
+++ b/internal/peer/spread/members.go
@@ -15,7 +15,7 @@
 		case membership.Publish:
 			r.publishMember(action.Record)
 		case membership.Doubt:
-			r.Log.Info().Str("host", string(action.Record.Host.ID)).Msg("silent host suspected")
+			r.Log.Info().Str("peer", string(action.Record.Host.ID)).Msg("silent host suspected")
 			r.publishMember(action.Record)
 		}
 	}
--- a/internal/peer/spread/runner.go
+++ b/internal/peer/spread/runner.go
@@ -239,7 +239,7 @@
 func (r *Runner) Receive(_ context.Context, from fleet.HostID, payload []byte) {
 	message, err := decode(payload)
 	if err != nil {
-		r.Log.Warn().Err(err).Str("host", string(from)).Msg("message of a peer ignored")
+		r.Log.Warn().Err(err).Str("peer", string(from)).Msg("message of a peer ignored")
 		return
 	}
 	r.mu.Lock()
--- a/internal/upstream/grants/direct.go
+++ b/internal/upstream/grants/direct.go
@@ -132,7 +132,7 @@
 		case assigner.WriteRow:
 			d.rows().writeRow(ctx, action)
 		case assigner.ChangeRole:
-			logRole(d.Log, d.Service, d.Assigner.Host, action)
+			logRole(d.Log, d.Service, action)
 		default:
 		}
 	}
@@ -154,7 +154,7 @@
 		case assigner.Publish:
 			d.Publisher.Publish(d.Service, action.Assignments)
 		case assigner.ChangeRole:
-			logRole(d.Log, d.Service, d.Assigner.Host, action)
+			logRole(d.Log, d.Service, action)
 		default:
 		}
 	}
--- a/internal/upstream/grants/runner.go
+++ b/internal/upstream/grants/runner.go
@@ -201,13 +201,13 @@
 	case assigner.SendMessage:
 		r.postMessage(action)
 	case assigner.ChangeRole:
-		logRole(r.Log, r.Assigner.Service, r.Assigner.Host, action)
+		logRole(r.Log, r.Assigner.Service, action)
 	}
 }
 
 // logRole writes the line of a change of role.
-func logRole(log zerolog.Logger, service fleet.ServiceName, host fleet.HostID, change assigner.ChangeRole) {
-	log.Info().Str("service", string(service)).Str("host", string(host)).
+func logRole(log zerolog.Logger, service fleet.ServiceName, change assigner.ChangeRole) {
+	log.Info().Str("service", string(service)).
 		Str("from", string(change.From)).Str("to", string(change.To)).Uint64("epoch", uint64(change.Epoch)).
 		Str("reason", string(change.Reason)).Msg("assigner role changed")
 }
