daemon/entry: the metrics know the services, churn, time without an owner and imbalance

Change: the configuration, the map of owners and the load reports are passed on. Ranges are cut and merged, so that ownership is counted in parts of 64 keys. TestMeasures fails without it (no series of the service).

--- a/internal/daemon/entry/configuration.go
+++ b/internal/daemon/entry/configuration.go
@@ -18,6 +18,8 @@
 	decode   func([]byte) (*document.Document, error)
 	rowName  string
 	registry *registry.Registry
+	// adopted is called with each configuration that comes in force.
+	adopted func(*document.Document)
 
 	mu sync.Mutex
 	// declared is guarded by mu: the newest configuration, without upstreams. Its version never goes back.
@@ -74,6 +76,7 @@
 	c.log.Info().Uint64("version", next.Version).Int("services", len(next.Services)).Int("entries", len(next.Entries)).
 		Msg("configuration adopted")
 	c.declared = next
+	c.adopted(next)
 	c.join()
 }
 
--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -176,6 +176,7 @@
 	d.owners = &owners{clock: d.Timer, log: d.Log}
 	d.loads = &loads{daemon: d.Host.ID, store: d.Store, clock: d.Timer, log: d.Log, daemons: d.daemons}
 	d.observer = newObserver(d)
+	d.measure()
 	d.router = &router.Router{
 		Host: d.Host, Clock: d.Timer, Config: d.configuration, Owners: d.owners, Loads: d.loads, Recorder: d.observer,
 		Hosts: d.daemons, Dialect: d.UpstreamDialect, WholeLimit: wholeLimit, NewBudget: d.newBudget,
--- a/internal/daemon/entry/entry_test.go
+++ b/internal/daemon/entry/entry_test.go
@@ -35,7 +35,11 @@
 func TestConfigurationNeverReverts(t *testing.T) {
 	is := is.New(t)
 	upstreams := &registry.Registry{Clock: timer.System{}, Log: zerolog.Nop()}
-	c := &configuration{log: zerolog.Nop(), decode: decodeVersion, rowName: "op/config", registry: upstreams}
+	var adopted []uint64
+	c := &configuration{
+		log: zerolog.Nop(), decode: decodeVersion, rowName: "op/config", registry: upstreams,
+		adopted: func(declared *document.Document) { adopted = append(adopted, declared.Version) },
+	}
 	is.Equal(c.Current(), nil)
 	for _, step := range []struct {
 		row  table.Row
@@ -51,6 +55,7 @@
 		c.apply([]table.Row{step.row})
 		is.Equal(c.Current().Version, uint64(step.want))
 	}
+	is.Equal(adopted, []uint64{'b', 'c'})
 	upstreams.Put(registry.Entry{ID: "u", Service: "s", Slots: 6})
 	c.mu.Lock()
 	c.join()
@@ -71,7 +76,7 @@
 func TestOwners(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		o := &owners{clock: timer.System{}, log: zerolog.Nop()}
+		o := &owners{clock: timer.System{}, log: zerolog.Nop(), adopted: func(fleet.ServiceName, *ranges.Table) {}}
 		_, ok := o.Locate("s", 7)
 		is.True(!ok)
 		o.apply([]table.Row{tableRow(2, 2, "b", ranges.Former{FreeAt: time.Hour})})
--- a/internal/daemon/entry/loads.go
+++ b/internal/daemon/entry/loads.go
@@ -63,6 +63,8 @@
 	daemons func() int
 	// failed is called when the store does not answer a report.
 	failed func()
+	// collected is called with the load of a service after all reports were summed.
+	collected func(fleet.ServiceName, *ranges.Load)
 
 	mu sync.Mutex
 	// own is guarded by mu.
@@ -211,6 +213,7 @@
 	if l.load[service] == nil {
 		l.load[service] = &ranges.Load{}
 	}
+	l.collected(service, l.load[service])
 	result := rangegrants.Observed{
 		Load: l.load[service], Servers: make(map[fleet.UpstreamID]rangegrants.Pace), Daemons: daemons,
 	}
--- /dev/null
+++ b/internal/daemon/entry/measures_test.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"rosemarywick.example/rosemarywick/internal/core/cause"
+	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/ownership/ranges"
+	"rosemarywick.example/rosemarywick/internal/platform/table"
+	"rosemarywick.example/rosemarywick/internal/upstream/registry"
+)
+
+// Guards against requests that count under another service than theirs, and against churn, time without an owner and
+// imbalance that nobody can see.
+func TestMeasures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := &Daemon{Timer: timer.System{}, Log: zerolog.Nop()}
+		d.configuration = &configuration{
+			decode: decodeVersion, rowName: "op/config", registry: &registry.Registry{Clock: timer.System{}, Log: zerolog.Nop()},
+		}
+		d.owners, d.loads = &owners{clock: timer.System{}}, &loads{}
+		d.observer = newObserver(d)
+		d.measure()
+		d.configuration.apply([]table.Row{{Name: "op/config", Version: 1, Value: []byte("a")}})
+		d.observer.Record(cause.Record{Service: "s", Outcome: cause.Complete, Cause: cause.OK})
+		d.owners.apply([]table.Row{tableRow(1, 1, "a")})
+		d.owners.apply([]table.Row{tableRow(2, 2, "b", ranges.Former{FreeAt: time.Hour})})
+		is.NoErr(timer.Wait(t.Context(), timer.System{}, time.Second))
+		d.owners.apply([]table.Row{tableRow(3, 2, "b")})
+		d.measureLoad("s", &ranges.Load{})
+		served := httptest.NewRecorder()
+		d.observer.metrics.Handler().ServeHTTP(served, httptest.NewRequest(http.MethodGet, "/metrics", http.NoBody))
+		for _, want := range []string{
+			`rosemarywick_requests_total{outcome="complete",service="s",tenant="other"} 1`,
+			`rosemarywick_partitions_moved_total{service="s"} 1024`,
+			`rosemarywick_partitions_without_owner{service="s"} 0`,
+			`rosemarywick_unavailable_partition_seconds_total{service="s"} 1024`,
+			`rosemarywick_load_imbalance_ratio{service="s"} 1`,
+		} {
+			if !strings.Contains(served.Body.String(), "\n"+want+"\n") {
+				t.Errorf("%s is missing in\n%s", want, served.Body)
+			}
+		}
+	})
+}
--- a/internal/daemon/entry/owners.go
+++ b/internal/daemon/entry/owners.go
@@ -21,6 +21,8 @@
 type owners struct {
 	clock timer.Service
 	log   zerolog.Logger
+	// adopted is called with each table that comes in force.
+	adopted func(fleet.ServiceName, *ranges.Table)
 
 	mu sync.Mutex
 	// tables is guarded by mu; a table's version never goes back.
@@ -97,6 +99,7 @@
 			o.tables = make(map[fleet.ServiceName]*known)
 		}
 		o.tables[service] = &known{table: next, version: row.Version, since: o.clock.Now()}
+		o.adopted(service, next)
 		o.log.Info().Str("service", string(service)).Uint64("version", uint64(row.Version)).Uint64("term", next.Term).
 			Uint64("fence", uint64(next.Fence)).Int("holdings", len(next.Holdings)).Msg("table of the ranges adopted")
 	}
