daemon/dev: daemons get open sockets instead of free ports

Cause: ports were looked for, closed and opened again by the daemon.

Change: the sockets stay open until the daemon has them. Only the settings file for a daemon that another process runs still names ports that are just free.

--- a/internal/daemon/dev/fleet.go
+++ b/internal/daemon/dev/fleet.go
@@ -175,7 +175,7 @@
 }
 
 // settings writes the settings file of a new daemon, reads it the way "serve" does, and enters the host in the list.
-func (f *Fleet) settings(ctx context.Context) (*settings.Settings, error) {
+func (f *Fleet) settings(at addresses) (*settings.Settings, error) {
 	f.mu.Lock()
 	index := f.issued
 	f.issued++
@@ -185,10 +185,6 @@
 	if err != nil {
 		return nil, err
 	}
-	ports, err := freePorts(ctx)
-	if err != nil {
-		return nil, err
-	}
 	domain := f.deployment.domains[index%len(f.deployment.domains)]
 	text := fmt.Sprintf(`host = %q
 region = %q
@@ -203,7 +199,7 @@
 certificate = %q
 key = %q
 authority = %q
-`, name, f.deployment.region, domain, ports.peer, ports.callers, ports.operators, f.platformAddress,
+`, name, f.deployment.region, domain, at.peer, at.callers, at.operators, f.platformAddress,
 		files.Certificate, files.Key, files.Authority)
 	path := f.settingsPath(name)
 	const ownerOnly = 0o600
@@ -217,35 +213,6 @@
 	return loaded, err
 }
 
-// ports are the addresses of one daemon.
-type ports struct {
-	peer, callers, operators netip.AddrPort
-}
-
-// freePorts finds ports that are free at the moment; the daemon opens them itself shortly after.
-func freePorts(ctx context.Context) (ports, error) {
-	var found ports
-	var listen net.ListenConfig
-	packets, err := listen.ListenPacket(ctx, "udp", "127.0.0.1:0")
-	if err != nil {
-		return found, errors.Wrap(err, "find a free port")
-	}
-	found.peer = packets.LocalAddr().(*net.UDPAddr).AddrPort()
-	closers := []io.Closer{packets}
-	for _, address := range []*netip.AddrPort{&found.callers, &found.operators} {
-		listener, err := listen.Listen(ctx, "tcp", "127.0.0.1:0")
-		if err != nil {
-			return found, errors.Wrap(err, "find a free port")
-		}
-		*address = listener.Addr().(*net.TCPAddr).AddrPort()
-		closers = append(closers, listener)
-	}
-	for _, closer := range closers {
-		_ = closer.Close()
-	}
-	return found, nil
-}
-
 // introduce prints how to use the fleet.
 func (f *Fleet) introduce(ctx context.Context) error {
 	if _, err := f.authority.Issue("reader", roleRead); err != nil {
@@ -258,7 +225,7 @@
 			one.settings.Host.Place.Domain, one.settings.Callers, one.settings.Operators)
 	}
 	for range f.SettingsFiles {
-		spare, err := f.settings(ctx)
+		spare, err := f.spare(ctx)
 		if err != nil {
 			return err
 		}
--- a/internal/daemon/dev/instance.go
+++ b/internal/daemon/dev/instance.go
@@ -67,17 +67,19 @@
 
 // launch starts one more daemon.
 func (f *Fleet) launch(ctx context.Context) (*instance, error) {
-	loaded, err := f.settings(ctx)
+	opened, err := openSockets(ctx)
 	if err != nil {
 		return nil, err
 	}
-	packets, err := new(net.ListenConfig).ListenPacket(ctx, "udp", loaded.Host.Peer.String())
+	loaded, err := f.settings(opened.addresses())
 	if err != nil {
-		return nil, errors.Wrap(err, "listen for peers")
+		opened.close()
+		return nil, err
 	}
-	one := &instance{settings: loaded, packets: &socket{PacketConn: packets}, ended: make(chan struct{})}
+	one := &instance{settings: loaded, packets: &socket{PacketConn: opened.peer}, ended: make(chan struct{})}
 	one.daemon = &host.Daemon{
 		Settings: loaded, Timer: f.Timer, Log: f.Log, Packets: one.packets,
+		CallerListener: opened.callers, OperatorListener: opened.operators,
 	}
 	lifetime, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	one.cancel = cancel
@@ -88,6 +90,16 @@
 	return one, nil
 }
 
+// spare writes the settings file of a daemon that another process is to run. Its ports are free at the moment.
+func (f *Fleet) spare(ctx context.Context) (*settings.Settings, error) {
+	opened, err := openSockets(ctx)
+	if err != nil {
+		return nil, err
+	}
+	opened.close()
+	return f.settings(opened.addresses())
+}
+
 // attend runs a daemon and reports if it ends without being stopped.
 func (f *Fleet) attend(ctx context.Context, one *instance) {
 	one.err = one.daemon.Run(ctx)
