daemon/entry: tables are measured without the lock of the map

Cause: each new table was measured, 1,024 parts of the key space one after another, while the lock was held by which every keyed request looks up its owner. Found by reading; not measured.

Change: apply puts the tables in force under the lock and tells of them after it, in the same order. What is counted stays the same (TestMeasures).

--- a/internal/daemon/entry/owners.go
+++ b/internal/daemon/entry/owners.go
@@ -21,7 +21,7 @@
 type owners struct {
 	clock timer.Service
 	log   zerolog.Logger
-	// adopted is called with each table that comes in force.
+	// adopted is called with each table that has come in force, without mu: requests look up owners meanwhile.
 	adopted func(fleet.ServiceName, *ranges.Table)
 
 	mu sync.Mutex
@@ -79,6 +79,20 @@
 
 // apply takes in rows of the tables.
 func (o *owners) apply(rows []table.Row) {
+	for _, one := range o.adopt(rows) {
+		o.adopted(one.service, one.table)
+	}
+}
+
+// adoption is a table that has come in force.
+type adoption struct {
+	service fleet.ServiceName
+	table   *ranges.Table
+}
+
+// adopt puts the tables of the rows in force, and returns them in the order of the rows without those that are not newer.
+func (o *owners) adopt(rows []table.Row) []adoption {
+	var adopted []adoption
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, row := range rows {
@@ -99,7 +113,7 @@
 			o.tables = make(map[fleet.ServiceName]*known)
 		}
 		o.tables[service] = &known{table: next, version: row.Version, since: o.clock.Now()}
-		o.adopted(service, next)
+		adopted = append(adopted, adoption{service: service, table: next})
 		o.log.Info().Str("service", string(service)).Uint64("version", uint64(row.Version)).Uint64("term", next.Term).
 			Uint64("fence", uint64(next.Fence)).Int("holdings", len(next.Holdings)).Msg("table of the ranges adopted")
 	}
@@ -107,6 +121,7 @@
 		close(o.changed)
 		o.changed = nil
 	}
+	return adopted
 }
 
 // serviceOf returns the service that a row of the tables belongs to.
