routing/router: one place for the connections to an upstream

The bound of connections of one daemon to one upstream was computed in the same way for its client and for its limit. The values stay the same; the tests of the router and of the platform pass with -race.

--- a/internal/routing/router/service.go
+++ b/internal/routing/router/service.go
@@ -75,9 +75,8 @@
 		}
 	}
 	if result.client == nil {
-		connections := max(leastConnections, declared.Connections/r.hosts())
 		result.client = &forward.Client{
-			Address: one.Address, Clock: r.Clock, Connections: connections, Dialect: r.Dialect, WholeLimit: r.WholeLimit,
+			Address: one.Address, Clock: r.Clock, Connections: r.connections(declared), Dialect: r.Dialect, WholeLimit: r.WholeLimit,
 		}
 	}
 	if declared.Keyed() {
@@ -116,12 +115,16 @@
 	if r.NewLimit != nil {
 		return r.NewLimit(declared)
 	}
-	connections := max(leastConnections, declared.Connections/r.hosts())
 	return &admission.Adaptive{
-		Ceiling: float64(min(declared.Slots, connections)), Fair: float64(declared.Slots) / float64(r.hosts()),
+		Ceiling: float64(min(declared.Slots, r.connections(declared))), Fair: float64(declared.Slots) / float64(r.hosts()),
 	}
 }
 
+// connections returns how many connections this daemon may have to one upstream of a service.
+func (r *Router) connections(declared *document.Service) int {
+	return max(leastConnections, declared.Connections/r.hosts())
+}
+
 func (r *Router) hosts() int {
 	if r.Hosts == nil {
 		return 1
