rangegrants, platform: tests share their set-up

Four tests of rangegrants began with the same world, assigner and wait under ten seeds; underSeeds does that for all of them, and their assertions and seeds are as before.

--- a/internal/upstream/rangegrants/rangegrants_test.go
+++ b/internal/upstream/rangegrants/rangegrants_test.go
@@ -38,6 +38,19 @@
 	}
 }
 
+// underSeeds runs a scenario under ten seeds, from the moment at which the first assigner has given all keys owners.
+func underSeeds(t *testing.T, servers int, scenario func(w *world, first *daemon, seed uint64)) {
+	t.Helper()
+	for seed := range uint64(10) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, seed, servers)
+			first := w.assign("a")
+			w.await(5*time.Second, "at first")
+			scenario(w, first, seed)
+		})
+	}
+}
+
 // Guards against keys that stay without an owner after one fault. The bounds follow from the lengths of lease and hold.
 func TestRecovers(t *testing.T) {
 	cases := []struct {
@@ -106,74 +119,54 @@
 // Guards against a server that is taken for free before its hold has run out: its clock runs slow by the bound, and it
 // cannot be reached. Without the drift in the bound, the next owner is granted the keys too early.
 func TestSlowClock(t *testing.T) {
-	for seed := range uint64(10) {
-		synctest.Test(t, func(t *testing.T) {
-			w := newWorld(t, seed, 3)
-			one := w.assign("a")
-			w.await(5*time.Second, "at first")
-			pass(time.Duration(15000+37*seed) * time.Millisecond)
-			w.change("s1", func(s *fakeServer) { s.cut = true })
-			pass(hold + 3*time.Second)
-			w.finish(one)
-		})
-	}
+	underSeeds(t, 3, func(w *world, one *daemon, seed uint64) {
+		pass(time.Duration(15000+37*seed) * time.Millisecond)
+		w.change("s1", func(s *fakeServer) { s.cut = true })
+		pass(hold + 3*time.Second)
+		w.finish(one)
+	})
 }
 
 // Guards against a renewal that is carried out by another server, which has started at the address of its owner before the
 // assigner noticed the owner's end: the new server has seen no fence yet and does not refuse the old one.
 func TestAddressReused(t *testing.T) {
-	for seed := range uint64(10) {
-		synctest.Test(t, func(t *testing.T) {
-			w := newWorld(t, seed, 5)
-			one := w.assign("a")
-			w.await(5*time.Second, "at first")
-			pass(time.Duration(5000+113*seed) * time.Millisecond)
-			w.succeed("s1", "n")
-			w.await(hold, "after another server has its address")
-			w.finish(one)
-		})
-	}
+	underSeeds(t, 5, func(w *world, one *daemon, seed uint64) {
+		pass(time.Duration(5000+113*seed) * time.Millisecond)
+		w.succeed("s1", "n")
+		w.await(hold, "after another server has its address")
+		w.finish(one)
+	})
 }
 
 // Guards against orders of an assigner whose machine was suspended for longer than its lease. The monotonic clock of the
 // process stands still meanwhile, so that its own timers do not end the term.
 func TestSuspendedAssigner(t *testing.T) {
-	for seed := range uint64(10) {
-		synctest.Test(t, func(t *testing.T) {
-			is := is.New(t)
-			w := newWorld(t, seed, 5)
-			one := w.assign("a")
-			w.await(5*time.Second, "at first")
-			pass(time.Duration(5000+113*seed) * time.Millisecond)
-			one.set(func(d *daemon) { d.suspended += 2 * lease; d.refused = true })
-			pass(10 * time.Millisecond) // orders that were under way
-			before := w.count()
-			pass(lease)
-			is.Equal(w.count(), before)
-			w.finish(one)
-		})
-	}
+	underSeeds(t, 5, func(w *world, one *daemon, seed uint64) {
+		is := is.New(w.t)
+		pass(time.Duration(5000+113*seed) * time.Millisecond)
+		one.set(func(d *daemon) { d.suspended += 2 * lease; d.refused = true })
+		pass(10 * time.Millisecond) // orders that were under way
+		before := w.count()
+		pass(lease)
+		is.Equal(w.count(), before)
+		w.finish(one)
+	})
 }
 
 // Guards against a grant that the table does not name: the assigner cannot write it, its lease ends, and the next assigner
 // renews the grants of the table as it is.
 func TestTableBeforeGrant(t *testing.T) {
-	for seed := range uint64(10) {
-		synctest.Test(t, func(t *testing.T) {
-			w := newWorld(t, seed, 3)
-			first := w.assign("a")
-			w.await(5*time.Second, "at first")
-			second := w.assign("b")
-			pass(time.Duration(5000+113*seed) * time.Millisecond)
-			first.set(func(d *daemon) { d.refused = true })
-			w.change("s1", func(s *fakeServer) { s.leaving = true })
-			pass(lease / 2)
-			w.change("s1", func(s *fakeServer) { s.leaving = false })
-			w.await(lease+hold, "after the change of the assigner")
-			pass(hold)
-			w.finish(first, second)
-		})
-	}
+	underSeeds(t, 3, func(w *world, first *daemon, seed uint64) {
+		second := w.assign("b")
+		pass(time.Duration(5000+113*seed) * time.Millisecond)
+		first.set(func(d *daemon) { d.refused = true })
+		w.change("s1", func(s *fakeServer) { s.leaving = true })
+		pass(lease / 2)
+		w.change("s1", func(s *fakeServer) { s.leaving = false })
+		w.await(lease+hold, "after the change of the assigner")
+		pass(hold)
+		w.finish(first, second)
+	})
 }
 
 // count returns the number of grants that servers took.
