--- a/internal/upstream/forward/connection.go
+++ b/internal/upstream/forward/connection.go
@@ -13,6 +13,13 @@
 	"github.com/cockroachdb/errors"
 )
 
+// maxHeadBytes limits the bytes that are read while a response's status line and headers are awaited, including informational
+// responses before it.
+const maxHeadBytes = 64 << 10
+
+// errHeadTooLarge means that an upstream sent more than maxHeadBytes without completing the head of a response.
+var errHeadTooLarge = errors.New("forward: response head is too large")
+
 // errIdleUnusable means that an idle connection was closed by the upstream or received bytes that no request asked for.
 var errIdleUnusable = errors.New("forward: idle connection is closed or has unread bytes")
 
@@ -26,16 +33,37 @@
 	// written counts the bytes that the operating system accepted. It proves that no byte of a request was sent. Only the
 	// goroutine that writes accesses it.
 	written int64
+	// readingHead is set while the head of a response is read, and headLeft is how many bytes may be read until its end. Only the
+	// goroutine that reads accesses them.
+	readingHead bool
+	headLeft    int
 	// expires is the time from which the idle connection is not used again.
 	expires time.Time
 }
 
 func newConnection(conn net.Conn, connectTime time.Duration) *connection {
 	result := &connection{Conn: conn, connectTime: connectTime}
-	result.reader = bufio.NewReaderSize(conn, readBufferSize)
+	result.reader = bufio.NewReaderSize(result, readBufferSize)
 	return result
 }
 
+// beginHead starts to limit what is read to maxHeadBytes. endHead removes the limit, for the body.
+func (c *connection) beginHead() { c.readingHead, c.headLeft = true, maxHeadBytes }
+func (c *connection) endHead()   { c.readingHead = false }
+
+// Read reads from the upstream. While a head is read, it fails with errHeadTooLarge beyond the limit.
+func (c *connection) Read(p []byte) (int, error) {
+	if !c.readingHead {
+		return c.Conn.Read(p)
+	}
+	if c.headLeft == 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
+	c.headLeft -= n
+	return n, err
+}
+
 // Write writes to the upstream and counts the bytes.
 func (c *connection) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
--- a/internal/upstream/forward/exchange.go
+++ b/internal/upstream/forward/exchange.go
@@ -105,24 +105,31 @@
 	return nil
 }
 
-// readHead returns the response to this request, with its body unread. Informational and stale responses are skipped.
+// readHead returns the response to this request, with its body unread. Informational and stale responses are skipped, up to
+// maxStaleResponses. The error of bytes that are no response is marked with errInvalidResponse.
 func (e *exchange) readHead() (*http.Response, error) {
+	e.connection.beginHead()
 	for range maxStaleResponses + 1 {
 		response, err := http.ReadResponse(e.connection.reader, &http.Request{Method: e.request.Method})
+		if errors.Is(err, errHeadTooLarge) {
+			return nil, errors.Mark(err, errInvalidResponse)
+		}
 		if err != nil {
 			return nil, errors.Wrap(err, "forward: read response")
 		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
+		e.connection.endHead()
 		if _, stale := e.client.Dialect.Classify(e.request, response.StatusCode, response.Header).(Stale); !stale {
 			return response, nil
 		}
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, errors.Wrap(err, "forward: skip response to an earlier request")
 		}
+		e.connection.beginHead()
 	}
-	return nil, errTooManyStale
+	return nil, errors.Mark(errTooManyStale, errInvalidResponse)
 }
 
 // handleResponse turns a response whose body is unread into the Result of the exchange.
