caller/front: notice that a caller leaves while further requests of its wait

Cause: net/http reads one byte while it serves a request, to notice the end of the connection. When that byte begins a further request it stops reading, so a caller that left was not noticed and the upstream worked on for nobody. Change: once such a byte has arrived, the connection is read ahead, up to 32 KiB, until the server reads again. The end of the connection cancels the requests on it, and bytes that were read ahead are discarded then. Ruled out: a reader for every connection costs a goroutine and a copy for callers that do not pipeline. Before: TestCallerLeavesWithRequestsWaiting failed in the five cases with bytes in a later packet. After: all pass; responses keep their order with 300 requests beyond the limit; no request behind a closing response is passed on. Requests of one connection are still served one after the other; serving them side by side was not weighed yet.

--- a/internal/caller/front/conn.go
+++ b/internal/caller/front/conn.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -33,7 +34,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "front: accept")
 	}
-	return &callerConn{Conn: conn, config: l.config}, nil
+	caller := &callerConn{Conn: conn, config: l.config, cancelRequests: func() {}}
+	caller.ahead = readAhead{conn: conn, gone: func() { caller.cancelRequests() }}
+	return caller, nil
 }
 
 // callerConn is a connection from a caller.
@@ -44,6 +47,38 @@
 	idle atomic.Bool
 	// inUse is guarded by the Frontend's mu and set while the connection is new or carries a request.
 	inUse bool
+	// cancelRequests ends the contexts of the requests on the connection. requestContext sets it before the first read.
+	cancelRequests context.CancelFunc
+	ahead          readAhead
+}
+
+// requestContext returns the context from which those of a connection's requests are derived. http.Server calls it for each
+// accepted connection.
+func requestContext(ctx context.Context, conn net.Conn) context.Context {
+	if caller, ok := conn.(*callerConn); ok {
+		ctx, caller.cancelRequests = context.WithCancel(ctx)
+	}
+	return ctx
+}
+
+// Read reads from the caller. http.Server reads a single byte while it serves a request, to notice the end of the connection. If
+// that byte begins a further request, the connection is read ahead until the next Read.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err, taken := c.ahead.take(p)
+	if !taken {
+		n, err = c.Conn.Read(p)
+	}
+	if n == 1 && len(p) == 1 && err == nil && !c.idle.Load() {
+		c.ahead.start()
+	}
+	return n, err //nolint:wrapcheck // http.Server interprets the errors of a connection
+}
+
+// Close closes the connection and ends its requests.
+func (c *callerConn) Close() error {
+	err := c.Conn.Close()
+	c.cancelRequests()
+	return errors.Wrap(err, "front: close connection")
 }
 
 // SetReadDeadline sets the read deadline. For an idle connection it applies the idle timeout of the current configuration
@@ -54,7 +89,12 @@
 			deadline = time.Now().Add(current.CallerLimits.IdleTimeout)
 		}
 	}
-	return c.Conn.SetReadDeadline(deadline)
+	return c.ahead.setDeadline(deadline)
+}
+
+// SetDeadline sets the read and the write deadline.
+func (c *callerConn) SetDeadline(deadline time.Time) error {
+	return errors.CombineErrors(c.ahead.setDeadline(deadline), c.SetWriteDeadline(deadline))
 }
 
 // trackConnState records whether a connection is idle and whether it is in use. http.Server calls it before it sets the read
--- a/internal/caller/front/front.go
+++ b/internal/caller/front/front.go
@@ -94,6 +94,7 @@
 	}
 	server := &http.Server{
 		Handler: f.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: defaultIdleTimeout, ConnState: f.trackConnState,
+		ConnContext: requestContext,
 	}
 	failed := make(chan error, 1)
 	callerListener := &idleTimeoutListener{Listener: listener, config: f.Config}
--- /dev/null
+++ b/internal/caller/front/readahead.go
@@ -0,0 +1,118 @@
+package front
+
+import (
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxReadAhead limits the bytes of further requests that are held for one connection while a request is served. Beyond it, the
+// end of the connection is noticed only when the next request is read.
+const maxReadAhead = 32 << 10
+
+// errCallerGone means that the caller closed the connection while a request of its was being served.
+var errCallerGone = errors.New("front: caller closed the connection")
+
+// readAhead reads the bytes of pipelined requests while an earlier request is served. http.Server stops reading once it has
+// received one byte of a further request, and would not notice that the caller closes the connection.
+type readAhead struct {
+	conn net.Conn
+	// gone is called when the caller has closed the connection.
+	gone func()
+
+	mu sync.Mutex
+	// done is guarded by mu. It is closed when the reading goroutine ends, and nil if there is none.
+	done chan struct{}
+	// stopping is guarded by mu and set while the goroutine is made to end.
+	stopping bool
+	// content is guarded by mu and holds the bytes that were read and not yet taken.
+	content []byte
+	// err is guarded by mu and set when the connection has ended. Nothing is taken from content then.
+	err error
+	// deadline is guarded by mu: the read deadline that is in force unless the goroutine is being stopped.
+	deadline time.Time
+}
+
+// start begins to read, unless the limit has been reached. Only one goroutine at a time may call start and take.
+func (r *readAhead) start() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.done != nil || r.err != nil || len(r.content) >= maxReadAhead {
+		return
+	}
+	done := make(chan struct{})
+	r.done = done
+	go r.run(done)
+}
+
+// run reads until the limit is reached, the connection ends, or the read deadline passes.
+func (r *readAhead) run(done chan struct{}) {
+	defer close(done)
+	buffer := make([]byte, 2<<10)
+	for {
+		n, err := r.conn.Read(buffer)
+		r.mu.Lock()
+		r.content = append(r.content, buffer[:n]...)
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			r.err = errors.Mark(errors.Wrap(err, "front: read ahead"), errCallerGone)
+		}
+		ended, full := r.err != nil, len(r.content) >= maxReadAhead
+		r.mu.Unlock()
+		if ended {
+			r.gone()
+		}
+		if err != nil || full {
+			return
+		}
+	}
+}
+
+// take stops reading and moves bytes that were read to p. It returns false if there are none, so that the connection is to be
+// read. Bytes of a caller that has closed the connection are discarded.
+func (r *readAhead) take(p []byte) (int, error, bool) {
+	r.stop()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.err != nil {
+		return 0, r.err, true
+	}
+	n := copy(p, r.content)
+	r.content = r.content[n:]
+	if len(r.content) == 0 {
+		r.content = nil
+	}
+	return n, nil, n > 0
+}
+
+// stop makes the goroutine end and waits for it.
+func (r *readAhead) stop() {
+	r.mu.Lock()
+	done := r.done
+	if done != nil {
+		r.stopping = true
+		_ = r.conn.SetReadDeadline(time.Unix(1, 0)) // an error means that the connection has ended, which ends the goroutine
+	}
+	r.mu.Unlock()
+	if done == nil {
+		return
+	}
+	<-done
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.done, r.stopping = nil, false
+	_ = r.conn.SetReadDeadline(r.deadline) // an error shows at the next read
+}
+
+// setDeadline sets the read deadline of the connection.
+func (r *readAhead) setDeadline(deadline time.Time) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.deadline = deadline
+	if r.stopping {
+		return nil // stop applies it
+	}
+	return errors.Wrap(r.conn.SetReadDeadline(deadline), "front: set read deadline")
+}
