--- a/internal/caller/front/conn.go
+++ b/internal/caller/front/conn.go
@@ -64,8 +64,8 @@
 // Read reads from the caller. http.Server reads a single byte while it serves a request, to notice the end of the connection. If
 // that byte begins a further request, the connection is read ahead until the next Read.
 func (c *callerConn) Read(p []byte) (int, error) {
-	n, err, taken := c.ahead.take(p)
-	if !taken {
+	n, err := c.ahead.take(p)
+	if n == 0 && err == nil {
 		n, err = c.Conn.Read(p)
 	}
 	if n == 1 && len(p) == 1 && err == nil && !c.idle.Load() {
--- a/internal/caller/front/pipeline_test.go
+++ b/internal/caller/front/pipeline_test.go
@@ -71,7 +71,7 @@
 	stopped := make(chan error, 1)
 	go func() { stopped <- frontend.Run(ctx) }()
 	caller, accepted := net.Pipe()
-	t.Cleanup(func() { _ = caller.Close(); stop(); <-stopped })
+	t.Cleanup(func() { _ = caller.Close(); stop(); _ = <-stopped })
 	listener.incoming <- accepted
 	return caller, frontend
 }
@@ -141,6 +141,7 @@
 			is.NoErr(err)
 			body, err := io.ReadAll(response.Body)
 			is.NoErr(err)
+			is.NoErr(response.Body.Close())
 			is.Equal(response.Header.Get("Rosemarywick-Request-Id"), id)
 			reason := cause.QueueFull
 			if id == "c" {
@@ -191,6 +192,7 @@
 					is.Equal(response.StatusCode, status)
 					_, err = io.ReadAll(response.Body)
 					is.NoErr(err)
+					is.NoErr(response.Body.Close())
 					is.Equal(response.Close, i == len(test.want)-1) // the last response closes the connection
 				}
 				sleep(5 * time.Second)
--- a/internal/caller/front/readahead.go
+++ b/internal/caller/front/readahead.go
@@ -70,21 +70,21 @@
 	}
 }
 
-// take stops reading and moves bytes that were read to p. It returns false if there are none, so that the connection is to be
-// read. Bytes of a caller that has closed the connection are discarded.
-func (r *readAhead) take(p []byte) (int, error, bool) {
+// take stops reading and moves bytes that were read to p. If it returns neither bytes nor an error, the connection is to be read.
+// Bytes of a caller that has closed the connection are discarded.
+func (r *readAhead) take(p []byte) (int, error) {
 	r.stop()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.err != nil {
-		return 0, r.err, true
+		return 0, r.err
 	}
 	n := copy(p, r.content)
 	r.content = r.content[n:]
 	if len(r.content) == 0 {
 		r.content = nil
 	}
-	return n, nil, n > 0
+	return n, nil
 }
 
 // stop makes the goroutine end and waits for it.
