--- a/internal/daemon/entry/assigners.go
+++ b/internal/daemon/entry/assigners.go
@@ -17,7 +17,7 @@
 
 // runAssigners runs one assigner for each service with range grants until ctx ends. Each takes part in the election of the
 // service's acting assigner. Assigners start and stop as the configuration changes.
-func (d *Daemon) runAssigners(ctx context.Context) error {
+func (d *Daemon) runAssigners(ctx context.Context) {
 	running := make(map[fleet.ServiceName]context.CancelFunc)
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
@@ -44,7 +44,7 @@
 			for _, cancel := range running {
 				cancel()
 			}
-			return nil
+			return
 		}
 	}
 }
@@ -66,8 +66,7 @@
 func (d *Daemon) newAssigner(name fleet.ServiceName) *rangegrants.Assigner {
 	return &rangegrants.Assigner{
 		Service: name, Daemon: d.runID, Store: d.Store, Registry: serverRegistry{d.configuration}, Client: d.ServerClient,
-		LoadSource: d.loadTracker, Clock: d.Timer, Uptime: d.Timer, Log: d.Log,
-		KnownTable:          func() *ranges.Table { return d.ownershipMap.table(name) },
+		LoadSource: d.loadTracker, Candidates: d.node.Relays, Clock: d.Timer, Uptime: d.Timer, Log: d.Log,
 		GrantDuration:       scaled(d.Limits.MaxGrantDuration, grantFraction),
 		OutageGrantDuration: d.Limits.MaxGrantDuration, LeaseDuration: scaled(d.Limits.MaxGrantDuration, leaseFraction),
 	}
--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -1,10 +1,11 @@
 // Package entry assembles a daemon for deployments that keep all shared state in the platform's store: the operators'
-// configuration, the registered upstreams and the assignments of key ranges. Such a daemon talks to no peers. The formats and
-// protocols of the deployment are passed in.
+// configuration, the registered upstreams and the assignments of key ranges. Its peers pass this state on to each other, but
+// decide nothing. The formats and protocols of the deployment are passed in.
 package entry
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -20,6 +21,7 @@
 	"rosemarywick.example/rosemarywick/internal/core/document"
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/peer/relay"
 	"rosemarywick.example/rosemarywick/internal/platform/table"
 	"rosemarywick.example/rosemarywick/internal/routing/retry"
 	"rosemarywick.example/rosemarywick/internal/routing/router"
@@ -74,6 +76,10 @@
 	UpstreamDialect forward.Dialect
 	Timer           timer.System
 	Log             zerolog.Logger
+	// FirstStart is set if the whole deployment starts for the first time.
+	FirstStart bool
+	// LinkRate is the rate of the host's link in bits a second. Zero means that it is not known.
+	LinkRate float64
 	// Listening, if set, is called with the address that callers can connect to.
 	Listening func(netip.AddrPort)
 
@@ -82,6 +88,7 @@
 	configuration *configuration
 	ownershipMap  *ownershipMap
 	loadTracker   *loadTracker
+	node          *relay.Node
 	router        *router.Router
 	front         *front.Frontend
 	observer      *observer
@@ -112,12 +119,13 @@
 	// maxUpstreamsDelay limits that delay. An assigner makes the first range table once the entries have not changed for a
 	// second, so a longer delay would look as if all upstreams had started.
 	maxUpstreamsDelay = 800 * time.Millisecond
-	// rangesDelayPerDaemon is the batch delay between a change of a range table and the next poll, multiplied by the number of
-	// daemons. The whole fleet thus polls at most 40 times a second, not counting daemons that poll early because a request
-	// found the range table out of date.
-	rangesDelayPerDaemon = 25 * time.Millisecond
-	// maxRangesDelay limits that delay.
-	maxRangesDelay = 2 * time.Second
+	// startSpread is the time over which the first calls of a new deployment's daemons to the store are spread.
+	startSpread = 300 * time.Millisecond
+	// linkDelay is how much later a host whose link has slowLinkRate, in bits a second, makes its first call, and maxLinkDelay the
+	// longest such delay.
+	linkDelay    = 500 * time.Millisecond
+	maxLinkDelay = 500 * time.Millisecond
+	slowLinkRate = 20e6
 	// leaseFraction is the duration of the assigner's lease as a fraction of MaxGrantDuration.
 	leaseFraction = 0.2
 )
@@ -137,28 +145,14 @@
 	group, servingCtx := errgroup.WithContext(servingCtx)
 	group.Go(func() error { return d.serveReadiness(servingCtx, ready) })
 	group.Go(func() error { return d.observer.serveMetrics(servingCtx, d.MetricsAddress) })
-	upstreamsFollower, rangesFollower := d.followUpstreams(), d.followRanges()
-	followers := []*table.Follower{d.followConfiguration(), upstreamsFollower, rangesFollower}
-	// When one call to the store fails, the other connections to it have likely failed too, so all followers check theirs.
-	suspectAll := func() {
-		for _, follower := range followers {
-			follower.SuspectOutage()
-		}
-	}
-	d.loadTracker.onStoreFailure = suspectAll
-	for _, follower := range followers {
-		follower.OnOutage = suspectAll
-		group.Go(func() error { return follower.Run(servingCtx) })
-	}
+	group.Go(func() error { return d.node.Run(servingCtx) })
+	stopLeave := context.AfterFunc(ctx, d.node.Leave)
+	defer stopLeave()
 	group.Go(func() error { return d.registry.Run(servingCtx) })
 	group.Go(func() error { return d.configuration.follow(servingCtx) })
-	d.router.OnStaleMap = func() {
-		rangesFollower.PollNow()
-		upstreamsFollower.PollNow()
-	}
+	d.router.OnStaleMap = d.node.PollNow
 	group.Go(func() error { return d.router.Run(servingCtx) })
 	group.Go(func() error { return d.loadTracker.run(servingCtx) })
-	group.Go(func() error { return d.runAssigners(ctx) })
 	group.Go(func() error {
 		defer stopServing()
 		return d.serve(ctx, servingCtx)
@@ -179,7 +173,9 @@
 		log: d.Log, decode: d.DecodeConfiguration, rowName: d.Tables.ConfigurationRow, registry: d.registry,
 	}
 	d.ownershipMap = &ownershipMap{clock: d.Timer, log: d.Log}
-	d.loadTracker = &loadTracker{host: d.Host.ID, store: d.Store, clock: d.Timer, log: d.Log, daemonCount: d.daemonCount}
+	d.loadTracker = &loadTracker{host: d.Host.ID, clock: d.Timer, log: d.Log}
+	d.node = d.newNode()
+	d.loadTracker.peers = d.node
 	d.observer = newObserver(d)
 	d.connectMetrics()
 	d.router = &router.Router{
@@ -219,32 +215,46 @@
 	}
 }
 
-// followConfiguration returns the follower of the table that holds the operators' configuration.
-func (d *Daemon) followConfiguration() *table.Follower {
-	return &table.Follower{
-		Feed: d.Store, Clock: d.Timer, Log: d.Log, Table: d.Tables.ConfigurationTable,
-		Reset: d.configuration.applyRows, Apply: d.configuration.applyRows,
+// newNode returns the part of the daemon that receives the tables of the store.
+func (d *Daemon) newNode() *relay.Node {
+	node := &relay.Node{
+		Local: d.Host, Process: d.runID, Store: d.Store, Feed: d.Store, Clock: d.Timer, Log: d.Log, StartDelay: d.startDelay,
+		Daemons: d.daemonCount, OnRecovered: d.registry.StoreRecovered, Reporter: d.loadTracker, Serve: d.runAssigners,
+		Tables: []relay.Table{
+			{
+				Name:     d.Tables.ConfigurationTable,
+				Consumer: relay.Consumer{Reset: d.configuration.applyRows, Apply: d.configuration.applyRows},
+			},
+			{
+				Name: d.Tables.UpstreamsTable, Consumer: relay.Consumer{Reset: d.resetUpstreams, Apply: d.applyUpstreams},
+				BatchDelay: d.upstreamsDelay,
+			},
+			{
+				Name:     rangegrants.RangesTable,
+				Consumer: relay.Consumer{Reset: d.ownershipMap.applyRows, Apply: d.ownershipMap.applyRows},
+			},
+		},
 	}
+	node.Prepare()
+	return node
 }
 
-// followUpstreams returns the follower of the table in which upstreams register.
-func (d *Daemon) followUpstreams() *table.Follower {
-	return &table.Follower{
-		Feed: d.Store, Clock: d.Timer, Log: d.Log, Table: d.Tables.UpstreamsTable,
-		Reset: d.resetUpstreams, Apply: d.applyUpstreams, OnRecovery: d.registry.StoreRecovered,
-		BatchDelay: func() time.Duration {
-			return min(maxUpstreamsDelay, scaled(d.Limits.DrainTimeout, upstreamsDelayFraction))
-		},
-	}
+// upstreamsDelay returns the batch delay of the upstreams table.
+func (d *Daemon) upstreamsDelay() time.Duration {
+	return min(maxUpstreamsDelay, scaled(d.Limits.DrainTimeout, upstreamsDelayFraction))
 }
 
-// followRanges returns the follower of the range tables that assigners write.
-func (d *Daemon) followRanges() *table.Follower {
-	return &table.Follower{
-		Feed: d.Store, Clock: d.Timer, Log: d.Log, Table: rangegrants.RangesTable,
-		Reset: d.ownershipMap.applyRows, Apply: d.ownershipMap.applyRows,
-		BatchDelay: func() time.Duration { return min(maxRangesDelay, time.Duration(d.daemonCount())*rangesDelayPerDaemon) },
+// startDelay returns the pause of a new deployment before the first call to the store. The daemon that calls first becomes the
+// relay of its failure domain, so a host with a slow link waits longer.
+func (d *Daemon) startDelay() time.Duration {
+	if !d.FirstStart {
+		return 0
+	}
+	spread := rand.N(startSpread)
+	if d.LinkRate <= 0 {
+		return spread
 	}
+	return spread + min(maxLinkDelay, time.Duration(float64(linkDelay)*slowLinkRate/d.LinkRate))
 }
 
 // resetUpstreams replaces the registry by a snapshot of the upstreams table.
--- a/internal/daemon/entry/entry_test.go
+++ b/internal/daemon/entry/entry_test.go
@@ -103,8 +103,8 @@
 	} {
 		t.Run(drain.String(), func(t *testing.T) {
 			is := is.New(t)
-			daemon := &Daemon{Limits: Limits{DrainTimeout: drain}, registry: &registry.Registry{}}
-			is.Equal(daemon.followUpstreams().BatchDelay(), want)
+			daemon := &Daemon{Limits: Limits{DrainTimeout: drain}}
+			is.Equal(daemon.upstreamsDelay(), want)
 		})
 	}
 }
--- a/internal/daemon/entry/loads.go
+++ b/internal/daemon/entry/loads.go
@@ -3,47 +3,36 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/core/timer"
 	"rosemarywick.example/rosemarywick/internal/ownership/ranges"
-	"rosemarywick.example/rosemarywick/internal/platform/table"
 	"rosemarywick.example/rosemarywick/internal/upstream/rangegrants"
 )
 
 const (
-	// loadsTable is the table in the store that holds the latest load report of each daemon.
-	loadsTable = "loads"
-	// reportInterval is the time between two reports of a daemon, and congestedReportInterval that while keyed requests wait
-	// for a slot or are rejected.
-	reportInterval          = 3 * time.Second
-	congestedReportInterval = time.Second
-	// reporterCount is the expected number of daemons that report in each interval. Each daemon sees a random sample of the
-	// requests, so a few reports suffice. In a larger fleet each daemon reports with a lower probability, so that the load on
-	// the store does not grow with the fleet.
-	reporterCount = 10
-	// reportLifetime is how long a daemon counts as running after its last report, in a fleet in which all daemons report in
-	// each interval. It is longer in larger fleets.
-	reportLifetime = 4 * reportInterval
-	// reportTimeout limits each call to the store.
-	reportTimeout = time.Second
+	// reportInterval is the time between two load reports of a daemon.
+	reportInterval = 300 * time.Millisecond
+	// countLifetime is how long the number of daemons at a relay counts after its last response, and loadLifetime how long the
+	// measurements of a server count after the last report.
+	countLifetime = 5 * time.Second
+	loadLifetime  = 12 * time.Second
 )
 
-// loadReport is what one daemon measured since its previous report. It is stored as JSON.
+// loadReport is what daemons measured since their previous reports. It is sent as JSON.
 type loadReport struct {
 	// Span is the time that the report covers.
 	Span     time.Duration                        `json:"span"`
-	Services map[fleet.ServiceName]*serviceReport `json:"services"`
+	Services map[fleet.ServiceName]*serviceReport `json:"services,omitempty"`
+	// Daemons is the number of daemons whose reports were added. It is zero in the report of one daemon.
+	Daemons int `json:"daemons,omitempty"`
 }
 
-// serviceReport counts the keyed requests of one service that one daemon forwarded, by buckets of the key space and by
-// server.
+// serviceReport counts the keyed requests of one service that were forwarded, by buckets of the key space and by server.
 type serviceReport struct {
 	Counts  ranges.BucketCounts                `json:"counts"`
 	Servers map[fleet.UpstreamID]*serverReport `json:"servers"`
@@ -55,43 +44,88 @@
 	Total    time.Duration `json:"total"`
 }
 
-// loadTracker counts the keyed requests of this daemon and reports them through the store. On the daemon that acts as
-// assigner it also sums the reports of all daemons.
+// serviceOf returns the counts of a service.
+func (l *loadReport) serviceOf(name fleet.ServiceName) *serviceReport {
+	if l.Services == nil {
+		l.Services = make(map[fleet.ServiceName]*serviceReport)
+	}
+	if l.Services[name] == nil {
+		l.Services[name] = &serviceReport{Counts: make(ranges.BucketCounts), Servers: make(map[fleet.UpstreamID]*serverReport)}
+	}
+	return l.Services[name]
+}
+
+// count adds requests of a server.
+func (s *serviceReport) count(server fleet.UpstreamID, requests int, total time.Duration) {
+	if s.Servers[server] == nil {
+		s.Servers[server] = &serverReport{}
+	}
+	s.Servers[server].Requests += requests
+	s.Servers[server].Total += total
+}
+
+// merge adds another report. Invalid counts are ignored.
+func (l *loadReport) merge(other *loadReport) {
+	for name, measured := range other.Services {
+		if measured == nil {
+			continue
+		}
+		sum := l.serviceOf(name)
+		for bucket, count := range measured.Counts {
+			if count > 0 {
+				sum.Counts[bucket] += count
+			}
+		}
+		for id, server := range measured.Servers {
+			if server != nil && server.Requests > 0 && server.Total >= 0 {
+				sum.count(id, server.Requests, server.Total)
+			}
+		}
+	}
+}
+
+// peers passes load reports to the daemon that acts as assigner.
+type peers interface {
+	// Report passes on the report of this daemon.
+	Report(ctx context.Context, content []byte)
+	// Collect returns the sums of the reports that the other relays have received since they were last asked.
+	Collect(ctx context.Context) map[fleet.HostID][]byte
+	// Subscribers returns the number of daemons that report to this one.
+	Subscribers() int
+}
+
+// loadTracker counts the keyed requests of this daemon and reports them. On a relay it sums the reports of the daemons that
+// follow it, and on the daemon that acts as assigner those of all daemons.
 type loadTracker struct {
 	host  fleet.HostID
-	store table.TimedStore
 	clock timer.Clock
 	log   zerolog.Logger
-	// daemonCount returns the number of daemons in the fleet.
-	daemonCount func() int
-	// onStoreFailure is called when a report could not be written for another reason than a version conflict.
-	onStoreFailure func()
+	peers peers
 	// onCollected is called with the load of a service each time the reports have been summed.
 	onCollected func(fleet.ServiceName, *ranges.Load)
 
 	mu sync.Mutex
 	// counts is guarded by mu: the measurements for the next report.
 	counts loadReport
-	// countedSince is guarded by mu: the time at which counts was last reset.
-	countedSince time.Time
-	// congested is guarded by mu and set when a keyed request had to wait or was rejected since run last checked.
-	congested bool
+	// received is guarded by mu: the sum of the reports that were added since the last Take, which was at takenAt.
+	received loadReport
+	takenAt  time.Time
 
-	// The fields below belong to the goroutine that calls Collect. received holds the latest report of each daemon, by the
-	// name of its row.
-	received    map[string]receivedReport
-	totals      map[fleet.ServiceName]*ranges.Load
-	serverLoads map[fleet.UpstreamID]serverLoad
+	// collectMu is held while the reports of all daemons are collected.
+	collectMu sync.Mutex
+	// The fields below are guarded by collectMu.
+	daemonCounts map[fleet.HostID]daemonCount
+	totals       map[fleet.ServiceName]*ranges.Load
+	serverLoads  map[fleet.UpstreamID]serverLoad
 }
 
-// receivedReport is the version of the latest report of one daemon and the time at which it was read.
-type receivedReport struct {
-	version table.Version
-	readAt  time.Time
+// daemonCount is the number of daemons at one relay, and when it was received.
+type daemonCount struct {
+	daemons    int
+	receivedAt time.Time
 }
 
-// serverLoad holds moving averages for one server: the duration of its requests, and the number of requests that one daemon
-// has in flight there.
+// serverLoad holds moving averages for one server: the duration of its requests, and the number of requests in flight there.
 type serverLoad struct {
 	meanDuration time.Duration
 	concurrency  float64
@@ -102,132 +136,107 @@
 func (l *loadTracker) Served(service fleet.ServiceName, server fleet.UpstreamID, key fleet.KeyHash, duration time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.counts.Services == nil {
-		l.counts.Services = make(map[fleet.ServiceName]*serviceReport)
-	}
-	counted := l.counts.Services[service]
-	if counted == nil {
-		counted = &serviceReport{Counts: make(ranges.BucketCounts), Servers: make(map[fleet.UpstreamID]*serverReport)}
-		l.counts.Services[service] = counted
-	}
+	counted := l.counts.serviceOf(service)
 	counted.Counts.Add(fleet.NumericKey(key))
-	if counted.Servers[server] == nil {
-		counted.Servers[server] = &serverReport{}
-	}
-	counted.Servers[server].Requests++
-	counted.Servers[server].Total += duration
+	counted.count(server, 1, duration)
 }
 
-// run writes reports until ctx ends. A report that cannot be written is dropped, since the next one follows soon.
+// run sends reports until ctx ends.
 func (l *loadTracker) run(ctx context.Context) error {
-	tick := l.clock.Every(congestedReportInterval)
+	tick := l.clock.Every(reportInterval)
 	defer tick.Stop()
-	version, last := table.Version(0), l.clock.Now()
-	l.resetCounts()
 	for {
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
 			return nil
 		}
-		now := l.clock.Now()
 		l.mu.Lock()
-		due := l.congested || now.Sub(last) >= reportInterval-congestedReportInterval/2
-		l.congested = false
+		counts := l.counts
+		l.counts = loadReport{}
 		l.mu.Unlock()
-		if !due {
+		if len(counts.Services) == 0 {
 			continue
 		}
-		last = now
-		if rand.Float64()*float64(l.daemonCount()) < reporterCount {
-			version = l.writeReport(ctx, version)
-		} else {
-			l.resetCounts()
+		content, err := json.Marshal(counts)
+		if err != nil {
+			l.log.Error().Err(err).Msg("encode load report: dropping it")
+			continue
 		}
+		l.peers.Report(ctx, content)
 	}
 }
 
-// NoteCongestion records that a keyed request had to wait or was rejected, so that the next report is written earlier.
-func (l *loadTracker) NoteCongestion() {
+// Add adds the report of one daemon.
+func (l *loadTracker) Add(content []byte) {
+	var decoded loadReport
+	if err := json.Unmarshal(content, &decoded); err != nil {
+		l.log.Warn().Err(err).Msg("decode load report: ignoring it")
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.congested = true
+	l.received.merge(&decoded)
 }
 
-// resetCounts discards the measurements of an interval that is not reported, so that the next report covers only its own.
-func (l *loadTracker) resetCounts() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.counts, l.countedSince = loadReport{}, l.clock.Now()
+// Take returns the sum of the reports that were added since the last call.
+func (l *loadTracker) Take() []byte {
+	content, err := json.Marshal(l.take())
+	if err != nil {
+		l.log.Error().Err(err).Msg("encode load reports: dropping them")
+	}
+	return content
 }
 
-// writeReport writes one report if the row has the given version. It returns the version of the row, which it reads again if
-// the write fails, or zero if it is unknown.
-func (l *loadTracker) writeReport(ctx context.Context, version table.Version) table.Version {
+func (l *loadTracker) take() *loadReport {
+	daemons := l.peers.Subscribers() + 1
 	l.mu.Lock()
-	l.counts.Span = l.clock.Now().Sub(l.countedSince)
-	value, err := json.Marshal(l.counts)
-	l.counts, l.countedSince = loadReport{}, l.clock.Now()
-	l.mu.Unlock()
-	if err != nil {
-		l.log.Error().Err(err).Msg("encode load report: dropping it")
-		return version
-	}
-	callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	name := loadsTable + "/" + string(l.host)
-	next, err := l.store.CommitVersion(callCtx, table.Change{Name: name, Expected: version, Write: true, Value: value})
-	if err == nil {
-		return next
-	}
-	l.log.Debug().Err(err).Msg("write load report: dropping it")
-	if !errors.Is(err, table.ErrConflict) {
-		l.onStoreFailure()
-	}
-	rows, err := l.store.Read(callCtx, name)
-	if err != nil || len(rows) == 0 {
-		return 0
-	}
-	return rows[0].Version
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	taken := l.received
+	taken.Daemons, taken.Span = daemons, now.Sub(l.takenAt)
+	l.received, l.takenAt = loadReport{}, now
+	return &taken
 }
 
 // Collect adds the new reports of all daemons and returns the load of a service and of the servers.
 func (l *loadTracker) Collect(ctx context.Context, service fleet.ServiceName) rangegrants.AggregateLoad {
-	now := l.clock.Now()
-	callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	rows, err := l.store.Scan(callCtx, loadsTable+"/")
-	if err != nil {
-		l.log.Warn().Err(err).Msg("scan load reports: using the earlier ones")
-	}
-	if l.received == nil {
-		l.received, l.totals, l.serverLoads = make(map[string]receivedReport), make(map[fleet.ServiceName]*ranges.Load),
-			make(map[fleet.UpstreamID]serverLoad)
-	}
-	for _, row := range rows {
-		if l.received[row.Name].version != row.Version {
-			l.addReport(now, row)
-			l.received[row.Name] = receivedReport{version: row.Version, readAt: now}
-		}
+	l.collectMu.Lock()
+	defer l.collectMu.Unlock()
+	if l.totals == nil {
+		l.daemonCounts, l.totals = make(map[fleet.HostID]daemonCount), make(map[fleet.ServiceName]*ranges.Load)
+		l.serverLoads = make(map[fleet.UpstreamID]serverLoad)
 	}
-	daemons := 0
-	lifetime := time.Duration(float64(reportLifetime) * max(1, float64(l.daemonCount())/reporterCount))
-	for _, entry := range l.received {
-		if now.Sub(entry.readAt) < lifetime {
-			daemons++
+	reports := map[fleet.HostID]*loadReport{}
+	for host, content := range l.peers.Collect(ctx) {
+		decoded := &loadReport{}
+		if err := json.Unmarshal(content, decoded); err != nil {
+			l.log.Warn().Err(err).Str("relay", string(host)).Msg("decode load reports of a relay: ignoring them")
+			continue
 		}
+		reports[host] = decoded
 	}
+	reports[l.host] = l.take()
+	now := l.clock.Now()
+	l.addReports(now, reports)
 	if l.totals[service] == nil {
 		l.totals[service] = &ranges.Load{}
 	}
 	l.onCollected(service, l.totals[service])
-	result := rangegrants.AggregateLoad{
-		Load: l.totals[service], Stats: make(map[fleet.UpstreamID]rangegrants.ServerStats), Daemons: daemons,
+	result := rangegrants.AggregateLoad{Load: l.totals[service], Stats: make(map[fleet.UpstreamID]rangegrants.ServerStats)}
+	for host, count := range l.daemonCounts {
+		if now.Sub(count.receivedAt) > countLifetime {
+			delete(l.daemonCounts, host)
+			continue
+		}
+		result.Daemons += count.daemons
 	}
 	for id, entry := range l.serverLoads {
-		if now.Sub(entry.updatedAt) < lifetime {
-			result.Stats[id] = rangegrants.ServerStats{MeanDuration: entry.meanDuration, Concurrency: entry.concurrency * float64(daemons)}
+		if now.Sub(entry.updatedAt) > loadLifetime {
+			delete(l.serverLoads, id)
+			continue
 		}
+		result.Stats[id] = rangegrants.ServerStats{MeanDuration: entry.meanDuration, Concurrency: entry.concurrency}
 	}
 	return result
 }
@@ -239,25 +248,23 @@
 	concurrencyWeight = 0.5
 )
 
-// addReport decodes one report and adds it to the load of its services and servers.
-func (l *loadTracker) addReport(now time.Time, row table.Row) {
-	var decoded loadReport
-	if err := json.Unmarshal(row.Value, &decoded); err != nil {
-		l.log.Warn().Err(err).Str("row", row.Name).Msg("decode load report: ignoring it")
-		return
+// addReports adds the sums of several relays, which cover about the same span, to the load of their services and servers.
+func (l *loadTracker) addReports(now time.Time, reports map[fleet.HostID]*loadReport) {
+	var sum loadReport
+	for host, report := range reports {
+		l.daemonCounts[host] = daemonCount{daemons: report.Daemons, receivedAt: now}
+		sum.merge(report)
 	}
-	for service, measured := range decoded.Services {
+	span := reports[l.host].Span
+	for service, measured := range sum.Services {
 		if l.totals[service] == nil {
 			l.totals[service] = &ranges.Load{}
 		}
 		l.totals[service].AddReport(now, measured.Counts)
 		for id, server := range measured.Servers {
-			if server == nil || server.Requests <= 0 || decoded.Span <= 0 {
-				continue
-			}
 			next := serverLoad{
-				meanDuration: server.Total / time.Duration(server.Requests),
-				concurrency:  float64(server.Total) / float64(decoded.Span), updatedAt: now,
+				meanDuration: server.Total / time.Duration(server.Requests), concurrency: float64(server.Total) / float64(max(span, 1)),
+				updatedAt: now,
 			}
 			if previous, ok := l.serverLoads[id]; ok {
 				next.meanDuration = previous.meanDuration + time.Duration(float64(next.meanDuration-previous.meanDuration)*durationWeight)
--- a/internal/daemon/entry/observer.go
+++ b/internal/daemon/entry/observer.go
@@ -19,8 +19,6 @@
 	// maxLogLinesPerSecond and logLineBurst limit the log lines about individual requests.
 	maxLogLinesPerSecond = 20
 	logLineBurst         = 100
-	// congestionWait is the time in the queue above which a keyed request counts as congestion.
-	congestionWait = 50 * time.Millisecond
 )
 
 // observer records metrics for each request that has ended, and logs those that did not go as expected.
@@ -29,14 +27,11 @@
 	metrics    *metrics.Metrics
 	logLimiter *rate.Limiter
 	now        func() time.Time
-	// onCongestion is called for a keyed request that waited longer than congestionWait or did not complete.
-	onCongestion func()
 }
 
 func newObserver(d *Daemon) *observer {
 	return &observer{
 		log: d.Log, metrics: metrics.New(d.Timer), logLimiter: rate.NewLimiter(maxLogLinesPerSecond, logLineBurst), now: d.Timer.Now,
-		onCongestion: d.loadTracker.NoteCongestion,
 	}
 }
 
@@ -47,9 +42,6 @@
 		Service: record.Service, Tenant: record.Tenant, QueueTime: record.QueueTime, ConnectTime: record.TotalConnectTime(),
 		UpstreamTime: record.TotalUpstreamTime(), TotalTime: record.TotalTime, Outcome: record.Outcome, Cause: record.Cause,
 	})
-	if record.Keyed && (record.QueueTime > congestionWait || record.Outcome != cause.Complete) {
-		o.onCongestion()
-	}
 	if !record.IsNotable() {
 		return
 	}
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -70,6 +70,8 @@
 	Socket net.PacketConn
 	// Resolve returns the address of a host to dial on demand. If it is nil, Send reaches connected hosts only.
 	Resolve func(fleet.HostID) (netip.AddrPort, bool)
+	// Started, if set, is called once Run makes and accepts connections.
+	Started func()
 	// PeerUp and PeerDown are called alternately for a host when it becomes a connected peer and when it no longer is one.
 	// Calls do not overlap and must not block.
 	PeerUp, PeerDown func(fleet.HostID)
@@ -145,6 +147,9 @@
 	defer cancel()
 	run := &runState{ctx: ctx, transport: transport, signal: make(chan struct{}, 1)}
 	m.beginRun(run)
+	if m.Started != nil {
+		m.Started()
+	}
 	m.acceptLoop(run, listener)
 	m.endRun()
 	cancel()
--- /dev/null
+++ b/internal/peer/relay/fleet_test.go
@@ -0,0 +1,433 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/platform/table"
+)
+
+const (
+	// storeLatency and linkLatency are the delays of a call to the store and of a message between daemons.
+	storeLatency = 4 * time.Millisecond
+	linkLatency  = 4 * time.Millisecond
+)
+
+// memoryStore is a store that keeps all changes. Calls of hosts that are cut off get no response.
+type memoryStore struct {
+	mu      sync.Mutex
+	rows    map[string]table.Row
+	history []table.Row
+	version table.Version
+	changed chan struct{}
+	calls   int
+	// cut holds the hosts that are cut off, and down is set while all are.
+	cut  map[fleet.HostID]bool
+	down bool
+	// compacted is the version up to which the history was dropped.
+	compacted table.Version
+}
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{rows: map[string]table.Row{}, changed: make(chan struct{}), cut: map[fleet.HostID]bool{}}
+}
+
+// write writes a row as its owner does, or deletes it.
+func (s *memoryStore) write(name, value string) table.Version {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	row := table.Row{Name: name, Version: s.version, Value: []byte(value)}
+	if value == "" {
+		row.Value = nil
+	}
+	s.store(row)
+	return s.version
+}
+
+// store stores a row. The caller holds mu.
+func (s *memoryStore) store(row table.Row) {
+	s.rows[row.Name] = row
+	if row.Value == nil {
+		delete(s.rows, row.Name)
+	}
+	s.history = append(s.history, row)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *memoryStore) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+// view is the store as one host reaches it.
+type view struct {
+	*memoryStore
+	host fleet.HostID
+}
+
+// begin counts a call. It fails after timeout if the host is cut off.
+func (v view) begin(ctx context.Context, timeout time.Duration) error {
+	v.mu.Lock()
+	v.calls++
+	unreachable := v.down || v.cut[v.host]
+	v.mu.Unlock()
+	wait := storeLatency
+	if unreachable {
+		wait = timeout
+	}
+	if timer.Wait(ctx, timer.System{}, wait) != nil || unreachable {
+		return errors.Wrap(table.ErrUnavailable, "no response")
+	}
+	return nil
+}
+
+func (v view) Snapshot(ctx context.Context, name string) (table.Changes, error) {
+	if err := v.begin(ctx, 600*time.Millisecond); err != nil {
+		return table.Changes{}, err
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	result := table.Changes{Version: v.version}
+	for _, row := range v.rows {
+		if strings.HasPrefix(row.Name, name+"/") {
+			result.Rows = append(result.Rows, row)
+		}
+	}
+	return result, nil
+}
+
+func (v view) Changes(ctx context.Context, name string, after table.Version, wait time.Duration) (table.Changes, error) {
+	if err := v.begin(ctx, wait+600*time.Millisecond); err != nil {
+		return table.Changes{}, err
+	}
+	timeout := timer.System{}.After(wait)
+	defer timeout.Stop()
+	for last := wait == 0; ; {
+		v.mu.Lock()
+		result, changed := table.Changes{Version: max(after, v.version)}, v.changed
+		compacted, unreachable := after < v.compacted, v.down || v.cut[v.host]
+		for _, row := range v.history {
+			if row.Version > after && strings.HasPrefix(row.Name, name+"/") {
+				result.Rows = append(result.Rows, row)
+			}
+		}
+		v.mu.Unlock()
+		switch {
+		case unreachable: // the response is lost
+			_ = timer.Wait(ctx, timer.System{}, wait+600*time.Millisecond)
+			return table.Changes{}, errors.Wrap(table.ErrUnavailable, "no response")
+		case compacted:
+			return table.Changes{}, table.ErrCompacted
+		case len(result.Rows) > 0 || last:
+			return result, nil
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			last = true
+		case <-ctx.Done():
+			return table.Changes{}, context.Cause(ctx)
+		}
+	}
+}
+
+func (v view) CommitVersion(ctx context.Context, changes ...table.Change) (table.Version, error) {
+	if err := v.begin(ctx, time.Second); err != nil {
+		return 0, err
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, change := range changes {
+		if v.rows[change.Name].Version != change.Expected {
+			return 0, table.ErrConflict
+		}
+	}
+	v.version++
+	for _, change := range changes {
+		v.store(table.Row{Name: change.Name, Version: v.version, Value: change.Value})
+	}
+	return v.version, nil
+}
+
+func (v view) Commit(ctx context.Context, changes ...table.Change) error {
+	_, err := v.CommitVersion(ctx, changes...)
+	return err
+}
+
+func (v view) Read(context.Context, ...string) ([]table.Row, error) { panic("not used") }
+func (v view) Scan(context.Context, string) ([]table.Row, error)    { panic("not used") }
+func (v view) Reading() table.ClockReading                          { return table.ClockReading{} }
+
+// daemon is a node with what it has received of table "t".
+type daemon struct {
+	*Node
+	network *network
+	stop    func()
+
+	mu sync.Mutex
+	// rows holds the rows of table "t", and highest the highest version of each. regressed is set if one was lower than before.
+	rows      map[string]table.Row
+	highest   map[string]table.Version
+	regressed bool
+	reports   int
+	serving   bool
+}
+
+func (d *daemon) apply(rows []table.Row) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, row := range rows {
+		if row.Version < d.highest[row.Name] {
+			d.regressed = true
+		}
+		d.highest[row.Name] = row.Version
+		d.rows[row.Name] = row
+		if row.Value == nil {
+			delete(d.rows, row.Name)
+		}
+	}
+}
+
+func (d *daemon) reset(rows []table.Row) {
+	d.mu.Lock()
+	d.rows = map[string]table.Row{}
+	d.mu.Unlock()
+	d.apply(rows)
+}
+
+func (d *daemon) value(name string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return string(d.rows[name].Value)
+}
+
+// Add and Take implement Reporter with the number of reports.
+func (d *daemon) Add([]byte) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reports++
+}
+
+func (d *daemon) Take() []byte {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	count := d.reports
+	d.reports = 0
+	return []byte(fmt.Sprint(count))
+}
+
+// network connects daemons by messages that arrive in order after linkLatency. It needs no sockets.
+type network struct {
+	t     *testing.T
+	store *memoryStore
+
+	mu      sync.Mutex
+	daemons map[fleet.HostID]*daemon
+	queues  map[[2]fleet.HostID]chan []byte
+	// silent holds the pairs of sender and receiver whose messages are lost.
+	silent map[[2]fleet.HostID]bool
+}
+
+// endpoint is the network as one daemon sends to it.
+type endpoint struct {
+	*network
+	from fleet.HostID
+}
+
+// Send delivers a message to the process that runs on the host at the time of its arrival.
+func (e endpoint) Send(ctx context.Context, to fleet.HostID, _ string, payload []byte) error {
+	e.mu.Lock()
+	key := [2]fleet.HostID{e.from, to}
+	queue := e.queues[key]
+	if queue == nil {
+		queue = make(chan []byte, 1024)
+		e.queues[key] = queue
+		go e.deliver(key, queue)
+	}
+	silent := e.silent[key] || e.silent[[2]fleet.HostID{e.from, ""}] || e.silent[[2]fleet.HostID{"", to}]
+	e.mu.Unlock()
+	if silent {
+		return nil
+	}
+	select {
+	case queue <- payload:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+func (n *network) deliver(key [2]fleet.HostID, queue <-chan []byte) {
+	ctx := n.t.Context()
+	for {
+		select {
+		case payload := <-queue:
+			_ = timer.Wait(ctx, timer.System{}, linkLatency)
+			n.mu.Lock()
+			receiver := n.daemons[key[1]]
+			n.mu.Unlock()
+			if receiver != nil {
+				receiver.receive(ctx, key[0], payload)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// newNetwork starts daemons that share a store, divided evenly between failure domains.
+func newNetwork(t *testing.T, daemons, domains int) *network {
+	n := &network{
+		t: t, store: newMemoryStore(), daemons: map[fleet.HostID]*daemon{}, queues: map[[2]fleet.HostID]chan []byte{},
+		silent: map[[2]fleet.HostID]bool{},
+	}
+	n.store.write("t/a", "1")
+	for i := range daemons {
+		n.start(i, domains, daemons, 300*time.Millisecond*time.Duration(i)/time.Duration(daemons))
+	}
+	t.Cleanup(func() {
+		for _, d := range n.running() {
+			d.stop()
+		}
+	})
+	return n
+}
+
+// start starts the daemon with an index after a delay.
+func (n *network) start(index, domains, daemons int, delay time.Duration) *daemon {
+	host := fleet.Host{
+		ID:       fleet.HostID(fmt.Sprintf("h%d", index)),
+		Locality: fleet.Locality{Region: "r", Domain: fleet.FailureDomain(fmt.Sprintf("d%d", index%domains))},
+		// The address only has to be valid, since the network replaces the connections.
+		PeerAddress: netip.MustParseAddrPort("127.0.0.1:1"),
+	}
+	d := &daemon{network: n, rows: map[string]table.Row{}, highest: map[string]table.Version{}}
+	d.Node = &Node{
+		Local: host, Process: fmt.Sprint(host.ID, "/", time.Now().UnixNano()), Store: view{n.store, host.ID}, Feed: view{n.store, host.ID},
+		Tables: []Table{{Name: "t", Consumer: Consumer{Reset: d.reset, Apply: d.apply}}}, Clock: timer.System{}, Log: zerolog.Nop(),
+		StartDelay: func() time.Duration { return delay }, Daemons: func() int { return daemons }, OnRecovered: func() {}, Reporter: d,
+		Serve: func(ctx context.Context) {
+			d.setServing(true)
+			<-ctx.Done()
+			d.setServing(false)
+		},
+	}
+	d.Prepare()
+	d.links, d.address = endpoint{n, host.ID}, host.PeerAddress
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if d.join(ctx) {
+			d.runRoles(ctx)
+		}
+		close(d.stopped)
+		d.tasks.Wait()
+	}()
+	d.stop = sync.OnceFunc(func() {
+		n.mu.Lock()
+		if n.daemons[host.ID] == d {
+			delete(n.daemons, host.ID)
+		}
+		n.mu.Unlock()
+		cancel()
+		<-done
+	})
+	n.mu.Lock()
+	n.daemons[host.ID] = d
+	n.mu.Unlock()
+	return d
+}
+
+func (d *daemon) setServing(serving bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.serving = serving
+}
+
+// running returns the daemons that run.
+func (n *network) running() []*daemon {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var result []*daemon
+	for _, d := range n.daemons {
+		result = append(result, d)
+	}
+	return result
+}
+
+// relayOf returns the relay of a failure domain according to the store.
+func (n *network) relayOf(domain string) *daemon {
+	for _, d := range n.running() {
+		n.store.mu.Lock()
+		row := string(n.store.rows[relayRowPrefix+domain].Value)
+		n.store.mu.Unlock()
+		if strings.Contains(row, `"`+d.Process+`"`) {
+			return d
+		}
+	}
+	return nil
+}
+
+// awaitValue returns how long it takes until all running daemons have a value, and fails the test after a limit.
+func (n *network) awaitValue(name, value string, limit time.Duration) time.Duration {
+	n.t.Helper()
+	start := time.Now()
+	for {
+		missing := 0
+		for _, d := range n.running() {
+			if d.value(name) != value {
+				missing++
+			}
+		}
+		if missing == 0 {
+			return time.Since(start)
+		}
+		if time.Since(start) > limit {
+			n.t.Fatalf("%d of %d daemons do not have %s=%s after %v", missing, len(n.running()), name, value, limit)
+		}
+		sleep(10 * time.Millisecond)
+	}
+}
+
+// calls returns the number of calls to the store while run runs.
+func (n *network) calls(run func()) int {
+	n.store.mu.Lock()
+	before := n.store.calls
+	n.store.mu.Unlock()
+	run()
+	n.store.mu.Lock()
+	defer n.store.mu.Unlock()
+	return n.store.calls - before
+}
+
+// checkNoRegress fails the test if a daemon has replaced a row by an older one.
+func (n *network) checkNoRegress() {
+	n.t.Helper()
+	for _, d := range n.running() {
+		d.mu.Lock()
+		if d.regressed {
+			n.t.Errorf("daemon %s went back to an older row", d.Local.ID)
+		}
+		d.mu.Unlock()
+	}
+}
+
+func sleep(duration time.Duration) { _ = timer.Wait(context.Background(), timer.System{}, duration) }
+
+// inBubble runs a test on a fake clock.
+func inBubble(t *testing.T, run func(t *testing.T)) { t.Helper(); synctest.Test(t, run) }
--- /dev/null
+++ b/internal/peer/relay/follow.go
@@ -0,0 +1,291 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/peer/wire"
+	"rosemarywick.example/rosemarywick/internal/platform/table"
+)
+
+// subscription receives the messages of the relay that this daemon follows.
+type subscription struct {
+	relay    member
+	messages chan *wire.Relay
+	// ended is closed when no more messages are received.
+	ended chan struct{}
+}
+
+// subscribe starts to accept messages of a relay and sends the positions of all copies to it.
+func (n *Node) subscribe(ctx context.Context, relay member) (*subscription, error) {
+	current := &subscription{relay: relay, messages: make(chan *wire.Relay), ended: make(chan struct{})}
+	n.mu.Lock()
+	n.subscription = current
+	n.mu.Unlock()
+	if err := n.sendPositions(ctx, relay); err != nil {
+		n.endSubscription(current)
+		return nil, err
+	}
+	return current, nil
+}
+
+// endSubscription stops accepting messages.
+func (n *Node) endSubscription(ended *subscription) {
+	n.mu.Lock()
+	if n.subscription == ended {
+		n.subscription = nil
+	}
+	n.mu.Unlock()
+	close(ended.ended)
+}
+
+// sendPositions asks a relay for the changes after the positions of all copies.
+func (n *Node) sendPositions(ctx context.Context, relay member) error {
+	message := &wire.Subscribe{}
+	for _, name := range n.tableNames {
+		if version, known := n.replica.position(name); known {
+			message.Positions = append(message.Positions, &wire.TablePosition{Table: name, Version: uint64(version)})
+		}
+	}
+	return n.send(ctx, relay.Host, &wire.Relay{Body: &wire.Relay_Subscribe{Subscribe: message}})
+}
+
+// followState is what a daemon knows about the relay that it follows.
+type followState struct {
+	*subscription
+	// heardAt is when the latest message arrived. responded is set once the relay has stated that it reaches the store.
+	heardAt   time.Time
+	responded bool
+	// startedAt is when the subscription was sent, and renewedAt when the relay was last told that it goes on.
+	startedAt, renewedAt time.Time
+	// claimAt is when this daemon tries to replace the relay of its failure domain. It is zero while that relay is followed.
+	claimAt time.Time
+	// lost is the relay of the failure domain at the time at which claimAt was set.
+	lost member
+}
+
+// follow receives the tables from a relay until it is lost or cut off, a better one is known, or this daemon becomes a relay.
+func (n *Node) follow(ctx context.Context, relay member) {
+	current, err := n.subscribe(ctx, relay)
+	if err != nil {
+		n.Log.Info().Err(err).Str("relay", string(relay.Host)).Msg("relay cannot be reached")
+		n.avoid(relay, false)
+		return
+	}
+	defer func() {
+		n.endSubscription(current)
+		if err := n.send(ctx, relay.Host, &wire.Relay{Body: &wire.Relay_Unsubscribe{Unsubscribe: &wire.Unsubscribe{}}}); err != nil {
+			n.Log.Debug().Err(err).Str("relay", string(relay.Host)).Msg("end subscription")
+		}
+	}()
+	now := n.Clock.Now()
+	state := &followState{subscription: current, heardAt: now, startedAt: now, renewedAt: now}
+	tick := n.Clock.Every(heartbeatInterval)
+	defer tick.Stop()
+	for {
+		changed := n.members.changedChannel()
+		select {
+		case message := <-current.messages:
+			state.heardAt = n.Clock.Now()
+			if !n.handleRelayMessage(ctx, state, message) {
+				return
+			}
+		case <-tick.C:
+			if silence := n.Clock.Now().Sub(state.heardAt); silence > silenceLimit {
+				n.Log.Warn().Str("relay", string(relay.Host)).Dur("silence", silence).Msg("relay is lost")
+				n.avoid(relay, false)
+				return
+			}
+			if n.claimIfDue(ctx, state) {
+				return
+			}
+			n.keepSubscription(ctx, state)
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+		if n.hasBetterRelay(state) {
+			return
+		}
+	}
+}
+
+// keepSubscription keeps the subscription from timing out at the relay, by an empty report.
+func (n *Node) keepSubscription(ctx context.Context, state *followState) {
+	now := n.Clock.Now()
+	if now.Sub(state.renewedAt) < subscriberTimeout/3 {
+		return
+	}
+	state.renewedAt = now
+	if err := n.send(ctx, state.relay.Host, &wire.Relay{Body: &wire.Relay_Report{Report: &wire.Report{}}}); err != nil {
+		n.Log.Debug().Err(err).Str("relay", string(state.relay.Host)).Msg("renew subscription")
+	}
+}
+
+// handleRelayMessage handles a message of the relay that is followed. It returns false if another one is to be followed.
+func (n *Node) handleRelayMessage(ctx context.Context, state *followState, message *wire.Relay) bool {
+	switch body := message.GetBody().(type) {
+	case *wire.Relay_Update:
+		n.handleUpdate(ctx, state.relay, body.Update)
+	case *wire.Relay_Heartbeat:
+		return n.handleHeartbeat(state, body.Heartbeat.GetAvailable(), body.Heartbeat.GetStarting())
+	}
+	return true
+}
+
+// handleUpdate adopts an update. If it does not continue the copies, the relay is asked for what is missing.
+func (n *Node) handleUpdate(ctx context.Context, relay member, message *wire.Update) {
+	received, err := decodeUpdate(message)
+	if err != nil {
+		n.Log.Error().Err(err).Str("relay", string(relay.Host)).Msg("update of a table cannot be read; it is dropped")
+		return
+	}
+	if _, spread := n.replica.consumers[received.table]; !spread {
+		return
+	}
+	changes := table.Changes{Rows: received.rows, Version: received.version}
+	if received.whole {
+		if !n.replica.reset(received.table, changes) {
+			n.Log.Info().Str("relay", string(relay.Host)).Str("table", received.table).Msg("older version of a table ignored")
+		}
+		return
+	}
+	if !n.replica.apply(received.table, received.after, changes) {
+		if err := n.sendPositions(ctx, relay); err != nil {
+			n.Log.Debug().Err(err).Str("relay", string(relay.Host)).Msg("ask relay for missing changes")
+		}
+	}
+}
+
+// handleHeartbeat notes whether the relay reaches the store. It returns false if the relay does not and another one may.
+func (n *Node) handleHeartbeat(state *followState, available, starting bool) bool {
+	if !state.responded && available {
+		n.Log.Info().Str("relay", string(state.relay.Host)).Str("domain", string(state.relay.domain)).Msg("relay is followed")
+	}
+	state.responded = state.responded || available
+	if available {
+		n.noteAvailability(true)
+		return true
+	}
+	if starting && n.Clock.Now().Sub(state.startedAt) < silenceLimit {
+		return true
+	}
+	n.avoid(state.relay, true)
+	next, ok := n.choose()
+	if ok && next.Run != state.relay.Run {
+		n.Log.Info().Str("relay", string(state.relay.Host)).Str("next", string(next.Host)).Msg("relay is cut off from the store")
+		return false
+	}
+	n.noteAvailability(false)
+	return true
+}
+
+// hasBetterRelay reports whether this daemon became a relay itself, the relay that it follows was replaced, or the relay of its
+// own failure domain can be followed instead of that of another one.
+func (n *Node) hasBetterRelay(state *followState) bool {
+	if own := n.members.of(n.Local.Locality.Domain); n.holdsRole() || own.Host == n.Local.ID && own.Run != n.Process {
+		return true
+	}
+	if current := n.members.of(state.relay.domain); current.Run != state.relay.Run {
+		return true
+	}
+	if state.relay.domain == n.Local.Locality.Domain {
+		return false
+	}
+	next, ok := n.choose()
+	return ok && next.domain == n.Local.Locality.Domain
+}
+
+// claimIfDue tries to replace the relay of this daemon's failure domain if it has been lost, or if the relay that is followed has
+// been cut off from the store, for some time. It reports whether this daemon has become the relay.
+func (n *Node) claimIfDue(ctx context.Context, state *followState) bool {
+	own := n.members.of(n.Local.Locality.Domain)
+	cutOff := n.interruptedNow()
+	now := n.Clock.Now()
+	switch {
+	case !cutOff && state.relay.Run == own.Run:
+		state.claimAt = time.Time{}
+	case state.claimAt.IsZero() || state.lost.version != own.version:
+		state.lost = own
+		spread := n.claimSpread(cutOff)
+		state.claimAt = now.Add(time.Duration(rand.Float64() * float64(spread)))
+	case !now.Before(state.claimAt):
+		state.claimAt = time.Time{}
+		return n.replaceRelay(ctx, state.lost)
+	}
+	return false
+}
+
+// responds reports whether a relay can be reached and reaches the store.
+func (n *Node) responds(ctx context.Context, relay member) bool {
+	current, err := n.subscribe(ctx, relay)
+	if err != nil {
+		return false
+	}
+	defer n.endSubscription(current)
+	timeout := n.Clock.After(sendTimeout)
+	defer timeout.Stop()
+	for {
+		select {
+		case message := <-current.messages:
+			if heartbeat, ok := message.GetBody().(*wire.Relay_Heartbeat); ok {
+				return heartbeat.Heartbeat.GetAvailable()
+			}
+		case <-timeout.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// noteAvailability records whether the tables are followed, in the store or at a relay that reaches it.
+func (n *Node) noteAvailability(available bool) {
+	n.mu.Lock()
+	recovered := available && n.interrupted
+	n.interrupted = !available
+	n.mu.Unlock()
+	if recovered {
+		n.OnRecovered()
+	}
+}
+
+// interruptedNow reports whether the tables are not followed at present.
+func (n *Node) interruptedNow() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.interrupted
+}
+
+// passToSubscription passes a message to the subscription to its sender, if there is one.
+func (n *Node) passToSubscription(ctx context.Context, from fleet.HostID, message *wire.Relay) {
+	n.mu.Lock()
+	current := n.subscription
+	n.mu.Unlock()
+	if current == nil || current.relay.Host != from {
+		return
+	}
+	select {
+	case current.messages <- message:
+	case <-current.ended:
+	case <-ctx.Done():
+	}
+}
+
+// send sends a message to a daemon.
+func (n *Node) send(ctx context.Context, to fleet.HostID, message *wire.Relay) error {
+	content, err := encodeMessage(message)
+	if err != nil {
+		return err
+	}
+	return n.sendEncoded(ctx, to, content)
+}
+
+// sendEncoded sends an encoded message to a daemon.
+func (n *Node) sendEncoded(ctx context.Context, to fleet.HostID, content []byte) error {
+	callCtx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	return n.links.Send(callCtx, to, topic, content) //nolint:wrapcheck // the mesh says which host
+}
--- /dev/null
+++ b/internal/peer/relay/members.go
@@ -0,0 +1,238 @@
+package relay
+
+import (
+	"context"
+	"crypto/ed25519"
+	"crypto/rand"
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/platform/table"
+)
+
+const (
+	// PeersTable holds the relays and the seed of the peers' certificate authority.
+	PeersTable   = "peers"
+	authorityRow = PeersTable + "/authority"
+	// relayRowPrefix and the name of a failure domain form the name of the row of the domain's relay.
+	relayRowPrefix = PeersTable + "/relay."
+)
+
+// Relay is a daemon that follows the store for the daemons of its failure domain.
+type Relay struct {
+	Host fleet.HostID `json:"host"`
+	// Run identifies the process.
+	Run string `json:"run"`
+	// Address is where the daemon accepts QUIC connections from its peers.
+	Address netip.AddrPort `json:"address"`
+}
+
+// member is a relay with the version of its row.
+type member struct {
+	Relay
+	domain  fleet.FailureDomain
+	version table.Version
+}
+
+// members holds the content of PeersTable.
+type members struct {
+	log zerolog.Logger
+
+	mu sync.Mutex
+	// seed is guarded by mu: the seed of the authority's key, or nil if there is none.
+	seed []byte
+	// relays is guarded by mu and holds the relay of each failure domain.
+	relays map[fleet.FailureDomain]member
+	// versions is guarded by mu: the version of each row that was adopted. An older one is ignored.
+	versions map[fleet.FailureDomain]table.Version
+	// changed is guarded by mu and closed at the next change.
+	changed chan struct{}
+}
+
+// consumer returns the consumer of PeersTable.
+func (m *members) consumer() Consumer {
+	return Consumer{Reset: m.reset, Apply: m.apply}
+}
+
+func (m *members) reset(rows []table.Row) {
+	m.mu.Lock()
+	m.relays = nil
+	m.mu.Unlock()
+	m.apply(rows)
+}
+
+// apply adopts changed rows. A relay's row that cannot be decoded counts as deleted, so that another daemon replaces it.
+func (m *members) apply(rows []table.Row) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.relays == nil {
+		m.relays = make(map[fleet.FailureDomain]member)
+	}
+	if m.versions == nil {
+		m.versions = make(map[fleet.FailureDomain]table.Version)
+	}
+	for _, row := range rows {
+		if row.Name == authorityRow && len(row.Value) == ed25519.SeedSize && m.seed == nil {
+			m.seed = row.Value
+			continue
+		}
+		domain, found := strings.CutPrefix(row.Name, relayRowPrefix)
+		if !found {
+			continue
+		}
+		next := member{domain: fleet.FailureDomain(domain), version: row.Version}
+		if row.Version < m.versions[next.domain] {
+			continue
+		}
+		m.versions[next.domain] = row.Version
+		if row.Value == nil {
+			delete(m.relays, next.domain)
+			continue
+		}
+		if err := json.Unmarshal(row.Value, &next.Relay); err != nil {
+			m.log.Error().Err(err).Str("row", row.Name).Msg("relay's row cannot be read; the relay is not used")
+			next.Relay = Relay{}
+		}
+		m.relays[next.domain] = next
+	}
+	m.notify()
+}
+
+// notify wakes those that wait for a change. The caller holds mu.
+func (m *members) notify() {
+	if m.changed != nil {
+		close(m.changed)
+		m.changed = nil
+	}
+}
+
+// changedChannel returns a channel that is closed at the next change.
+func (m *members) changedChannel() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.changed == nil {
+		m.changed = make(chan struct{})
+	}
+	return m.changed
+}
+
+// authority returns the seed of the authority's key, or nil.
+func (m *members) authority() []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.seed
+}
+
+// of returns the relay of a failure domain. It is zero if there is none.
+func (m *members) of(domain fleet.FailureDomain) member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.relays[domain]
+}
+
+// count returns the number of relays.
+func (m *members) count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.relays)
+}
+
+// ranked returns the relays that a daemon may follow, its own domain's first. The order of the others differs between daemons, so
+// that those of a lost relay spread over the rest.
+func (m *members) ranked(local fleet.Host) []member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var result []member
+	for _, relay := range m.relays {
+		if relay.Host != "" && relay.Host != local.ID {
+			result = append(result, relay)
+		}
+	}
+	rank := func(relay member) uint64 {
+		if relay.domain == local.Locality.Domain {
+			return 0
+		}
+		return xxhash.Sum64String(string(local.ID) + " " + string(relay.Host))
+	}
+	slices.SortFunc(result, func(a, b member) int {
+		if rank(a) < rank(b) {
+			return -1
+		}
+		return 1
+	})
+	return result
+}
+
+// address returns the address of a relay.
+func (m *members) address(host fleet.HostID) (netip.AddrPort, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, relay := range m.relays {
+		if relay.Host == host {
+			return relay.Address, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+// claim writes this daemon as the relay of its failure domain, provided that the relay known so far has not been replaced. It
+// creates the authority if there is none.
+func (n *Node) claim(ctx context.Context) error {
+	domain := n.Local.Locality.Domain
+	before := n.members.of(domain)
+	own := Relay{Host: n.Local.ID, Run: n.Process, Address: n.address}
+	value, err := json.Marshal(own)
+	if err != nil {
+		return errors.Wrap(err, "relay: encode row")
+	}
+	changes := []table.Change{{Name: relayRowPrefix + string(domain), Expected: before.version, Write: true, Value: value}}
+	seed := n.members.authority()
+	if seed == nil {
+		seed = make([]byte, ed25519.SeedSize)
+		_, _ = rand.Read(seed) // never fails
+		changes = append(changes, table.Change{Name: authorityRow, Write: true, Value: seed})
+	}
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	version, err := n.Store.CommitVersion(callCtx, changes...)
+	if err != nil {
+		return errors.Wrap(err, "relay: claim role")
+	}
+	n.members.apply([]table.Row{
+		{Name: authorityRow, Version: version, Value: seed},
+		{Name: relayRowPrefix + string(domain), Version: version, Value: value},
+	})
+	n.mu.Lock()
+	n.claimedAt = n.Clock.Now()
+	n.mu.Unlock()
+	n.Log.Info().Str("domain", string(domain)).Str("before", string(before.Host)).
+		Msg("daemon becomes the relay of its failure domain")
+	return nil
+}
+
+// resign deletes this daemon's row, so that another daemon becomes the relay.
+func (n *Node) resign(ctx context.Context) {
+	own := n.members.of(n.Local.Locality.Domain)
+	if !n.isOwn(own) {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	err := n.Store.Commit(callCtx, table.Change{
+		Name: relayRowPrefix + string(own.domain), Expected: own.version, Write: true,
+	})
+	n.Log.Info().Err(err).Msg("relay gives up its role")
+}
+
+// isOwn reports whether a relay is this process.
+func (n *Node) isOwn(relay member) bool {
+	return relay.Host == n.Local.ID && relay.Run == n.Process
+}
--- /dev/null
+++ b/internal/peer/relay/node.go
@@ -0,0 +1,387 @@
+// Package relay spreads the tables of the platform's store to daemons that do not read the store themselves. One daemon of each
+// failure domain, the relay, follows the tables and passes their changes on to the daemons that subscribe to it. The same
+// connections carry the load that these daemons measure to the daemon that acts as assigner.
+//
+// Relays are found in a table of the store, and a relay that is lost is replaced by whoever of its domain first overwrites its
+// row. The role gives no authority: two relays of one domain cost calls to the store and nothing else. All rows carry the
+// store's versions, and a daemon accepts from no one rows that are older than its own. A daemon that reaches no relay follows
+// the store itself.
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/peer/mesh"
+	"rosemarywick.example/rosemarywick/internal/platform/table"
+)
+
+const (
+	// heartbeatInterval is the interval of a relay's heartbeats. A relay that was silent for silenceLimit is lost: two
+	// heartbeats may be delayed by a retransmission.
+	heartbeatInterval = 300 * time.Millisecond
+	silenceLimit      = 900 * time.Millisecond
+	// contactInterval is the longest time between two responses of the store to a relay. contactLimit is the age of the latest
+	// one from which on the relay counts as cut off.
+	contactInterval = time.Second
+	contactLimit    = 1700 * time.Millisecond
+	// avoidTime is how long a relay that was lost or cut off is not chosen if there is another one.
+	avoidTime = 2 * time.Second
+	// sendTimeout bounds the connection to a relay, or the wait for room in its queue.
+	sendTimeout = 400 * time.Millisecond
+	// storeTimeout bounds one call to the store.
+	storeTimeout = time.Second
+	// retryDelay is the pause before a call to the store is retried.
+	retryDelay = 100 * time.Millisecond
+	// claimInterval is the mean time between the attempts of all daemons of a domain, taken together, to replace a lost relay.
+	// outageClaimInterval applies if the relay can be reached and is cut off from the store, as the store may be down for all.
+	claimInterval       = 20 * time.Millisecond
+	outageClaimInterval = 200 * time.Millisecond
+	// reclaimTime is the time over which a daemon does not become a relay a second time without need.
+	reclaimTime = 5 * time.Second
+	// minClaimSpread is the shortest time over which these attempts are spread.
+	minClaimSpread = 200 * time.Millisecond
+	// meshIdleTimeout ends a connection on which no heartbeats arrive.
+	meshIdleTimeout = 2 * time.Second
+)
+
+// Table is a table of the store that is spread to all daemons.
+type Table struct {
+	Name string
+	Consumer
+	// BatchDelay returns the time between a change and a relay's next call to the store. It may be nil, which means no delay.
+	BatchDelay func() time.Duration
+}
+
+// Node is the part of a daemon that receives the tables, from a relay or from the store. The exported fields are set before Run.
+type Node struct {
+	// Local is the host of this daemon. Without a valid peer address the daemon always follows the store itself.
+	Local fleet.Host
+	// Process identifies this process. No other process has the same identifier.
+	Process string
+	Store   table.TimedStore
+	Feed    table.Feed
+	Tables  []Table
+	Clock   timer.Clock
+	Log     zerolog.Logger
+	// StartDelay returns the pause before the first call to the store. Relays are chosen in the order of these calls.
+	StartDelay func() time.Duration
+	// Daemons returns the number of daemons.
+	Daemons func() int
+	// OnRecovered is called when the store is followed again after an interruption, before the rows that changed meanwhile.
+	OnRecovered func()
+	// Reporter receives the load reports of other daemons while this one follows the store.
+	Reporter Reporter
+	// Serve is run while this daemon is a relay, or has no peer address. Its context ends with the role or when the daemon stops.
+	Serve func(ctx context.Context)
+
+	replica   replica
+	members   members
+	encoder   encoder
+	address   netip.AddrPort
+	links     links
+	collector collector
+	// tableNames lists the tables that are spread, PeersTable included.
+	tableNames []string
+
+	// tasks are the goroutines of subscribers. stopped is closed when they have to end.
+	tasks   sync.WaitGroup
+	stopped chan struct{}
+
+	mu sync.Mutex
+	// source and followers are guarded by mu: the followers of the store while this daemon follows it, and their feed. Both are nil
+	// else.
+	source    *source
+	followers []*table.Follower
+	// interrupted is guarded by mu and set while the tables are not followed, neither in the store nor at a relay that reaches it.
+	interrupted bool
+	// subscription is guarded by mu: that to a relay, or nil.
+	subscription *subscription
+	// subscribers is guarded by mu and holds the daemons that subscribe to this one.
+	subscribers map[fleet.HostID]*subscriber
+	// avoided is guarded by mu: until when a relay is not chosen, by the identifier of its process.
+	avoided map[string]avoidance
+	// claimedAt is guarded by mu: when this daemon last became a relay.
+	claimedAt time.Time
+	// abandoned is guarded by mu: the version of the row of a role that this daemon gave up because it was cut off from the store.
+	abandoned table.Version
+	// leaving is guarded by mu and set by Leave.
+	leaving bool
+	// left is closed by Leave.
+	left chan struct{}
+}
+
+// links sends messages to peers. A nil error does not mean that the message arrives.
+type links interface {
+	Send(ctx context.Context, to fleet.HostID, topic string, payload []byte) error
+}
+
+// avoidance is the time until which a relay is not chosen. cutOff is set if the relay responded and did not reach the store.
+type avoidance struct {
+	until  time.Time
+	cutOff bool
+}
+
+// role is what a daemon does next: one of relaying, following and detached.
+type role interface{ role() }
+
+// relaying means that this daemon is the relay of its failure domain.
+type relaying struct{}
+
+// following means that this daemon follows a relay.
+type following struct{ relay member }
+
+// detached means that no relay can be reached, so that this daemon follows the store until one can.
+type detached struct{}
+
+func (relaying) role()  {}
+func (following) role() {}
+func (detached) role()  {}
+
+// Prepare initializes the node. It must be called before Run and any other method.
+func (n *Node) Prepare() {
+	n.left = make(chan struct{})
+	n.subscribers, n.avoided = make(map[fleet.HostID]*subscriber), make(map[string]avoidance)
+	n.members.log = n.Log
+	n.replica.consumers = map[string]Consumer{PeersTable: n.members.consumer()}
+	n.tableNames = []string{PeersTable}
+	for _, spread := range n.Tables {
+		n.replica.consumers[spread.Name] = spread.Consumer
+		n.tableNames = append(n.tableNames, spread.Name)
+	}
+	n.stopped = make(chan struct{})
+}
+
+// newSource returns a source for tables that are followed until ctx ends.
+func (n *Node) newSource(ctx context.Context) *source {
+	return &source{feed: n.Feed, replica: &n.replica, clock: n.Clock, ended: ctx.Done(), onOutcome: n.noteAvailability}
+}
+
+// Run receives the tables until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	if !n.Local.PeerAddress.IsValid() {
+		n.followStore(ctx, func(ctx context.Context) { n.serve(ctx) })
+		return nil
+	}
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(n.Local.PeerAddress))
+	if err != nil {
+		return errors.Wrap(err, "relay: open UDP socket")
+	}
+	n.address = netip.AddrPortFrom(n.Local.PeerAddress.Addr(), uint16(socket.LocalAddr().(*net.UDPAddr).Port))
+	if !n.join(ctx) {
+		return errors.Wrap(socket.Close(), "relay: close UDP socket")
+	}
+	peerMesh, err := n.newMesh(socket)
+	if err != nil {
+		return err
+	}
+	n.links = peerMesh
+	defer n.tasks.Wait()
+	defer close(n.stopped)
+	started := make(chan struct{})
+	peerMesh.Started = func() { close(started) }
+	failed := make(chan error, 1)
+	n.tasks.Go(func() { failed <- peerMesh.Run(ctx) })
+	select {
+	case <-started:
+	case err := <-failed:
+		return errors.Wrap(err, "relay: connect to peers")
+	}
+	n.runRoles(ctx)
+	return nil
+}
+
+// runRoles acts in the present role until ctx ends.
+func (n *Node) runRoles(ctx context.Context) {
+	for ctx.Err() == nil {
+		switch next := n.nextRole(ctx).(type) {
+		case relaying:
+			n.followStore(ctx, n.runRelay)
+		case following:
+			n.follow(ctx, next.relay)
+		case detached:
+			n.followStore(ctx, n.awaitRelay)
+		}
+	}
+}
+
+// Leave makes a relay give up its role. It goes on passing changes to its subscribers until Run ends.
+func (n *Node) Leave() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.leaving {
+		n.leaving = true
+		close(n.left)
+	}
+}
+
+// PollNow makes this daemon, if it follows the store, call it at once instead of after a BatchDelay.
+func (n *Node) PollNow() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, follower := range n.followers {
+		follower.PollNow()
+	}
+}
+
+// SuspectOutage reports that the store did not respond to a call.
+func (n *Node) SuspectOutage() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, follower := range n.followers {
+		follower.SuspectOutage()
+	}
+}
+
+// Relays returns the number of relays, and at least one.
+func (n *Node) Relays() int { return max(1, n.members.count()) }
+
+// join waits until the authority is known. The daemon becomes the relay of its failure domain if there is none. It returns false
+// when ctx ends.
+func (n *Node) join(ctx context.Context) bool {
+	if timer.Wait(ctx, n.Clock, n.StartDelay()) != nil {
+		return false
+	}
+	source := n.newSource(ctx)
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		_, err := source.Snapshot(callCtx, PeersTable)
+		cancel()
+		if err == nil {
+			own := n.members.of(n.Local.Locality.Domain)
+			if own.Host != "" && own.Host != n.Local.ID && n.members.authority() != nil {
+				return true
+			}
+			if err = n.claim(ctx); err == nil {
+				return true
+			}
+		}
+		n.Log.Debug().Err(err).Msg("join peers: retrying")
+		delay := retryDelay/2 + rand.N(retryDelay)
+		if timer.Wait(ctx, n.Clock, delay) != nil {
+			return false
+		}
+	}
+}
+
+// newMesh returns the connections to peers.
+func (n *Node) newMesh(socket net.PacketConn) (*mesh.Mesh, error) {
+	config, err := newTLSConfig(n.members.authority(), n.Local.ID, n.Clock.Now())
+	if err != nil {
+		return nil, err
+	}
+	local := n.Local
+	local.PeerAddress = n.address
+	result := &mesh.Mesh{
+		// The store's clock is monotonic and the same for all processes of a host.
+		Local: local, Incarnation: uint64(n.Store.Reading().Time), TLS: config, Clock: n.Clock, Log: n.Log, Socket: socket,
+		Resolve: n.members.address, IdleTimeout: meshIdleTimeout, DialTimeout: sendTimeout, WriteTimeout: silenceLimit,
+	}
+	result.Handle(topic, n.receive)
+	return result, nil
+}
+
+// nextRole decides what this daemon does next.
+func (n *Node) nextRole(ctx context.Context) role {
+	if n.holdsRole() {
+		return relaying{}
+	}
+	// The row of an earlier process on this host is replaced at once.
+	own := n.members.of(n.Local.Locality.Domain)
+	if own.Host == n.Local.ID && own.Run != n.Process && !n.isLeaving() && n.claim(ctx) == nil {
+		return relaying{}
+	}
+	if relay, ok := n.choose(); ok {
+		return following{relay: relay}
+	}
+	return detached{}
+}
+
+// choose returns the relay to follow: the first that is not avoided, or else the first that could be reached and was cut off from
+// the store, as all may be. It returns false if there is none.
+func (n *Node) choose() (member, bool) {
+	ranked := n.members.ranked(n.Local)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.Clock.Now()
+	var fallback *member
+	for i, relay := range ranked {
+		avoided := n.avoided[relay.Run]
+		if !now.Before(avoided.until) {
+			return relay, true
+		}
+		if avoided.cutOff && fallback == nil {
+			fallback = &ranked[i]
+		}
+	}
+	if fallback == nil {
+		return member{}, false
+	}
+	return *fallback, true
+}
+
+// avoid makes choose prefer other relays for a while.
+func (n *Node) avoid(relay member, cutOff bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.Clock.Now()
+	for process, avoided := range n.avoided {
+		if now.Sub(avoided.until) > avoidTime {
+			delete(n.avoided, process)
+		}
+	}
+	n.avoided[relay.Run] = avoidance{until: now.Add(avoidTime), cutOff: cutOff}
+}
+
+// holdsRole reports whether this daemon is the relay of its failure domain.
+func (n *Node) holdsRole() bool {
+	own := n.members.of(n.Local.Locality.Domain)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.isOwn(own) && own.version != n.abandoned
+}
+
+func (n *Node) isLeaving() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leaving
+}
+
+// claimSpread returns the time over which the daemons of a domain spread their attempts to replace its relay. One that has
+// become a relay a short time ago waits longer, since the others may not reach it.
+func (n *Node) claimSpread(cutOff bool) time.Duration {
+	n.mu.Lock()
+	claimedAt := n.claimedAt
+	n.mu.Unlock()
+	if !claimedAt.IsZero() && n.Clock.Now().Sub(claimedAt) < reclaimTime {
+		return reclaimTime
+	}
+	perDomain := time.Duration(n.Daemons()/n.Relays() + 1)
+	if cutOff {
+		return max(minClaimSpread, perDomain*time.Duration(n.Relays())*outageClaimInterval)
+	}
+	return max(minClaimSpread, perDomain*claimInterval)
+}
+
+// replaceRelay tries to become the relay of this daemon's failure domain, unless the relay has been replaced or responds again.
+// It reports whether it did.
+func (n *Node) replaceRelay(ctx context.Context, lost member) bool {
+	current := n.members.of(n.Local.Locality.Domain)
+	if n.isLeaving() || current.version != lost.version {
+		return false
+	}
+	if err := n.claim(ctx); err != nil {
+		n.Log.Debug().Err(err).Msg("replace relay: retrying")
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/peer/relay/replica.go
@@ -0,0 +1,194 @@
+package relay
+
+import (
+	"sync"
+
+	"rosemarywick.example/rosemarywick/internal/platform/table"
+)
+
+// maxRecentRows limits the changed rows of a table that are kept for subscribers. One that lacks older changes gets all rows.
+const maxRecentRows = 4096
+
+// Consumer receives the rows of one table, in the order of their versions.
+type Consumer struct {
+	// Reset is called with all rows of the table.
+	Reset func([]table.Row)
+	// Apply is called with the rows that changed. A deleted row has a nil value.
+	Apply func([]table.Row)
+}
+
+// replica holds copies of tables of the platform's store. Whoever supplies rows, the version of a copy never decreases.
+type replica struct {
+	consumers map[string]Consumer
+
+	mu sync.Mutex
+	// copies is guarded by mu.
+	copies map[string]*tableCopy
+	// changed is guarded by mu and closed at the next change.
+	changed chan struct{}
+}
+
+// tableCopy is the copy of one table.
+type tableCopy struct {
+	// order is held while rows are stored and passed to the consumer, so that the consumer gets them in order.
+	order sync.Mutex
+
+	// The fields below are guarded by the replica's mu. known is set once rows have been received.
+	known bool
+	// version is that of the store up to which the copy holds all changes.
+	version table.Version
+	rows    map[string]table.Row
+	// recent holds the latest changes, the oldest first: all since recentAfter. recentRows is the number of their rows.
+	recent      []table.Changes
+	recentAfter table.Version
+	recentRows  int
+}
+
+// copyOf returns the copy of a table.
+func (r *replica) copyOf(name string) *tableCopy {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.copies == nil {
+		r.copies = make(map[string]*tableCopy)
+	}
+	if r.copies[name] == nil {
+		r.copies[name] = &tableCopy{}
+	}
+	return r.copies[name]
+}
+
+// position returns the version of a copy, or false if no rows have been received.
+func (r *replica) position(name string) (table.Version, bool) {
+	copied := r.copyOf(name)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return copied.version, copied.known
+}
+
+// reset replaces a copy by all rows of the table at a version. It returns false if the copy is newer.
+func (r *replica) reset(name string, snapshot table.Changes) bool {
+	copied := r.copyOf(name)
+	copied.order.Lock()
+	defer copied.order.Unlock()
+	r.mu.Lock()
+	if copied.known && snapshot.Version < copied.version {
+		r.mu.Unlock()
+		return false
+	}
+	copied.known, copied.version, copied.rows = true, snapshot.Version, make(map[string]table.Row, len(snapshot.Rows))
+	for _, row := range snapshot.Rows {
+		copied.rows[row.Name] = row
+	}
+	copied.recent, copied.recentAfter, copied.recentRows = nil, snapshot.Version, 0
+	r.notify()
+	r.mu.Unlock()
+	if consumer := r.consumers[name]; consumer.Reset != nil {
+		consumer.Reset(snapshot.Rows)
+	}
+	return true
+}
+
+// apply adds changes after a version to a copy. It returns false if changes between the copy and that version are missing.
+func (r *replica) apply(name string, after table.Version, changes table.Changes) bool {
+	copied := r.copyOf(name)
+	copied.order.Lock()
+	defer copied.order.Unlock()
+	r.mu.Lock()
+	if !copied.known || after > copied.version {
+		r.mu.Unlock()
+		return false
+	}
+	if changes.Version <= copied.version {
+		r.mu.Unlock()
+		return true
+	}
+	rows := changesAfter(changes.Rows, copied.version)
+	copied.version = changes.Version
+	if len(rows) > 0 {
+		copied.add(table.Changes{Rows: rows, Version: changes.Version})
+		r.notify()
+	}
+	r.mu.Unlock()
+	if consumer := r.consumers[name]; consumer.Apply != nil && len(rows) > 0 {
+		consumer.Apply(rows)
+	}
+	return true
+}
+
+// changesAfter returns the rows with a higher version.
+func changesAfter(rows []table.Row, after table.Version) []table.Row {
+	var result []table.Row
+	for _, row := range rows {
+		if row.Version > after {
+			result = append(result, row)
+		}
+	}
+	return result
+}
+
+// add stores changed rows, and drops the oldest changes beyond maxRecentRows. The caller holds the replica's mu.
+func (c *tableCopy) add(changes table.Changes) {
+	for _, row := range changes.Rows {
+		if row.Value == nil {
+			delete(c.rows, row.Name)
+		} else {
+			c.rows[row.Name] = row
+		}
+	}
+	c.recent = append(c.recent, changes)
+	c.recentRows += len(changes.Rows)
+	for c.recentRows > maxRecentRows {
+		c.recentRows -= len(c.recent[0].Rows)
+		c.recentAfter = c.recent[0].Version
+		c.recent = c.recent[1:]
+	}
+}
+
+// update is what a subscriber needs to reach the version of a copy.
+type update struct {
+	table string
+	// whole is set if rows holds all rows of the table, instead of the changes after a version.
+	whole          bool
+	after, version table.Version
+	rows           []table.Row
+}
+
+// since returns the update for a subscriber at a position, or false if it has all changes.
+func (r *replica) since(name string, after table.Version, known bool) (update, bool) {
+	copied := r.copyOf(name)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !copied.known || known && copied.version <= after {
+		return update{}, false
+	}
+	result := update{table: name, after: after, version: copied.version}
+	if !known || after == 0 || after < copied.recentAfter {
+		result.whole, result.after = true, 0
+		for _, row := range copied.rows {
+			result.rows = append(result.rows, row)
+		}
+		return result, true
+	}
+	for _, changes := range copied.recent {
+		result.rows = append(result.rows, changesAfter(changes.Rows, after)...)
+	}
+	return result, len(result.rows) > 0
+}
+
+// changedChannel returns a channel that is closed at the next change.
+func (r *replica) changedChannel() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.changed == nil {
+		r.changed = make(chan struct{})
+	}
+	return r.changed
+}
+
+// notify wakes those that wait for a change. The caller holds mu.
+func (r *replica) notify() {
+	if r.changed != nil {
+		close(r.changed)
+		r.changed = nil
+	}
+}
--- /dev/null
+++ b/internal/peer/relay/source.go
@@ -0,0 +1,100 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/platform/table"
+)
+
+// source is a feed that stores all that it reads in a replica, before its follower gets it. It tells whether the store responds.
+type source struct {
+	feed    table.Feed
+	replica *replica
+	clock   timer.Clock
+	// ended is closed when the tables are no longer followed, after which the outcomes of calls say nothing about the store.
+	ended <-chan struct{}
+	// onOutcome is called after each call, before its rows are stored, with whether the last calls for all tables succeeded.
+	onOutcome func(available bool)
+
+	mu sync.Mutex
+	// failing is guarded by mu. Its keys are the tables whose last call failed.
+	failing map[string]bool
+	// responded is guarded by mu: the time of the latest response for each table.
+	responded map[string]time.Time
+}
+
+var _ table.Feed = (*source)(nil)
+
+// Snapshot brings the copy of a table up to date. It reads all rows only if the changes since its version are not available. The
+// result holds no rows.
+func (s *source) Snapshot(ctx context.Context, name string) (table.Changes, error) {
+	if position, known := s.replica.position(name); known {
+		changes, err := s.Changes(ctx, name, position, 0)
+		if !errors.Is(err, table.ErrCompacted) {
+			return changes, err
+		}
+	}
+	snapshot, err := s.feed.Snapshot(ctx, name)
+	s.note(name, err)
+	if err != nil {
+		return table.Changes{}, errors.Wrap(err, "relay: read table")
+	}
+	if !s.replica.reset(name, snapshot) {
+		return table.Changes{}, errors.Wrapf(table.ErrUnavailable, "relay: store returned an older version of table %s", name)
+	}
+	return table.Changes{Version: snapshot.Version}, nil
+}
+
+// Changes stores the changes of a table after a version.
+func (s *source) Changes(ctx context.Context, name string, after table.Version, wait time.Duration) (table.Changes, error) {
+	changes, err := s.feed.Changes(ctx, name, after, wait)
+	if !errors.Is(err, table.ErrCompacted) {
+		s.note(name, err)
+	}
+	if err != nil {
+		return table.Changes{}, errors.Wrap(err, "relay: follow table")
+	}
+	if !s.replica.apply(name, after, changes) {
+		return table.Changes{}, errors.Wrap(table.ErrCompacted, "relay: changes do not continue the copy")
+	}
+	return changes, nil
+}
+
+// note records the outcome of a call.
+func (s *source) note(name string, err error) {
+	select {
+	case <-s.ended:
+		return
+	default:
+	}
+	s.mu.Lock()
+	if s.failing == nil {
+		s.failing, s.responded = make(map[string]bool), make(map[string]time.Time)
+	}
+	if err != nil {
+		s.failing[name] = true
+	} else {
+		delete(s.failing, name)
+		s.responded[name] = s.clock.Now()
+	}
+	available := len(s.failing) == 0
+	s.mu.Unlock()
+	s.onOutcome(available)
+}
+
+// available reports whether all tables are being followed, and the store has responded for the table contact within maxAge.
+func (s *source) available(tables []string, contact string, maxAge time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range tables {
+		if s.failing[name] || s.responded[name].IsZero() {
+			return false
+		}
+	}
+	return s.clock.Now().Sub(s.responded[contact]) <= maxAge
+}
--- a/internal/platform/table/follow.go
+++ b/internal/platform/table/follow.go
@@ -21,9 +21,8 @@
 }
 
 const (
-	// pollWait is how long one call waits for changes. A long wait keeps the number of calls low. A store that stops
-	// responding is detected at the end of the call, or earlier by SuspectOutage after a failure of another call.
-	pollWait = 20 * time.Second
+	// defaultPollWait is used if Follower.PollWait is zero.
+	defaultPollWait = 20 * time.Second
 	// responseTimeout bounds the transfer of a response: a large configuration takes seconds over a slow link.
 	responseTimeout = 8 * time.Second
 	// minBackoff and maxBackoff bound the delay after a failure, which doubles with each further one.
@@ -45,6 +44,9 @@
 	Reset func([]Row)
 	// Apply is called with the rows that changed. A deleted row has a nil value.
 	Apply func([]Row)
+	// PollWait is how long one call waits for changes. Zero means 20 s, which keeps the number of calls low. A store that stops
+	// responding is detected at the end of a call, or earlier by SuspectOutage after a failure of another call.
+	PollWait time.Duration
 	// OnOutage is called at the first failure after a response, unless SuspectOutage caused it. It may be nil.
 	OnOutage func()
 	// OnRecovery is called at the first response after a failure. It may be nil.
@@ -128,7 +130,10 @@
 		f.Reset(snapshot.Rows)
 		return snapshot.Version, nil
 	}
-	wait := pollWait
+	wait := f.PollWait
+	if wait == 0 {
+		wait = defaultPollWait
+	}
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.mu.Lock()
--- a/internal/upstream/rangegrants/assigner.go
+++ b/internal/upstream/rangegrants/assigner.go
@@ -155,8 +155,8 @@
 	Clock      timer.Clock
 	Uptime     timer.UptimeClock
 	Log        zerolog.Logger
-	// KnownTable returns the latest table of the service that this daemon has received, or nil.
-	KnownTable func() *ranges.Table
+	// Candidates returns the number of daemons that take part in the election.
+	Candidates func() int
 	// GrantDuration is the usual duration of a grant. OutageGrantDuration is used while the store does not respond, so that
 	// grants outlast an outage during which no assigner can be elected.
 	GrantDuration, OutageGrantDuration time.Duration
--- a/internal/upstream/rangegrants/cluster_test.go
+++ b/internal/upstream/rangegrants/cluster_test.go
@@ -385,7 +385,7 @@
 		Service: service, Daemon: host + "/" + fmt.Sprint(c.Uptime()), Store: store, Registry: c,
 		Client:     serverClient{cluster: c, unreachable: d.getter(func(d *daemon) bool { return d.serversUnreachable })},
 		LoadSource: c, Clock: timer.System{}, Uptime: d, Log: c.log.With().Str("daemon", host).Logger(),
-		KnownTable:    func() *ranges.Table { return &ranges.Table{Daemons: 3} },
+		Candidates:    func() int { return 3 },
 		GrantDuration: grantDuration, OutageGrantDuration: outageGrantDuration, LeaseDuration: leaseDuration,
 	}
 	go func() {
--- a/internal/upstream/rangegrants/election.go
+++ b/internal/upstream/rangegrants/election.go
@@ -40,13 +40,9 @@
 		if lease != nil {
 			return lease
 		}
-		// Nothing is polled before the lease can expire. After that, the daemons poll at random times, so that the load on
+		// Nothing is polled before the lease can expire. After that, the candidates poll at random times, so that the load on
 		// the store does not grow with their number.
-		daemons := 1
-		if known := a.KnownTable(); known != nil {
-			daemons = max(1, known.Daemons)
-		}
-		pause := timeLeft + time.Duration(rand.Float64()*float64(daemons)*float64(meanLeasePollInterval))
+		pause := timeLeft + time.Duration(rand.Float64()*float64(max(1, a.Candidates()))*float64(meanLeasePollInterval))
 		if timer.Wait(ctx, a.Clock, pause) != nil {
 			return nil
 		}
