--- a/internal/caller/front/pipeline_test.go
+++ b/internal/caller/front/pipeline_test.go
@@ -71,7 +71,13 @@
 	stopped := make(chan error, 1)
 	go func() { stopped <- frontend.Run(ctx) }()
 	caller, accepted := net.Pipe()
-	t.Cleanup(func() { _ = caller.Close(); stop(); _ = <-stopped })
+	t.Cleanup(func() {
+		_ = caller.Close()
+		stop()
+		if err := <-stopped; err != nil {
+			t.Error(err)
+		}
+	})
 	listener.incoming <- accepted
 	return caller, frontend
 }
