peer/relay: go on without peers if their address or authority can't be used

Cause: an error at the UDP socket or the authority ended the daemon; a seed of the wrong size kept all daemons from joining. Change: a daemon that can't connect to peers follows the store itself; an unreadable seed is replaced by the next relay. Before: TestAddressInUse and TestUnreadableSeedIsReplaced were written with the change; the code before it returned the error from Run, which ends the process, and claimed a row that exists with version 0. After: both pass.

--- a/internal/peer/relay/members.go
+++ b/internal/peer/relay/members.go
@@ -47,8 +47,10 @@
 	log zerolog.Logger
 
 	mu sync.Mutex
-	// seed is guarded by mu: the seed of the authority's key, or nil if there is none.
-	seed []byte
+	// seed is guarded by mu: the seed of the authority's key, or nil if there is none that can be used. seedVersion is the version
+	// of its row.
+	seed        []byte
+	seedVersion table.Version
 	// relays is guarded by mu and holds the relay of each failure domain.
 	relays map[fleet.FailureDomain]member
 	// versions is guarded by mu: the version of each row that was adopted. An older one is ignored.
@@ -80,8 +82,8 @@
 		m.versions = make(map[fleet.FailureDomain]table.Version)
 	}
 	for _, row := range rows {
-		if row.Name == authorityRow && len(row.Value) == ed25519.SeedSize && m.seed == nil {
-			m.seed = row.Value
+		if row.Name == authorityRow {
+			m.applySeed(row)
 			continue
 		}
 		domain, found := strings.CutPrefix(row.Name, relayRowPrefix)
@@ -106,6 +108,18 @@
 	m.notify()
 }
 
+// applySeed adopts the seed of the authority's key. One of the wrong size is replaced by the next relay. The caller holds mu.
+func (m *members) applySeed(row table.Row) {
+	if row.Version < m.seedVersion {
+		return
+	}
+	m.seed, m.seedVersion = row.Value, row.Version
+	if len(row.Value) != ed25519.SeedSize {
+		m.log.Error().Int("bytes", len(row.Value)).Msg("seed of the peers' authority cannot be used")
+		m.seed = nil
+	}
+}
+
 // notify wakes those that wait for a change. The caller holds mu.
 func (m *members) notify() {
 	if m.changed != nil {
@@ -124,11 +138,11 @@
 	return m.changed
 }
 
-// authority returns the seed of the authority's key, or nil.
-func (m *members) authority() []byte {
+// authority returns the seed of the authority's key, or nil, and the version of its row.
+func (m *members) authority() ([]byte, table.Version) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.seed
+	return m.seed, m.seedVersion
 }
 
 // of returns the relay of a failure domain. It is zero if there is none.
@@ -194,11 +208,11 @@
 		return errors.Wrap(err, "relay: encode row")
 	}
 	changes := []table.Change{{Name: relayRowPrefix + string(domain), Expected: before.version, Write: true, Value: value}}
-	seed := n.members.authority()
+	seed, seedVersion := n.members.authority()
 	if seed == nil {
 		seed = make([]byte, ed25519.SeedSize)
 		_, _ = rand.Read(seed) // never fails
-		changes = append(changes, table.Change{Name: authorityRow, Write: true, Value: seed})
+		changes = append(changes, table.Change{Name: authorityRow, Expected: seedVersion, Write: true, Value: seed})
 	}
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -206,10 +220,11 @@
 	if err != nil {
 		return errors.Wrap(err, "relay: claim role")
 	}
-	n.members.apply([]table.Row{
-		{Name: authorityRow, Version: version, Value: seed},
-		{Name: relayRowPrefix + string(domain), Version: version, Value: value},
-	})
+	rows := []table.Row{{Name: relayRowPrefix + string(domain), Version: version, Value: value}}
+	if len(changes) > 1 {
+		rows = append(rows, table.Row{Name: authorityRow, Version: version, Value: seed})
+	}
+	n.members.apply(rows)
 	n.mu.Lock()
 	n.claimedAt = n.Clock.Now()
 	n.mu.Unlock()
--- a/internal/peer/relay/mesh_test.go
+++ b/internal/peer/relay/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"testing"
 	"time"
@@ -14,8 +15,8 @@
 	"rosemarywick.example/rosemarywick/internal/platform/table"
 )
 
-// startReal starts a node with real connections on loopback.
-func startReal(t *testing.T, store *memoryStore, id fleet.HostID) *daemon {
+// newReal returns a node with real connections on loopback.
+func newReal(store *memoryStore, id fleet.HostID) *daemon {
 	d := &daemon{rows: map[string]table.Row{}, highest: map[string]table.Version{}}
 	d.Node = &Node{
 		Local: fleet.Host{
@@ -26,6 +27,11 @@
 		StartDelay: func() time.Duration { return 0 }, Daemons: func() int { return 3 }, OnRecovered: func() {}, Reporter: d,
 		Serve: func(ctx context.Context) { <-ctx.Done() },
 	}
+	return d
+}
+
+// runReal runs a node until the end of the test.
+func runReal(t *testing.T, d *daemon) {
 	d.Prepare()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -33,9 +39,15 @@
 	t.Cleanup(func() {
 		cancel()
 		if err := <-done; err != nil {
-			t.Errorf("node %s: %v", id, err)
+			t.Errorf("node %s: %v", d.Local.ID, err)
 		}
 	})
+}
+
+// startReal starts a node with real connections on loopback.
+func startReal(t *testing.T, store *memoryStore, id fleet.HostID) *daemon {
+	d := newReal(store, id)
+	runReal(t, d)
 	return d
 }
 
@@ -88,3 +100,29 @@
 	is.Equal(first.Subscribers(), 0)
 	is.Equal(first.value("t/a"), "1")
 }
+
+// Guards against a process that ends, or serves nobody, because it can't open its address for peers.
+func TestAddressInUse(t *testing.T) {
+	is := is.New(t)
+	store := newMemoryStore()
+	store.write("t/a", "1")
+	taken, err := new(net.ListenConfig).ListenPacket(t.Context(), "udp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = taken.Close() }()
+	d := newReal(store, "h0")
+	d.Local.PeerAddress = taken.LocalAddr().(*net.UDPAddr).AddrPort()
+	runReal(t, d)
+	await(t, "table", func() bool { return d.value("t/a") == "1" })
+	store.write("t/a", "2")
+	await(t, "change", func() bool { return d.value("t/a") == "2" })
+}
+
+// Guards against an unreadable seed of the authority that keeps all daemons from finding each other.
+func TestUnreadableSeedIsReplaced(t *testing.T) {
+	store := newMemoryStore()
+	store.write("t/a", "1")
+	store.write(authorityRow, "short")
+	first, second := startReal(t, store, "h0"), startReal(t, store, "h1")
+	await(t, "subscriber", func() bool { return first.Subscribers()+second.Subscribers() == 1 })
+	await(t, "table", func() bool { return first.value("t/a") == "1" && second.value("t/a") == "1" })
+}
--- a/internal/peer/relay/node.go
+++ b/internal/peer/relay/node.go
@@ -168,10 +168,19 @@
 
 // Run receives the tables until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
-	if !n.Local.PeerAddress.IsValid() {
-		n.followStore(ctx, func(ctx context.Context) { n.serve(ctx) })
-		return nil
+	if n.Local.PeerAddress.IsValid() {
+		err := n.runPeer(ctx)
+		if err == nil {
+			return nil
+		}
+		n.Log.Error().Err(err).Msg("no connections to peers; the daemon follows the store")
 	}
+	n.followStore(ctx, n.serve)
+	return nil
+}
+
+// runPeer receives the tables from relays, or as a relay, until ctx ends. An error means that this daemon can't connect to peers.
+func (n *Node) runPeer(ctx context.Context) error {
 	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(n.Local.PeerAddress))
 	if err != nil {
 		return errors.Wrap(err, "relay: open UDP socket")
@@ -182,15 +191,15 @@
 	}
 	peerMesh, err := n.newMesh(socket)
 	if err != nil {
-		return err
+		return errors.CombineErrors(err, socket.Close())
 	}
 	n.links = peerMesh
-	defer n.tasks.Wait()
-	defer close(n.stopped)
 	started := make(chan struct{})
 	peerMesh.Started = func() { close(started) }
 	failed := make(chan error, 1)
 	n.tasks.Go(func() { failed <- peerMesh.Run(ctx) })
+	defer n.tasks.Wait()
+	defer close(n.stopped)
 	select {
 	case <-started:
 	case err := <-failed:
@@ -258,7 +267,7 @@
 		cancel()
 		if err == nil {
 			own := n.members.of(n.Local.Locality.Domain)
-			if own.Host != "" && own.Host != n.Local.ID && n.members.authority() != nil {
+			if seed, _ := n.members.authority(); seed != nil && own.Host != "" && own.Host != n.Local.ID {
 				return true
 			}
 			if err = n.claim(ctx); err == nil {
@@ -275,7 +284,8 @@
 
 // newMesh returns the connections to peers.
 func (n *Node) newMesh(socket net.PacketConn) (*mesh.Mesh, error) {
-	config, err := newTLSConfig(n.members.authority(), n.Local.ID, n.Clock.Now())
+	seed, _ := n.members.authority()
+	config, err := newTLSConfig(seed, n.Local.ID, n.Clock.Now())
 	if err != nil {
 		return nil, err
 	}
