peer/relay: notice changes that were lost on the way

Cause: a message that is queued when a connection between daemons ends is lost, the relay counts it as sent, and only the next change of the same table showed the gap. Change: heartbeats carry the positions that the relay has sent; a subscriber that lacks any sends its own. A relay's polls of tables end after 4 s instead of 20 s, since a lost response is noticed only at its end and many daemons depend on it now. Ruled out by reading: rows below a copy's version, cached updates, a daemon between two relays. Before: TestLostUpdateIsRequestedAgain failed, 5 of 12 daemons had no change after 1 s. After: passes.

--- a/internal/peer/relay/follow.go
+++ b/internal/peer/relay/follow.go
@@ -130,6 +130,7 @@
 	case *wire.Relay_Update:
 		n.handleUpdate(ctx, state.relay, body.Update)
 	case *wire.Relay_Heartbeat:
+		n.requestLostUpdates(ctx, state.relay, body.Heartbeat.GetPositions())
 		return n.handleHeartbeat(state, body.Heartbeat.GetAvailable(), body.Heartbeat.GetStarting())
 	}
 	return true
@@ -159,6 +160,23 @@
 	}
 }
 
+// requestLostUpdates sends the own positions to a relay that has sent changes which did not arrive. Messages that are queued when
+// a connection ends are lost, and the relay need not notice.
+func (n *Node) requestLostUpdates(ctx context.Context, relay member, sent []*wire.TablePosition) {
+	for _, position := range sent {
+		own, known := n.replica.position(position.GetTable())
+		if known && uint64(own) >= position.GetVersion() {
+			continue
+		}
+		n.Log.Info().Str("relay", string(relay.Host)).Str("table", position.GetTable()).Uint64("sent", position.GetVersion()).
+			Uint64("received", uint64(own)).Msg("changes of a table were lost on the way; they are requested again")
+		if err := n.sendPositions(ctx, relay); err != nil {
+			n.Log.Debug().Err(err).Str("relay", string(relay.Host)).Msg("ask relay for missing changes")
+		}
+		return
+	}
+}
+
 // handleHeartbeat notes whether the relay reaches the store. It returns false if the relay does not and another one may.
 func (n *Node) handleHeartbeat(state *followState, available, starting bool) bool {
 	if !state.responded && available {
--- a/internal/peer/relay/node.go
+++ b/internal/peer/relay/node.go
@@ -34,6 +34,9 @@
 	// one from which on the relay counts as cut off.
 	contactInterval = time.Second
 	contactLimit    = 1700 * time.Millisecond
+	// pollWait is how long one call for the changes of a table waits. A response that was lost while the store answers other calls
+	// is noticed at its end, and many daemons depend on it.
+	pollWait = 4 * time.Second
 	// avoidTime is how long a relay that was lost or cut off is not chosen if there is another one.
 	avoidTime = 2 * time.Second
 	// sendTimeout bounds the connection to a relay, or the wait for room in its queue.
--- a/internal/peer/relay/serve.go
+++ b/internal/peer/relay/serve.go
@@ -116,10 +116,8 @@
 		}
 		if beat || available != lastAvailable {
 			lastAvailable, beat = available, false
-			heartbeat := &wire.Relay{Body: &wire.Relay_Heartbeat{Heartbeat: &wire.Heartbeat{
-				Available: available, Starting: n.starting(),
-			}}}
-			if n.send(ctx, s.host, heartbeat) != nil {
+			heartbeat := &wire.Heartbeat{Available: available, Starting: n.starting(), Positions: wirePositions(positions)}
+			if n.send(ctx, s.host, &wire.Relay{Body: &wire.Relay_Heartbeat{Heartbeat: heartbeat}}) != nil {
 				return
 			}
 		}
@@ -137,6 +135,15 @@
 	}
 }
 
+// wirePositions returns positions in their form on the wire.
+func wirePositions(positions map[string]table.Version) []*wire.TablePosition {
+	var result []*wire.TablePosition
+	for name, version := range positions {
+		result = append(result, &wire.TablePosition{Table: name, Version: uint64(version)})
+	}
+	return result
+}
+
 // sendUpdates sends the changes after the positions of a subscriber, and advances them. It returns false if that fails.
 func (n *Node) sendUpdates(ctx context.Context, host fleet.HostID, positions map[string]table.Version) bool {
 	for _, name := range n.tableNames {
--- a/internal/peer/relay/store.go
+++ b/internal/peer/relay/store.go
@@ -43,7 +43,7 @@
 	for _, spread := range n.Tables {
 		followers = append(followers, &table.Follower{
 			Feed: feed, Table: spread.Name, Clock: n.Clock, Log: n.Log, Reset: ignore, Apply: ignore,
-			OnOutage: n.SuspectOutage, BatchDelay: spread.BatchDelay,
+			OnOutage: n.SuspectOutage, BatchDelay: spread.BatchDelay, PollWait: pollWait,
 		})
 	}
 	return followers
