ownership/ranges: spread a hot range over as many servers as it needs

Cause: load was counted in buckets of 16 keys, so a piece of a hot range could not be smaller than that, and a plan made at most 8 moves. With 0.35 of 2,799 requests a second on 200 keys, a bucket alone is six times what a server runs. The load's half-life of 3 s hid a heat of 5 s for most of its time. Change: load is counted for each key; a plan may make a move for every second server; the half-life is 1 s; load is collected and keys move every 0.5 s. The limit for chance deviations accounts for the skew of small counts. Pieces with little load are joined to their neighbours while there are more than two ranges for each server, none are cut beyond three for each. The table has a compact form, as 342 servers with hot pieces would not fit into a row of 64 KiB; the form of earlier releases is still read. A count of daemons that falls by less than a tenth is not written. A single key above one server's capacity is not helped.

--- a/internal/ownership/ranges/load.go
+++ b/internal/ownership/ranges/load.go
@@ -8,19 +8,19 @@
 )
 
 const (
-	// keysPerBucket is the number of adjacent keys whose requests share one counter. Hot keys tend to be adjacent, so a
-	// range must be divisible between a few of them.
-	keysPerBucket = 16
+	// keysPerBucket is the number of adjacent keys whose requests share one counter. Hot keys tend to be adjacent, and a few of
+	// them can be more than one server runs, so a range must be divisible between any two keys.
+	keysPerBucket = 1
 	bucketCount   = (int(fleet.MaxNumericKey) + 1) / keysPerBucket
-	// loadHalfLife is the half-life of the exponential decay of a counter. A change of the hot keys shows within two
-	// seconds, and 200 requests a second still give each of 14 servers about 60 samples.
-	loadHalfLife = 3 * time.Second
+	// loadHalfLife is the half-life of the exponential decay of a counter. A change of the hot keys shows within a second, and
+	// 200 requests a second still give each of 14 servers about 20 samples.
+	loadHalfLife = time.Second
 	// uniformFraction is the fraction of the load that is assumed to be spread evenly over all keys, so that ranges are
 	// divided sensibly where no key was requested recently.
 	uniformFraction = 0.1
 )
 
-// BucketCounts maps the index of a bucket of adjacent keys to its requests since the last report of a daemon.
+// BucketCounts maps the index of a bucket of keys to its requests since the last report of a daemon.
 type BucketCounts map[int]float64
 
 // Add counts one request for a key.
--- a/internal/ownership/ranges/plan.go
+++ b/internal/ownership/ranges/plan.go
@@ -36,8 +36,9 @@
 	extraDeviations = 0.2
 	// underloadRatio is the load, relative to its target, below which a server gets keys at once.
 	underloadRatio = 0.3
-	// maxRebalanceMoves bounds the moves of one plan from overloaded servers, and maxFillMoves those to underloaded ones.
-	maxRebalanceMoves = 8
+	// minRebalanceMoves is the number of moves from overloaded servers that any plan may make, and maxFillMoves bounds those to
+	// underloaded ones.
+	minRebalanceMoves = 8
 	maxFillMoves      = 8
 	// minSamplesPerServer is the number of requests per server below which the load is not used for balancing. It is low
 	// because daemons of large fleets report only a sample of their requests; noiseMargin allows for the variance.
@@ -90,6 +91,7 @@
 		fenced = p.rebalance() || fenced
 	}
 	fenced = p.fillUnderloaded() || fenced
+	fenced = p.consolidate() || fenced
 	fenced = p.mergeNeighbours() || fenced
 	if fenced {
 		p.table.Fence = p.fence
@@ -240,7 +242,7 @@
 // a few keys that cannot be split.
 func (p *Planner) rebalance() bool {
 	changed, skipped := false, make(map[fleet.UpstreamID]bool)
-	for moves := 0; moves < maxRebalanceMoves; {
+	for moves := 0; moves < p.maxMoves() && len(p.table.Assignments) < p.maxAssignments(); {
 		from, to := p.mostLoaded(skipped), p.leastLoaded()
 		if from == nil || p.loadRatio(from) < overloadRatio || p.loadRatio(to) > receiverRatio {
 			break
@@ -260,6 +262,13 @@
 	return changed
 }
 
+// maxMoves bounds the moves of one plan from overloaded servers.
+func (p *Planner) maxMoves() int { return max(minRebalanceMoves, len(p.Servers)/2) }
+
+// maxAssignments is the number of assignments from which on no range is divided to balance the load, since a table has to fit
+// into one row of the store and each range is renewed by itself.
+func (p *Planner) maxAssignments() int { return 3*len(p.Servers) + 256 }
+
 // overloaded reports whether the load of a server is significantly above its target and its utilization is high.
 func (p *Planner) overloaded(server *Server) bool {
 	target := p.targetLoad(server)
@@ -268,9 +277,11 @@
 }
 
 // noiseMargin returns by how much the load of any one server is likely to differ from its target by chance. The largest of n
-// counts lies about sqrt(2 ln n) standard deviations above the mean.
+// counts lies about sqrt(2 ln n) standard deviations above the mean. The second term corrects for the skew of the Poisson
+// distribution, which matters for small counts.
 func (p *Planner) noiseMargin(target float64) float64 {
-	return (extraDeviations + math.Sqrt(2*math.Log(float64(len(p.Servers))))) * math.Sqrt(target)
+	deviations := extraDeviations + math.Sqrt(2*math.Log(float64(len(p.Servers))))
+	return deviations*math.Sqrt(target) + deviations*deviations/6
 }
 
 // underloaded reports whether a server has little load and either owns no keys or is significantly below its target.
--- a/internal/ownership/ranges/table.go
+++ b/internal/ownership/ranges/table.go
@@ -4,7 +4,6 @@
 package ranges
 
 import (
-	"encoding/json"
 	"net/netip"
 	"slices"
 	"time"
@@ -63,9 +62,9 @@
 var ErrMalformed = errors.New("ranges: malformed table")
 
 // Parse decodes and validates a table.
-func Parse(text []byte) (*Table, error) {
-	result := &Table{}
-	if err := json.Unmarshal(text, result); err != nil {
+func Parse(content []byte) (*Table, error) {
+	result, err := decode(content)
+	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "ranges: parse table"), ErrMalformed)
 	}
 	next := 0
@@ -81,15 +80,6 @@
 	return result, nil
 }
 
-// Encode returns the table as JSON, as Parse reads it.
-func (t *Table) Encode() []byte {
-	text, err := json.Marshal(t)
-	if err != nil {
-		panic(err) // cannot happen: every field can be encoded
-	}
-	return text
-}
-
 // Clone returns a deep copy.
 func (t *Table) Clone() *Table {
 	result := *t
--- a/internal/upstream/rangegrants/assigner.go
+++ b/internal/upstream/rangegrants/assigner.go
@@ -127,8 +127,8 @@
 	goneRetryDelay = 150 * time.Millisecond
 	// loadInterval is the interval at which the load is collected. minRebalanceInterval is the time between two moves that
 	// are caused by load: the effect of a move has to show in the load before the next one.
-	loadInterval         = time.Second
-	minRebalanceInterval = 900 * time.Millisecond
+	loadInterval         = 500 * time.Millisecond
+	minRebalanceInterval = 450 * time.Millisecond
 	// moveBatchDelay is how long the planner waits for further moves to end before it writes the end of one to the table.
 	// Requests for the range wait meanwhile.
 	moveBatchDelay = 60 * time.Millisecond
--- a/internal/upstream/rangegrants/term.go
+++ b/internal/upstream/rangegrants/term.go
@@ -198,7 +198,7 @@
 		GrantsExpireAt: t.grantsExpireAt, Released: t.released, Ended: t.processEnded, Granted: t.granted, Refused: t.refused,
 	}
 	next, changed := planner.Next(t.table)
-	if load.Daemons > 0 && load.Daemons != next.Daemons {
+	if daemonsChanged(next.Daemons, load.Daemons) {
 		next.Daemons, changed = load.Daemons, true
 	}
 	if changed {
@@ -214,6 +214,12 @@
 	return true
 }
 
+// daemonsChanged reports whether the number of daemons is to be written. The limits that daemons share are divided by it, so a
+// higher one is written at once. A lower one is written only if it is significantly lower, since each write is read by all.
+func daemonsChanged(written, counted int) bool {
+	return counted > written || counted > 0 && float64(counted) < 0.9*float64(written)
+}
+
 // availableServers returns the servers to which ranges can be assigned. The capacity of a server is its number of slots, scaled
 // by its speed relative to the mean of all servers.
 func (t *term) availableServers(stats map[fleet.UpstreamID]ServerStats) []ranges.Server {
