peer/relay: send only what differs after the store forgot its history

Cause: a relay that had to read a table again dropped its list of recent changes, and so sent the whole table to each of its subscribers. Change: a table that is read again is compared with the copy, and the differences are changes like any others. Ruled out: longer history at the relay does not help, since the reset dropped it. Before: TestOnlyDifferencesAreSentAfterCompaction failed (whole table of 900 rows); after: two rows.

--- a/internal/peer/relay/relay_test.go
+++ b/internal/peer/relay/relay_test.go
@@ -291,3 +291,40 @@
 		}
 	})
 }
+
+// Pattern: herd after the store forgot its history. Guards against relays that send the whole table to each subscriber when they had to
+// read it again: only what differs may be sent, or the links of small hosts are busy for seconds, and changes arrive late.
+func TestOnlyDifferencesAreSentAfterCompaction(t *testing.T) {
+	is := is.New(t)
+	d := &daemon{rows: map[string]table.Row{}, highest: map[string]table.Version{}}
+	r := &replica{consumers: map[string]Consumer{"t": {Reset: d.reset, Apply: d.apply}}}
+	rows := func(changed int) []table.Row {
+		var result []table.Row
+		for i := range 900 {
+			version := table.Version(i + 1)
+			if i == changed {
+				version = 2000
+			}
+			result = append(result, table.Row{Name: "t/" + strconv.Itoa(i), Version: version, Value: []byte(fmt.Sprint(version))})
+		}
+		return result
+	}
+	is.True(r.reset("t", table.Changes{Version: 1000, Rows: rows(-1)}))
+	is.True(r.reset("t", table.Changes{Version: 3000, Rows: rows(7)[:899]})) // one row changed and one deleted meanwhile
+	update, ok := r.since("t", 1000, true)
+	is.True(ok && !update.whole)
+	is.Equal(len(update.rows), 2)
+	is.Equal(update.version, table.Version(3000))
+	is.Equal(d.value("t/7"), "2000")
+	is.Equal(d.value("t/899"), "")
+	is.Equal(len(d.rows), 899)
+
+	subscriber := &daemon{rows: map[string]table.Row{}, highest: map[string]table.Version{}}
+	behind := &replica{consumers: map[string]Consumer{"t": {Reset: subscriber.reset, Apply: subscriber.apply}}}
+	is.True(behind.reset("t", table.Changes{Version: 1000, Rows: rows(-1)}))
+	is.True(behind.apply("t", update.after, table.Changes{Version: update.version, Rows: update.rows}))
+	is.Equal(subscriber.rows, d.rows)
+	is.True(r.reset("t", table.Changes{Version: 3500, Rows: rows(7)[:899]})) // nothing changed
+	_, ok = r.since("t", 3000, true)
+	is.True(!ok)
+}
--- a/internal/peer/relay/replica.go
+++ b/internal/peer/relay/replica.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 
 	"rosemarywick.example/rosemarywick/internal/platform/table"
@@ -65,15 +67,24 @@
 	return copied.version, copied.known
 }
 
-// reset replaces a copy by all rows of the table at a version. It returns false if the copy is newer.
+// reset replaces a copy by all rows of the table at a version. A copy that exists is only changed where it differs, so that
+// subscribers get the differences. reset returns false if the copy is newer.
 func (r *replica) reset(name string, snapshot table.Changes) bool {
 	copied := r.copyOf(name)
 	copied.order.Lock()
 	defer copied.order.Unlock()
 	r.mu.Lock()
-	if copied.known && snapshot.Version < copied.version {
+	if copied.known {
+		if snapshot.Version < copied.version {
+			r.mu.Unlock()
+			return false
+		}
+		rows := copied.differences(snapshot)
+		copied.version = snapshot.Version
+		r.addAndNotify(copied, table.Changes{Rows: rows, Version: snapshot.Version})
 		r.mu.Unlock()
-		return false
+		r.passChanges(name, rows)
+		return true
 	}
 	copied.known, copied.version, copied.rows = true, snapshot.Version, make(map[string]table.Row, len(snapshot.Rows))
 	for _, row := range snapshot.Rows {
@@ -104,15 +115,45 @@
 	}
 	rows := changesAfter(changes.Rows, copied.version)
 	copied.version = changes.Version
-	if len(rows) > 0 {
-		copied.add(table.Changes{Rows: rows, Version: changes.Version})
+	r.addAndNotify(copied, table.Changes{Rows: rows, Version: changes.Version})
+	r.mu.Unlock()
+	r.passChanges(name, rows)
+	return true
+}
+
+// addAndNotify stores changed rows, if there are any. The caller holds mu.
+func (r *replica) addAndNotify(copied *tableCopy, changes table.Changes) {
+	if len(changes.Rows) > 0 {
+		copied.add(changes)
 		r.notify()
 	}
-	r.mu.Unlock()
+}
+
+// passChanges passes changed rows, if there are any, to the consumer of their table.
+func (r *replica) passChanges(name string, rows []table.Row) {
 	if consumer := r.consumers[name]; consumer.Apply != nil && len(rows) > 0 {
 		consumer.Apply(rows)
 	}
-	return true
+}
+
+// differences returns the rows that differ from a snapshot, as it has them, in the order of their versions. The rows that it lacks
+// were deleted by its version at the latest. The caller holds the replica's mu.
+func (c *tableCopy) differences(snapshot table.Changes) []table.Row {
+	var result []table.Row
+	present := make(map[string]bool, len(snapshot.Rows))
+	for _, row := range snapshot.Rows {
+		present[row.Name] = true
+		if c.rows[row.Name].Version != row.Version {
+			result = append(result, row)
+		}
+	}
+	for name := range c.rows {
+		if !present[name] {
+			result = append(result, table.Row{Name: name, Version: snapshot.Version})
+		}
+	}
+	slices.SortFunc(result, func(a, b table.Row) int { return cmp.Compare(a.Version, b.Version) })
+	return result
 }
 
 // changesAfter returns the rows with a higher version.
