upstream/rangegrants: a leaving server that refuses connections may still run requests

Cause: two refused connections counted as the end of a server's process. A server that leaves closes its listener before its last requests have ended. Change: a refusal does not prove the end of a server that drains or is no longer registered; its keys wait for the end of its grants. A crashed server that is registered is replaced at once, as before. Ruled out: a server restarted under its id proves that the former process has ended, so it is not waited for. Before: TestLeavingServerRefusesConnections failed for a draining and an unregistered server. After: passes.

--- a/internal/upstream/rangegrants/cluster_test.go
+++ b/internal/upstream/rangegrants/cluster_test.go
@@ -77,6 +77,10 @@
 	owner ranges.Owner
 	// crashed refuses connections, and unreachable lets requests time out.
 	crashed, unreachable, leaving bool
+	// closed refuses connections while the last requests still run.
+	closed bool
+	// unregistered removes the server from the registry.
+	unregistered bool
 	// delayRate is the fraction of requests that are applied seconds after they arrived.
 	delayRate float64
 	grants    []grantedRange
@@ -138,7 +142,9 @@
 	defer c.mu.Unlock()
 	var result []rangegrants.Server
 	for _, server := range c.servers {
-		result = append(result, rangegrants.Server{Owner: server.owner, Slots: 6, Leaving: server.leaving})
+		if !server.unregistered {
+			result = append(result, rangegrants.Server{Owner: server.owner, Slots: 6, Leaving: server.leaving})
+		}
 	}
 	return result
 }
@@ -161,7 +167,7 @@
 // off from all servers. The caller holds mu.
 func (c *cluster) route(to ranges.Owner, unreachable bool) (*fakeServer, rangegrants.Response) {
 	for _, server := range c.servers {
-		if server.owner.Address != to.Address || server.crashed {
+		if server.owner.Address != to.Address || server.crashed || server.closed {
 			continue
 		}
 		switch {
--- a/internal/upstream/rangegrants/rangegrants_test.go
+++ b/internal/upstream/rangegrants/rangegrants_test.go
@@ -97,6 +97,25 @@
 	}
 }
 
+// Guards against a key that is given to another server while a server that leaves still runs requests for it: such a server may
+// refuse connections before its last requests have ended, so that a refusal does not prove the end of its process.
+func TestLeavingServerRefusesConnections(t *testing.T) {
+	for name, leave := range map[string]func(*cluster){
+		"draining":     func(c *cluster) { c.updateServer("s1", func(s *fakeServer) { s.leaving, s.closed = true, true }) },
+		"unregistered": func(c *cluster) { c.updateServer("s1", func(s *fakeServer) { s.unregistered, s.closed = true, true }) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithSeeds(t, 3, func(c *cluster, first *daemon, _ uint64) {
+				sleep(10 * time.Second)
+				leave(c)
+				sleep(grantDuration + 2*time.Second)
+				c.awaitAllOwned(20*time.Millisecond, name)
+				c.stopAndCheck(first)
+			})
+		})
+	}
+}
+
 // Guards against grants that expire while the store is down, for an outage as long as lease and grants are meant to bridge.
 func TestStoreOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/upstream/rangegrants/release.go
+++ b/internal/upstream/rangegrants/release.go
@@ -52,7 +52,8 @@
 			t.finishRelease(key, nextOwner, response.Handover, "it released the range")
 			return
 		case ProcessGone:
-			if goneCount++; goneCount > 1 {
+			// A server that leaves may refuse connections while its last requests run.
+			if goneCount++; goneCount > 1 && !t.mayBeLeaving(key.former) {
 				t.finishRelease(key, nextOwner, "", "its process has ended")
 				return
 			}
@@ -95,6 +96,17 @@
 	return state != nil && state.done
 }
 
+// mayBeLeaving reports whether a server leaves by its own account, or is no longer registered. Such a server need not have ended
+// when it refuses connections. A restarted process of the server proves that the former one has ended.
+func (t *term) mayBeLeaving(owner ranges.Owner) bool {
+	for _, server := range t.Registry.Servers(t.Service) {
+		if server.ID == owner.ID {
+			return server.Leaving && server.SameProcess(owner)
+		}
+	}
+	return true
+}
+
 // processEnded reports whether the process of a server is known to have ended.
 func (t *term) processEnded(owner ranges.Owner) bool {
 	t.mu.Lock()
--- a/internal/upstream/rangegrants/server.go
+++ b/internal/upstream/rangegrants/server.go
@@ -177,8 +177,11 @@
 		return true
 	case ProcessGone:
 		if s.goneCount++; s.goneCount > 1 {
-			s.recordProcessEnded()
-			s.term.markDown(ctx, s.owner, true, "its process has ended")
+			ended := !s.term.mayBeLeaving(s.owner)
+			if ended {
+				s.recordProcessEnded()
+			}
+			s.term.markDown(ctx, s.owner, ended, "no process accepts connections at its address")
 		} else if timer.Wait(ctx, s.term.Clock, goneRetryDelay) == nil {
 			s.wakeUp()
 		}
