daemon/entry, peer/relay: pace range tables by the relay's link, and prefer fast links for relays

Cause: each change of a range table sends the whole row, some 15 KB, to each of 49 subscribers. Change: a relay waits between two reads of the range tables for as long as their row to all subscribers takes 0.4 of its link; a stale map ends that pause only at a daemon without subscribers. A host offers itself later the slower its link is, by 1 s at 20 Mbit/s.

--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -121,11 +121,13 @@
 	maxUpstreamsDelay = 800 * time.Millisecond
 	// startSpread is the time over which the first calls of a new deployment's daemons to the store are spread.
 	startSpread = 300 * time.Millisecond
-	// linkDelay is how much later a host whose link has slowLinkRate, in bits a second, makes its first call, and maxLinkDelay the
-	// longest such delay.
-	linkDelay    = 500 * time.Millisecond
-	maxLinkDelay = 500 * time.Millisecond
-	slowLinkRate = 20e6
+	// slowLinkDelay is how much later a host whose link has slowLinkRate, in bits a second, offers itself as a relay, and
+	// maxLinkDelay the longest such delay.
+	slowLinkDelay = time.Second
+	maxLinkDelay  = time.Second
+	slowLinkRate  = 20e6
+	// rangesLinkFraction is the fraction of a relay's link that range tables may use.
+	rangesLinkFraction = 0.4
 	// leaseFraction is the duration of the assigner's lease as a fraction of MaxGrantDuration.
 	leaseFraction = 0.2
 )
@@ -150,7 +152,7 @@
 	defer stopLeave()
 	group.Go(func() error { return d.registry.Run(servingCtx) })
 	group.Go(func() error { return d.configuration.follow(servingCtx) })
-	d.router.OnStaleMap = d.node.PollNow
+	d.router.OnStaleMap = d.refreshTables
 	group.Go(func() error { return d.router.Run(servingCtx) })
 	group.Go(func() error { return d.loadTracker.run(servingCtx) })
 	group.Go(func() error {
@@ -219,7 +221,8 @@
 func (d *Daemon) newNode() *relay.Node {
 	node := &relay.Node{
 		Local: d.Host, Process: d.runID, Store: d.Store, Feed: d.Store, Clock: d.Timer, Log: d.Log, StartDelay: d.startDelay,
-		Daemons: d.daemonCount, OnRecovered: d.registry.StoreRecovered, Reporter: d.loadTracker, Serve: d.runAssigners,
+		ClaimDelay: d.linkDelay(),
+		Daemons:    d.daemonCount, OnRecovered: d.registry.StoreRecovered, Reporter: d.loadTracker, Serve: d.runAssigners,
 		Tables: []relay.Table{
 			{
 				Name:     d.Tables.ConfigurationTable,
@@ -230,8 +233,9 @@
 				BatchDelay: d.upstreamsDelay,
 			},
 			{
-				Name:     rangegrants.RangesTable,
-				Consumer: relay.Consumer{Reset: d.ownershipMap.applyRows, Apply: d.ownershipMap.applyRows},
+				Name:       rangegrants.RangesTable,
+				Consumer:   relay.Consumer{Reset: d.ownershipMap.applyRows, Apply: d.ownershipMap.applyRows},
+				BatchDelay: d.rangesDelay,
 			},
 		},
 	}
@@ -244,17 +248,42 @@
 	return min(maxUpstreamsDelay, scaled(d.Limits.DrainTimeout, upstreamsDelayFraction))
 }
 
+// rangesDelay returns the batch delay of the range tables.
+func (d *Daemon) rangesDelay() time.Duration { return d.rangesDelayFor(d.node.Subscribers()) }
+
+// rangesDelayFor returns the batch delay of the range tables with a number of subscribers. Each change sends the whole row to
+// each of them, so a relay waits for as long as that occupies rangesLinkFraction of its link.
+func (d *Daemon) rangesDelayFor(subscribers int) time.Duration {
+	if d.LinkRate <= 0 {
+		return 0
+	}
+	bits := 8 * float64(d.ownershipMap.rowBytes()) * float64(subscribers)
+	return time.Duration(bits / (d.LinkRate * rangesLinkFraction) * float64(time.Second))
+}
+
+// refreshTables makes a daemon that follows the store for itself alone read it at once. One with subscribers keeps its batch
+// delays.
+func (d *Daemon) refreshTables() {
+	if d.node.Subscribers() == 0 {
+		d.node.PollNow()
+	}
+}
+
+// linkDelay returns how much later than a host with a fast link this one offers itself as a relay.
+func (d *Daemon) linkDelay() time.Duration {
+	if d.LinkRate <= 0 {
+		return 0
+	}
+	return min(maxLinkDelay, time.Duration(float64(slowLinkDelay)*slowLinkRate/d.LinkRate))
+}
+
 // startDelay returns the pause of a new deployment before the first call to the store. The daemon that calls first becomes the
 // relay of its failure domain, so a host with a slow link waits longer.
 func (d *Daemon) startDelay() time.Duration {
 	if !d.FirstStart {
 		return 0
 	}
-	spread := rand.N(startSpread)
-	if d.LinkRate <= 0 {
-		return spread
-	}
-	return spread + min(maxLinkDelay, time.Duration(float64(linkDelay)*slowLinkRate/d.LinkRate))
+	return rand.N(startSpread) + d.linkDelay()
 }
 
 // resetUpstreams replaces the registry by a snapshot of the upstreams table.
--- a/internal/daemon/entry/entry_test.go
+++ b/internal/daemon/entry/entry_test.go
@@ -136,3 +136,31 @@
 	c.count++
 	return len(p), nil
 }
+
+// Pattern: many moves at once. Guards against a relay whose link is filled by range tables, so that everything else reaches its
+// subscribers seconds late: however fast tables follow each other, they may use a part of the link only.
+func TestRangeTablesArePaced(t *testing.T) {
+	for _, test := range []struct {
+		linkRate    float64
+		subscribers int
+		size        int
+	}{{20e6, 49, 15_000}, {200e6, 49, 15_000}, {20e6, 200, 60_000}, {1e9, 3, 15_000}} {
+		is := is.New(t)
+		daemon := &Daemon{LinkRate: test.linkRate}
+		daemon.ownershipMap = &ownershipMap{tables: map[fleet.ServiceName]*versionedTable{"s": {size: test.size}}}
+		delay := daemon.rangesDelayFor(test.subscribers)
+		used := float64(8*test.size*test.subscribers) / delay.Seconds()
+		is.True(used <= test.linkRate/2)
+	}
+	unknown := &Daemon{}
+	is.New(t).Equal(unknown.rangesDelayFor(100), time.Duration(0))
+}
+
+// Guards against hosts with slow links that become relays although faster ones wait as well.
+func TestSlowLinksOfferThemselvesLater(t *testing.T) {
+	is := is.New(t)
+	slow, fast, unknown := &Daemon{LinkRate: 10e6}, &Daemon{LinkRate: 200e6}, &Daemon{}
+	is.True(slow.linkDelay() >= fast.linkDelay()+startSpread)
+	is.Equal(slow.linkDelay(), maxLinkDelay)
+	is.Equal(unknown.linkDelay(), time.Duration(0))
+}
--- a/internal/daemon/entry/loads_test.go
+++ b/internal/daemon/entry/loads_test.go
@@ -54,7 +54,7 @@
 		for range 50 {
 			assigner.Served("s", "u1", 4000, 100*time.Millisecond)
 		}
-		relay.Add([]byte(`{"services":{"s":{"counts":{"250":150},"servers":{"u1":{"requests":150,"total":15000000000}}}}}`))
+		relay.Add([]byte(`{"services":{"s":{"counts":{"4000":150},"servers":{"u1":{"requests":150,"total":15000000000}}}}}`))
 		relay.Add([]byte(`{"services":{"s":{"counts":{"1":-5},"servers":{"u1":{"requests":-1,"total":1},"u2":null}},"x":null}}`))
 		relay.Add([]byte(`{`))
 		_ = timer.Wait(ctx, timer.System{}, time.Second)
--- a/internal/daemon/entry/ownership.go
+++ b/internal/daemon/entry/ownership.go
@@ -36,6 +36,8 @@
 	table     *ranges.Table
 	version   table.Version
 	adoptedAt time.Time
+	// size is the size of the row in bytes.
+	size int
 }
 
 // Locate returns the assignment of a key, or false if the service has no table or no owner is assigned.
@@ -77,6 +79,17 @@
 	return nil
 }
 
+// rowBytes returns the size of the largest range table as it is stored.
+func (o *ownershipMap) rowBytes() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	largest := 0
+	for _, latest := range o.tables {
+		largest = max(largest, latest.size)
+	}
+	return largest
+}
+
 // applyRows adopts changed rows of the table of range tables and reports each adopted one to onAdopted.
 func (o *ownershipMap) applyRows(rows []table.Row) {
 	for _, adopted := range o.adoptRows(rows) {
@@ -113,7 +126,7 @@
 		if o.tables == nil {
 			o.tables = make(map[fleet.ServiceName]*versionedTable)
 		}
-		o.tables[service] = &versionedTable{table: next, version: row.Version, adoptedAt: o.clock.Now()}
+		o.tables[service] = &versionedTable{table: next, version: row.Version, adoptedAt: o.clock.Now(), size: len(row.Value)}
 		adopted = append(adopted, adoptedTable{service: service, table: next})
 		o.log.Info().Str("service", string(service)).Uint64("version", uint64(row.Version)).Uint64("term", next.Term).
 			Uint64("fence", uint64(next.Fence)).Int("holdings", len(next.Assignments)).Msg("table of the ranges adopted")
--- a/internal/ownership/ranges/consolidate.go
+++ b/internal/ownership/ranges/consolidate.go
@@ -34,8 +34,8 @@
 	return moved > 0
 }
 
-// joinNeighbour gives a range to the owner of an adjacent one that does not change hands itself. It returns false if no such owner
-// has room for its load.
+// joinNeighbour gives a range to the owner of an adjacent one that does not change hands itself. It returns false if no such
+// owner has room for its load.
 func (p *Planner) joinNeighbour(index int) bool {
 	assignment := &p.table.Assignments[index]
 	load := p.Load.RangeSum(assignment.Range)
--- a/internal/peer/relay/follow.go
+++ b/internal/peer/relay/follow.go
@@ -228,7 +228,7 @@
 	case state.claimAt.IsZero() || state.lost.version != own.version:
 		state.lost = own
 		spread := n.claimSpread(cutOff)
-		state.claimAt = now.Add(time.Duration(rand.Float64() * float64(spread)))
+		state.claimAt = now.Add(n.ClaimDelay + time.Duration(rand.Float64()*float64(spread)))
 	case !now.Before(state.claimAt):
 		state.claimAt = time.Time{}
 		return n.replaceRelay(ctx, state.lost)
--- a/internal/peer/relay/node.go
+++ b/internal/peer/relay/node.go
@@ -78,6 +78,9 @@
 	Log     zerolog.Logger
 	// StartDelay returns the pause before the first call to the store. Relays are chosen in the order of these calls.
 	StartDelay func() time.Duration
+	// ClaimDelay is how much later than others this daemon tries to replace a lost relay. It is longer on hosts that are less
+	// suited.
+	ClaimDelay time.Duration
 	// Daemons returns the number of daemons.
 	Daemons func() int
 	// OnRecovered is called when the store is followed again after an interruption, before the rows that changed meanwhile.
--- a/internal/peer/relay/relay_test.go
+++ b/internal/peer/relay/relay_test.go
@@ -328,3 +328,24 @@
 	_, ok = r.since("t", 3000, true)
 	is.True(!ok)
 }
+
+// Guards against a relay that is replaced by a host that is less suited although a better one waits as well.
+func TestSuitedHostReplacesRelay(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork(t, 60, 4)
+		sleep(started)
+		lost := n.relayOf("d0")
+		var suited *daemon
+		for _, d := range n.running() {
+			if d.Local.Locality.Domain == "d0" && d != lost && suited == nil {
+				suited = d
+			} else {
+				d.ClaimDelay = time.Second // read only when a relay is lost
+			}
+		}
+		lost.stop()
+		sleep(10 * time.Second)
+		is.Equal(n.relayOf("d0"), suited)
+	})
+}
--- a/internal/peer/relay/replica.go
+++ b/internal/peer/relay/replica.go
@@ -136,8 +136,8 @@
 	}
 }
 
-// differences returns the rows that differ from a snapshot, as it has them, in the order of their versions. The rows that it lacks
-// were deleted by its version at the latest. The caller holds the replica's mu.
+// differences returns the rows that differ from a snapshot, as it has them, in the order of their versions. The rows that it
+// lacks were deleted by its version at the latest. The caller holds the replica's mu.
 func (c *tableCopy) differences(snapshot table.Changes) []table.Row {
 	var result []table.Row
 	present := make(map[string]bool, len(snapshot.Rows))
--- a/internal/peer/relay/store.go
+++ b/internal/peer/relay/store.go
@@ -146,7 +146,7 @@
 func (n *Node) awaitRelay(ctx context.Context) {
 	n.Log.Warn().Int("relays", n.members.count()).Msg("no relay can be reached; the daemon follows the store")
 	lost := n.members.of(n.Local.Locality.Domain)
-	wait := time.Duration(rand.Float64() * float64(n.claimSpread(false)))
+	wait := n.ClaimDelay + time.Duration(rand.Float64()*float64(n.claimSpread(false)))
 	for {
 		if timer.Wait(ctx, n.Clock, wait) != nil {
 			return
