ownership/ranges: sum the load once for each report

Cause: each plan summed the counters of all keys again, 65,536 since load is counted by keys; plans also follow each move that ends. Change: the sums are kept until the next report. The fake of the assigner's tests shares one empty load.

--- a/internal/ownership/ranges/load.go
+++ b/internal/ownership/ranges/load.go
@@ -33,13 +33,16 @@
 	counts [bucketCount]float64
 	// decayedAt is the time to which counts have been decayed.
 	decayedAt time.Time
-	// prefixSums[i] is the load of all buckets before i. BuildPrefixSums recomputes it.
+	// prefixSums[i] is the load of all buckets before i. BuildPrefixSums recomputes it unless built is set, which means that no
+	// report was added since.
 	prefixSums [bucketCount + 1]float64
+	built      bool
 }
 
 // AddReport adds the counts that one daemon reported. Out-of-range buckets and invalid counts are ignored.
 func (l *Load) AddReport(now time.Time, report BucketCounts) {
 	l.decay(now)
+	l.built = false
 	for bucket, count := range report {
 		if bucket >= 0 && bucket < bucketCount && count > 0 && !math.IsInf(count, 0) {
 			l.counts[bucket] += count
@@ -72,6 +75,10 @@
 
 // BuildPrefixSums must be called after the last AddReport and before RangeSum or SplitPoint.
 func (l *Load) BuildPrefixSums() {
+	if l.built {
+		return
+	}
+	l.built = true
 	total := l.Samples()
 	uniform := max(total*uniformFraction, 1) / float64(bucketCount)
 	for i, count := range l.counts {
--- a/internal/upstream/rangegrants/cluster_test.go
+++ b/internal/upstream/rangegrants/cluster_test.go
@@ -156,9 +156,16 @@
 	return c.changed
 }
 
+// noLoad is an empty load, prepared for reading by any number of planners.
+var noLoad = func() *ranges.Load {
+	load := &ranges.Load{}
+	load.BuildPrefixSums()
+	return load
+}()
+
 // Collect returns an empty load.
 func (c *cluster) Collect(context.Context, fleet.ServiceName) rangegrants.AggregateLoad {
-	return rangegrants.AggregateLoad{Load: &ranges.Load{}}
+	return rangegrants.AggregateLoad{Load: noLoad}
 }
 
 var errNoResponse = errors.New("no response")
