daemon/entry: relays read changed upstreams within 0.3 s

Change: 0.1 of the drain time instead of 0.3, at most 0.3 s. The test's bound follows and is stricter.

--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -115,10 +115,10 @@
 	grantFraction = 0.35
 	// upstreamsDelayFraction is the batch delay between a change in the upstreams table and the next poll, as a fraction of
 	// DrainTimeout. Many entries change together when a service starts or is replaced.
-	upstreamsDelayFraction = 0.3
+	upstreamsDelayFraction = 0.1
 	// maxUpstreamsDelay limits that delay. An assigner makes the first range table once the entries have not changed for a
 	// second, so a longer delay would look as if all upstreams had started.
-	maxUpstreamsDelay = 800 * time.Millisecond
+	maxUpstreamsDelay = 300 * time.Millisecond
 	// startSpread is the time over which the first calls of a new deployment's daemons to the store are spread.
 	startSpread = 300 * time.Millisecond
 	// slowLinkDelay is how much later a host whose link has slowLinkRate, in bits a second, offers itself as a relay, and
--- a/internal/daemon/entry/entry_test.go
+++ b/internal/daemon/entry/entry_test.go
@@ -98,7 +98,7 @@
 // first range table once the entries have not changed for a second, so a long delay would leave upstreams out of it.
 func TestUpstreamsDelayIsBounded(t *testing.T) {
 	for drain, want := range map[time.Duration]time.Duration{
-		2500 * time.Millisecond: 750 * time.Millisecond,
+		2500 * time.Millisecond: 250 * time.Millisecond,
 		time.Minute:             maxUpstreamsDelay,
 	} {
 		t.Run(drain.String(), func(t *testing.T) {
