--- /dev/null
+++ b/internal/peer/relay/role.go
@@ -0,0 +1,138 @@
+package relay
+
+import (
+	"context"
+	"time"
+)
+
+// avoidance is the time until which a relay is not chosen. cutOff is set if the relay responded and did not reach the store.
+type avoidance struct {
+	until  time.Time
+	cutOff bool
+}
+
+// role is what a daemon does next: one of relaying, following and detached.
+type role interface{ role() }
+
+// relaying means that this daemon is the relay of its failure domain.
+type relaying struct{}
+
+// following means that this daemon follows a relay.
+type following struct{ relay member }
+
+// detached means that no relay can be reached, so that this daemon follows the store until one can.
+type detached struct{}
+
+func (relaying) role()  {}
+func (following) role() {}
+func (detached) role()  {}
+
+// runRoles acts in the present role until ctx ends.
+func (n *Node) runRoles(ctx context.Context) {
+	for ctx.Err() == nil {
+		switch next := n.nextRole(ctx).(type) {
+		case relaying:
+			n.followStore(ctx, n.runRelay)
+		case following:
+			n.follow(ctx, next.relay)
+		case detached:
+			n.followStore(ctx, n.awaitRelay)
+		}
+	}
+}
+
+// nextRole decides what this daemon does next.
+func (n *Node) nextRole(ctx context.Context) role {
+	if n.holdsRole() {
+		return relaying{}
+	}
+	// The row of an earlier process on this host is replaced at once.
+	own := n.members.of(n.Local.Locality.Domain)
+	if own.Host == n.Local.ID && own.Run != n.Process && !n.isLeaving() && n.claim(ctx) == nil {
+		return relaying{}
+	}
+	if relay, ok := n.choose(); ok {
+		return following{relay: relay}
+	}
+	return detached{}
+}
+
+// choose returns the relay to follow: the first that is not avoided, or else the first that could be reached and was cut off from
+// the store, as all may be. It returns false if there is none.
+func (n *Node) choose() (member, bool) {
+	ranked := n.members.ranked(n.Local)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.Clock.Now()
+	var fallback *member
+	for i, relay := range ranked {
+		avoided := n.avoided[relay.Run]
+		if !now.Before(avoided.until) {
+			return relay, true
+		}
+		if avoided.cutOff && fallback == nil {
+			fallback = &ranked[i]
+		}
+	}
+	if fallback == nil {
+		return member{}, false
+	}
+	return *fallback, true
+}
+
+// avoid makes choose prefer other relays for a while.
+func (n *Node) avoid(relay member, cutOff bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.Clock.Now()
+	for process, avoided := range n.avoided {
+		if now.Sub(avoided.until) > avoidTime {
+			delete(n.avoided, process)
+		}
+	}
+	n.avoided[relay.Run] = avoidance{until: now.Add(avoidTime), cutOff: cutOff}
+}
+
+// holdsRole reports whether this daemon is the relay of its failure domain.
+func (n *Node) holdsRole() bool {
+	own := n.members.of(n.Local.Locality.Domain)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.isOwn(own) && own.version != n.abandoned
+}
+
+func (n *Node) isLeaving() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leaving
+}
+
+// claimSpread returns the time over which the daemons of a domain spread their attempts to replace its relay. One that has
+// become a relay a short time ago waits longer, since the others may not reach it.
+func (n *Node) claimSpread(cutOff bool) time.Duration {
+	n.mu.Lock()
+	claimedAt := n.claimedAt
+	n.mu.Unlock()
+	if !claimedAt.IsZero() && n.Clock.Now().Sub(claimedAt) < reclaimTime {
+		return reclaimTime
+	}
+	perDomain := time.Duration(n.Daemons()/n.Relays() + 1)
+	if cutOff {
+		return max(minClaimSpread, perDomain*time.Duration(n.Relays())*outageClaimInterval)
+	}
+	return max(minClaimSpread, perDomain*claimInterval)
+}
+
+// replaceRelay tries to become the relay of this daemon's failure domain, unless the relay has been replaced or responds again.
+// It reports whether it did.
+func (n *Node) replaceRelay(ctx context.Context, lost member) bool {
+	current := n.members.of(n.Local.Locality.Domain)
+	if n.isLeaving() || current.version != lost.version {
+		return false
+	}
+	if err := n.claim(ctx); err != nil {
+		n.Log.Debug().Err(err).Msg("replace relay: retrying")
+		return false
+	}
+	return true
+}
