peer/relay: tell why a relay is not available, and how old a daemon's tables are

Change: heartbeats carry whether the sender is a relay and how old its tables are; 'relay is cut off from the store' says why. Gauges of the present and the greatest age; a line when an age beyond the platform's limit ends. The limit comes from the settings. No decision depends on any of this.

--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -46,6 +46,8 @@
 type Limits struct {
 	// DrainTimeout is the time after which a leaving upstream must get no new requests.
 	DrainTimeout time.Duration
+	// ApplyTimeout is the time after which a configuration must be in force.
+	ApplyTimeout time.Duration
 	// StopTimeout is the time from a request to stop to the end of the process.
 	StopTimeout time.Duration
 	// MaxGrantDuration is the longest grant that servers accept.
--- a/internal/daemon/entry/metrics.go
+++ b/internal/daemon/entry/metrics.go
@@ -15,6 +15,9 @@
 	d.configuration.onAdopted = func(declared *document.Document) { d.observer.metrics.Configure(declared) }
 	d.ownershipMap.onAdopted = d.observeOwners
 	d.loadTracker.onCollected = d.observeLoad
+	if d.node != nil {
+		d.observer.metrics.ExposeTableAges(d.node.Age, d.node.GreatestAge)
+	}
 }
 
 // observeOwners updates churn and time without an owner from a new range table.
--- a/internal/daemon/entry/tables.go
+++ b/internal/daemon/entry/tables.go
@@ -35,6 +35,7 @@
 	node := &relay.Node{
 		Local: d.Host, Process: d.runID, Store: d.Store, Feed: d.Store, Clock: d.Timer, Log: d.Log, StartDelay: d.startDelay,
 		ClaimDelay: d.linkDelay(),
+		ApplyLimit: d.Limits.ApplyTimeout,
 		Daemons:    d.daemonCount, OnRecovered: d.registry.StoreRecovered, Reporter: d.loadTracker, Serve: d.runAssigners,
 		Tables: []relay.Table{
 			{
--- a/internal/peer/relay/follow.go
+++ b/internal/peer/relay/follow.go
@@ -131,7 +131,7 @@
 		n.handleUpdate(ctx, state.relay, body.Update)
 	case *wire.Relay_Heartbeat:
 		n.requestLostUpdates(ctx, state.relay, body.Heartbeat.GetPositions())
-		return n.handleHeartbeat(state, body.Heartbeat.GetAvailable(), body.Heartbeat.GetStarting())
+		return n.handleHeartbeat(state, body.Heartbeat)
 	}
 	return true
 }
@@ -177,14 +177,38 @@
 	}
 }
 
+// unavailability is why a daemon that is followed does not pass on changes of the store.
+type unavailability string
+
+const (
+	// notRelay means that the daemon does not follow the store, so that the list of relays is out of date.
+	notRelay unavailability = "not-a-relay"
+	// readingTables means that the relay has not read all tables yet.
+	readingTables unavailability = "reading"
+	// noContact means that the store does not respond to the relay.
+	noContact unavailability = "no-contact"
+)
+
+// unavailabilityOf returns why the sender of a heartbeat is not available.
+func unavailabilityOf(heartbeat *wire.Heartbeat) unavailability {
+	switch {
+	case heartbeat.GetNotRelay():
+		return notRelay
+	case heartbeat.GetStarting():
+		return readingTables
+	}
+	return noContact
+}
+
 // handleHeartbeat notes whether the relay reaches the store. It returns false if the relay does not and another one may.
-func (n *Node) handleHeartbeat(state *followState, available, starting bool) bool {
+func (n *Node) handleHeartbeat(state *followState, heartbeat *wire.Heartbeat) bool {
+	available, starting := heartbeat.GetAvailable(), heartbeat.GetStarting()
 	if !state.responded && available {
 		n.Log.Info().Str("relay", string(state.relay.Host)).Str("domain", string(state.relay.domain)).Msg("relay is followed")
 	}
 	state.responded = state.responded || available
 	if available {
-		n.noteAvailability(true)
+		n.noteOutcome(true, n.Clock.Now().Add(-time.Duration(heartbeat.GetAgeMs())*time.Millisecond))
 		return true
 	}
 	if starting && n.Clock.Now().Sub(state.startedAt) < silenceLimit {
@@ -193,10 +217,11 @@
 	n.avoid(state.relay, true)
 	next, ok := n.choose()
 	if ok && next.Run != state.relay.Run {
-		n.Log.Info().Str("relay", string(state.relay.Host)).Str("next", string(next.Host)).Msg("relay is cut off from the store")
+		n.Log.Info().Str("relay", string(state.relay.Host)).Str("next", string(next.Host)).
+			Str("why", string(unavailabilityOf(heartbeat))).Dur("age", n.Age()).Msg("relay is cut off from the store")
 		return false
 	}
-	n.noteAvailability(false)
+	n.noteOutcome(false, time.Time{})
 	return true
 }
 
@@ -259,12 +284,14 @@
 	}
 }
 
-// noteAvailability records whether the tables are followed, in the store or at a relay that reaches it.
-func (n *Node) noteAvailability(available bool) {
+// noteOutcome records whether the tables are followed, in the store or at a relay that reaches it, and since when they are
+// confirmed.
+func (n *Node) noteOutcome(available bool, confirmed time.Time) {
 	n.mu.Lock()
 	recovered := available && n.interrupted
 	n.interrupted = !available
 	n.mu.Unlock()
+	n.confirm(confirmed)
 	if recovered {
 		n.OnRecovered()
 	}
--- a/internal/peer/relay/node.go
+++ b/internal/peer/relay/node.go
@@ -83,6 +83,8 @@
 	ClaimDelay time.Duration
 	// Daemons returns the number of daemons.
 	Daemons func() int
+	// ApplyLimit is the time within which the platform requires that changes take effect. Zero means that there is none.
+	ApplyLimit time.Duration
 	// OnRecovered is called when the store is followed again after an interruption, before the rows that changed meanwhile.
 	OnRecovered func()
 	// Reporter receives the load reports of other daemons while this one follows the store.
@@ -110,6 +112,10 @@
 	followers []*table.Follower
 	// interrupted is guarded by mu and set while the tables are not followed, neither in the store nor at a relay that reaches it.
 	interrupted bool
+	// confirmedAt is guarded by mu: when all tables were last known to be those of the store, or zero before. It never decreases.
+	// greatestAge is the greatest age that the tables had when they were confirmed anew.
+	confirmedAt time.Time
+	greatestAge time.Duration
 	// subscription is guarded by mu: that to a relay, or nil.
 	subscription *subscription
 	// subscribers is guarded by mu and holds the daemons that subscribe to this one.
@@ -147,7 +153,9 @@
 
 // newSource returns a source for tables that are followed until ctx ends.
 func (n *Node) newSource(ctx context.Context) *source {
-	return &source{feed: n.Feed, replica: &n.replica, clock: n.Clock, ended: ctx.Done(), onOutcome: n.noteAvailability}
+	return &source{
+		feed: n.Feed, replica: &n.replica, clock: n.Clock, ended: ctx.Done(), tables: n.tableNames, onOutcome: n.noteOutcome,
+	}
 }
 
 // Run receives the tables until ctx ends.
--- a/internal/peer/relay/source.go
+++ b/internal/peer/relay/source.go
@@ -18,8 +18,11 @@
 	clock   timer.Clock
 	// ended is closed when the tables are no longer followed, after which the outcomes of calls say nothing about the store.
 	ended <-chan struct{}
+	// tables lists the tables that are followed.
+	tables []string
 	// onOutcome is called after each call, before its rows are stored, with whether the last calls for all tables succeeded.
-	onOutcome func(available bool)
+	// confirmed is when the store last responded for the table for which that is longest ago, or zero.
+	onOutcome func(available bool, confirmed time.Time)
 
 	mu sync.Mutex
 	// failing is guarded by mu. Its keys are the tables whose last call failed.
@@ -82,9 +85,20 @@
 		delete(s.failing, name)
 		s.responded[name] = s.clock.Now()
 	}
-	available := len(s.failing) == 0
+	available, confirmed := len(s.failing) == 0, s.confirmedAt()
 	s.mu.Unlock()
-	s.onOutcome(available)
+	s.onOutcome(available, confirmed)
+}
+
+// confirmedAt returns when the store last responded for the table for which that is longest ago, or zero. The caller holds mu.
+func (s *source) confirmedAt() time.Time {
+	result := s.clock.Now()
+	for _, name := range s.tables {
+		if responded := s.responded[name]; responded.Before(result) {
+			result = responded
+		}
+	}
+	return result
 }
 
 // available reports whether all tables are being followed, and the store has responded for the table contact within maxAge.
