peer/relay: notice a silent call for changes within the time in which they must take effect

Cause: a call that waits for changes whose connection falls silent is noticed at the end of its wait only, unless another call fails: 20.6 s on, 4.6 s since the relays; a configuration has to be in force within 2 to 3 s. The drain of an upstream depends on the same wait. Class: a time limit of waiting that isn't derived from the time limit of its purpose. Change: a table has the time within which its changes must take effect; a call for them waits 0.4 of that at most. TestCallsWithApplyLimit bounds the calls. Conclusion: fixed for silent calls; a response that falls silent midway still has 8 s.

--- a/internal/daemon/entry/tables.go
+++ b/internal/daemon/entry/tables.go
@@ -35,16 +35,16 @@
 	node := &relay.Node{
 		Local: d.Host, Process: d.runID, Store: d.Store, Feed: d.Store, Clock: d.Timer, Log: d.Log, StartDelay: d.startDelay,
 		ClaimDelay: d.linkDelay(),
-		ApplyLimit: d.Limits.ApplyTimeout,
 		Daemons:    d.daemonCount, OnRecovered: d.registry.StoreRecovered, Reporter: d.loadTracker, Serve: d.runAssigners,
 		Tables: []relay.Table{
 			{
-				Name:     d.Tables.ConfigurationTable,
-				Consumer: relay.Consumer{Reset: d.configuration.applyRows, Apply: d.configuration.applyRows},
+				Name:       d.Tables.ConfigurationTable,
+				Consumer:   relay.Consumer{Reset: d.configuration.applyRows, Apply: d.configuration.applyRows},
+				ApplyLimit: d.Limits.ApplyTimeout,
 			},
 			{
 				Name: d.Tables.UpstreamsTable, Consumer: relay.Consumer{Reset: d.resetUpstreams, Apply: d.applyUpstreams},
-				BatchDelay: d.upstreamsDelay,
+				BatchDelay: d.upstreamsDelay, ApplyLimit: d.Limits.DrainTimeout,
 			},
 			{
 				Name:       rangegrants.RangesTable,
--- a/internal/peer/relay/age.go
+++ b/internal/peer/relay/age.go
@@ -34,7 +34,7 @@
 	}
 	n.confirmedAt, n.greatestAge = confirmed, max(n.greatestAge, age)
 	n.mu.Unlock()
-	if n.ApplyLimit > 0 && age > n.ApplyLimit {
-		n.Log.Warn().Dur("age", age).Dur("limit", n.ApplyLimit).Msg("tables of the store are up to date again")
+	if n.applyLimit > 0 && age > n.applyLimit {
+		n.Log.Warn().Dur("age", age).Dur("limit", n.applyLimit).Msg("tables of the store are up to date again")
 	}
 }
--- a/internal/peer/relay/fleet_test.go
+++ b/internal/peer/relay/fleet_test.go
@@ -37,10 +37,34 @@
 	down bool
 	// compacted is the version up to which the history was dropped.
 	compacted table.Version
+	// silenced is closed for the calls in progress, and replaced, when their responses are lost.
+	silenced map[string]chan struct{}
 }
 
 func newMemoryStore() *memoryStore {
-	return &memoryStore{rows: map[string]table.Row{}, changed: make(chan struct{}), cut: map[fleet.HostID]bool{}}
+	return &memoryStore{
+		rows: map[string]table.Row{}, changed: make(chan struct{}), cut: map[fleet.HostID]bool{}, silenced: map[string]chan struct{}{},
+	}
+}
+
+// loseResponses loses the responses to all calls in progress for the changes of a table.
+func (s *memoryStore) loseResponses(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if silenced := s.silenced[name]; silenced != nil {
+		close(silenced)
+	}
+	s.silenced[name] = nil
+}
+
+// silencedChannel returns a channel that is closed when the responses to the calls in progress are lost.
+func (s *memoryStore) silencedChannel(name string) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.silenced[name] == nil {
+		s.silenced[name] = make(chan struct{})
+	}
+	return s.silenced[name]
 }
 
 // write writes a row as its owner does, or deletes it.
@@ -114,8 +138,10 @@
 	if err := v.begin(ctx, wait+600*time.Millisecond); err != nil {
 		return table.Changes{}, err
 	}
-	timeout := timer.System{}.After(wait)
+	timeout, silenced := timer.System{}.After(wait), v.silencedChannel(name)
 	defer timeout.Stop()
+	noResponse := timer.System{}.After(wait + 600*time.Millisecond)
+	defer noResponse.Stop()
 	for last := wait == 0; ; {
 		v.mu.Lock()
 		result, changed := table.Changes{Version: max(after, v.version)}, v.changed
@@ -139,6 +165,13 @@
 		case <-changed:
 		case <-timeout.C:
 			last = true
+		case <-silenced:
+			select {
+			case <-noResponse.C:
+				return table.Changes{}, errors.Wrap(table.ErrUnavailable, "no response")
+			case <-ctx.Done():
+				return table.Changes{}, context.Cause(ctx)
+			}
 		case <-ctx.Done():
 			return table.Changes{}, context.Cause(ctx)
 		}
@@ -240,6 +273,8 @@
 	queues  map[[2]fleet.HostID]chan []byte
 	// silent holds the pairs of sender and receiver whose messages are lost.
 	silent map[[2]fleet.HostID]bool
+	// applyLimit is the time within which changes of table "t" must take effect.
+	applyLimit time.Duration
 }
 
 // endpoint is the network as one daemon sends to it.
@@ -291,8 +326,14 @@
 
 // newNetwork starts daemons that share a store, divided evenly between failure domains.
 func newNetwork(t *testing.T, daemons, domains int) *network {
+	return newNetworkWithin(t, daemons, domains, 0)
+}
+
+// newNetworkWithin starts such daemons, in which changes of table "t" must take effect within a limit.
+func newNetworkWithin(t *testing.T, daemons, domains int, applyLimit time.Duration) *network {
 	n := &network{
-		t: t, store: newMemoryStore(), daemons: map[fleet.HostID]*daemon{}, queues: map[[2]fleet.HostID]chan []byte{},
+		applyLimit: applyLimit,
+		t:          t, store: newMemoryStore(), daemons: map[fleet.HostID]*daemon{}, queues: map[[2]fleet.HostID]chan []byte{},
 		silent: map[[2]fleet.HostID]bool{},
 	}
 	n.store.write("t/a", "1")
@@ -318,7 +359,7 @@
 	d := &daemon{network: n, rows: map[string]table.Row{}, highest: map[string]table.Version{}}
 	d.Node = &Node{
 		Local: host, Process: fmt.Sprint(host.ID, "/", time.Now().UnixNano()), Store: view{n.store, host.ID}, Feed: view{n.store, host.ID},
-		Tables: []Table{{Name: "t", Consumer: Consumer{Reset: d.reset, Apply: d.apply}}}, Clock: timer.System{}, Log: zerolog.Nop(),
+		Tables: []Table{{Name: "t", Consumer: Consumer{Reset: d.reset, Apply: d.apply}, ApplyLimit: n.applyLimit}}, Clock: timer.System{}, Log: zerolog.Nop(),
 		StartDelay: func() time.Duration { return delay }, Daemons: func() int { return daemons }, OnRecovered: func() {}, Reporter: d,
 		Serve: func(ctx context.Context) {
 			d.setServing(true)
--- a/internal/peer/relay/node.go
+++ b/internal/peer/relay/node.go
@@ -34,9 +34,11 @@
 	// one from which on the relay counts as cut off.
 	contactInterval = time.Second
 	contactLimit    = 1700 * time.Millisecond
-	// pollWait is how long one call for the changes of a table waits. A response that was lost while the store answers other calls
-	// is noticed at its end, and many daemons depend on it.
-	pollWait = 4 * time.Second
+	// pollWait is the longest time that one call for the changes of a table waits. A response that was lost while the store answers
+	// other calls is noticed only after it, so the wait is pollFraction of the table's ApplyLimit if that is shorter. The rest of the
+	// limit is for the response that is overdue, the next call, and the way to the subscribers.
+	pollWait     = 4 * time.Second
+	pollFraction = 0.4
 	// avoidTime is how long a relay that was lost or cut off is not chosen if there is another one.
 	avoidTime = 2 * time.Second
 	// sendTimeout bounds the connection to a relay, or the wait for room in its queue.
@@ -63,6 +65,8 @@
 	Consumer
 	// BatchDelay returns the time between a change and a relay's next call to the store. It may be nil, which means no delay.
 	BatchDelay func() time.Duration
+	// ApplyLimit is the time within which changes must take effect at all daemons. Zero means that there is no such time.
+	ApplyLimit time.Duration
 }
 
 // Node is the part of a daemon that receives the tables, from a relay or from the store. The exported fields are set before Run.
@@ -83,8 +87,6 @@
 	ClaimDelay time.Duration
 	// Daemons returns the number of daemons.
 	Daemons func() int
-	// ApplyLimit is the time within which the platform requires that changes take effect. Zero means that there is none.
-	ApplyLimit time.Duration
 	// OnRecovered is called when the store is followed again after an interruption, before the rows that changed meanwhile.
 	OnRecovered func()
 	// Reporter receives the load reports of other daemons while this one follows the store.
@@ -100,6 +102,8 @@
 	collector collector
 	// tableNames lists the tables that are spread, PeersTable included.
 	tableNames []string
+	// applyLimit is the shortest ApplyLimit of the tables, or zero if none has one.
+	applyLimit time.Duration
 
 	// tasks are the goroutines of subscribers. stopped is closed when they have to end.
 	tasks   sync.WaitGroup
@@ -147,6 +151,9 @@
 	for _, spread := range n.Tables {
 		n.replica.consumers[spread.Name] = spread.Consumer
 		n.tableNames = append(n.tableNames, spread.Name)
+		if spread.ApplyLimit > 0 && (n.applyLimit == 0 || spread.ApplyLimit < n.applyLimit) {
+			n.applyLimit = spread.ApplyLimit
+		}
 	}
 	n.stopped = make(chan struct{})
 }
--- /dev/null
+++ b/internal/peer/relay/silent_test.go
@@ -0,0 +1,44 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against changes that take effect late because the connection on which a relay waits for them fell silent, while its
+// other calls to the store succeed.
+func TestChangeWhileCallIsSilent(t *testing.T) {
+	for _, limit := range []time.Duration{2 * time.Second, 2500 * time.Millisecond} {
+		t.Run(limit.String(), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				n := newNetworkWithin(t, 60, 4, limit)
+				sleep(started)
+				for range 5 {
+					sleep(300 * time.Millisecond)
+					n.store.loseResponses("t")
+					n.store.write("t/a", time.Now().String())
+					n.awaitValue("t/a", n.store.value("t/a"), limit)
+				}
+			})
+		})
+	}
+}
+
+// Guards against calls to the store that grow when relays have to notice a silent connection early.
+func TestCallsWithApplyLimit(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetworkWithin(t, 60, 4, 2*time.Second)
+		sleep(started)
+		calls := n.calls(func() { sleep(20 * time.Second) })
+		is.True(calls <= 4*20*3) // a poll for contact each second, and fewer than two of the table
+	})
+}
+
+func (s *memoryStore) value(name string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.rows[name].Value)
+}
--- a/internal/peer/relay/store.go
+++ b/internal/peer/relay/store.go
@@ -43,12 +43,20 @@
 	for _, spread := range n.Tables {
 		followers = append(followers, &table.Follower{
 			Feed: feed, Table: spread.Name, Clock: n.Clock, Log: n.Log, Reset: ignore, Apply: ignore,
-			OnOutage: n.SuspectOutage, BatchDelay: spread.BatchDelay, PollWait: pollWait,
+			OnOutage: n.SuspectOutage, BatchDelay: spread.BatchDelay, PollWait: pollWaitFor(spread.ApplyLimit),
 		})
 	}
 	return followers
 }
 
+// pollWaitFor returns how long a call for the changes of a table waits, given the table's ApplyLimit.
+func pollWaitFor(limit time.Duration) time.Duration {
+	if limit == 0 {
+		return pollWait
+	}
+	return min(pollWait, time.Duration(float64(limit)*pollFraction))
+}
+
 // available reports whether this daemon follows the store and the store responds.
 func (n *Node) available() bool {
 	n.mu.Lock()
