peer/relay: leave an outdated list of relays

Cause: while all known relays are without the store, a daemon follows one of them and gets no changes of the list of relays. When they are replaced, it asks daemons that are no relays any more; each answers 'not available', which was taken for a relay that is cut off, so that the daemon went through its list again and again and never asked the store. Its own attempts to become a relay met a conflict and read nothing either. Class: absence of news taken for a fault of the sender; a view that can only be corrected through the view itself. Change: a new relay sends its row to the relays that it knows, the replaced one among them; who is not available passes its list on to its subscribers. A daemon that is no relay is not eligible; without an eligible one the store is followed. A conflict reads the list. A relay that has not read all tables since it took the role says so. Versions decide which rows are adopted; no role is given by a peer. Conclusion: the list is corrected within one message of a new relay, by the store otherwise.

--- a/internal/peer/relay/fleet_test.go
+++ b/internal/peer/relay/fleet_test.go
@@ -426,11 +426,17 @@
 
 // awaitValue returns how long it takes until all running daemons have a value, and fails the test after a limit.
 func (n *network) awaitValue(name, value string, limit time.Duration) time.Duration {
+	n.t.Helper()
+	return n.awaitValueAt(n.running(), name, value, limit)
+}
+
+// awaitValueAt returns how long it takes until some daemons have a value, and fails the test after a limit.
+func (n *network) awaitValueAt(daemons []*daemon, name, value string, limit time.Duration) time.Duration {
 	n.t.Helper()
 	start := time.Now()
 	for {
 		missing := 0
-		for _, d := range n.running() {
+		for _, d := range daemons {
 			if d.value(name) != value {
 				missing++
 			}
@@ -439,7 +445,7 @@
 			return time.Since(start)
 		}
 		if time.Since(start) > limit {
-			n.t.Fatalf("%d of %d daemons do not have %s=%s after %v", missing, len(n.running()), name, value, limit)
+			n.t.Fatalf("%d of %d daemons do not have %s=%s after %v", missing, len(daemons), name, value, limit)
 		}
 		sleep(10 * time.Millisecond)
 	}
--- a/internal/peer/relay/follow.go
+++ b/internal/peer/relay/follow.go
@@ -214,11 +214,12 @@
 	if starting && n.Clock.Now().Sub(state.startedAt) < silenceLimit {
 		return true
 	}
-	n.avoid(state.relay, true)
+	why := unavailabilityOf(heartbeat)
+	n.avoid(state.relay, why != notRelay)
 	next, ok := n.choose()
-	if ok && next.Run != state.relay.Run {
+	if !ok || next.Run != state.relay.Run {
 		n.Log.Info().Str("relay", string(state.relay.Host)).Str("next", string(next.Host)).
-			Str("why", string(unavailabilityOf(heartbeat))).Dur("age", n.Age()).Msg("relay is cut off from the store")
+			Str("why", string(why)).Dur("age", n.Age()).Msg("relay is not available")
 		return false
 	}
 	n.noteOutcome(false, time.Time{})
--- a/internal/peer/relay/members.go
+++ b/internal/peer/relay/members.go
@@ -55,8 +55,9 @@
 	relays map[fleet.FailureDomain]member
 	// versions is guarded by mu: the version of each row that was adopted. An older one is ignored.
 	versions map[fleet.FailureDomain]table.Version
-	// changed is guarded by mu and closed at the next change.
+	// changed is guarded by mu and closed at the next change. changes is guarded by mu and counts the changes.
 	changed chan struct{}
+	changes int
 }
 
 // consumer returns the consumer of PeersTable.
@@ -71,10 +72,15 @@
 	m.apply(rows)
 }
 
-// apply adopts changed rows. A relay's row that cannot be decoded counts as deleted, so that another daemon replaces it.
-func (m *members) apply(rows []table.Row) {
+// apply adopts changed rows.
+func (m *members) apply(rows []table.Row) { m.adopt(rows) }
+
+// adopt adopts rows that are newer than the known ones, and reports whether there are any. A relay's row that cannot be decoded
+// counts as deleted, so that another daemon replaces it.
+func (m *members) adopt(rows []table.Row) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	news := false
 	if m.relays == nil {
 		m.relays = make(map[fleet.FailureDomain]member)
 	}
@@ -83,7 +89,7 @@
 	}
 	for _, row := range rows {
 		if row.Name == authorityRow {
-			m.applySeed(row)
+			news = m.applySeed(row) || news
 			continue
 		}
 		domain, found := strings.CutPrefix(row.Name, relayRowPrefix)
@@ -94,6 +100,7 @@
 		if row.Version < m.versions[next.domain] {
 			continue
 		}
+		news = news || row.Version > m.versions[next.domain]
 		m.versions[next.domain] = row.Version
 		if row.Value == nil {
 			delete(m.relays, next.domain)
@@ -105,23 +112,46 @@
 		}
 		m.relays[next.domain] = next
 	}
-	m.notify()
+	// Daemons send each other their lists at each change, so that what is known already must not count as one.
+	if news {
+		m.notify()
+	}
+	return news
+}
+
+// rows returns the rows of the relays, and those that were deleted, without the seed of the authority.
+func (m *members) rows() []table.Row {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var result []table.Row
+	for domain, version := range m.versions {
+		row := table.Row{Name: relayRowPrefix + string(domain), Version: version}
+		if relay, ok := m.relays[domain]; ok {
+			row.Value, _ = json.Marshal(relay.Relay) // never fails
+		}
+		result = append(result, row)
+	}
+	return result
 }
 
-// applySeed adopts the seed of the authority's key. One of the wrong size is replaced by the next relay. The caller holds mu.
-func (m *members) applySeed(row table.Row) {
+// applySeed adopts the seed of the authority's key, and reports whether it is newer than the known one. A seed of the wrong size is
+// replaced by the next relay. The caller holds mu.
+func (m *members) applySeed(row table.Row) bool {
 	if row.Version < m.seedVersion {
-		return
+		return false
 	}
+	news := row.Version > m.seedVersion
 	m.seed, m.seedVersion = row.Value, row.Version
 	if len(row.Value) != ed25519.SeedSize {
 		m.log.Error().Int("bytes", len(row.Value)).Msg("seed of the peers' authority cannot be used")
 		m.seed = nil
 	}
+	return news
 }
 
 // notify wakes those that wait for a change. The caller holds mu.
 func (m *members) notify() {
+	m.changes++
 	if m.changed != nil {
 		close(m.changed)
 		m.changed = nil
@@ -138,6 +168,13 @@
 	return m.changed
 }
 
+// generation returns the number of changes so far.
+func (m *members) generation() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changes
+}
+
 // authority returns the seed of the authority's key, or nil, and the version of its row.
 func (m *members) authority() ([]byte, table.Version) {
 	m.mu.Lock()
@@ -225,6 +262,7 @@
 		rows = append(rows, table.Row{Name: authorityRow, Version: version, Value: seed})
 	}
 	n.members.apply(rows)
+	n.announce(ctx, before, rows[0])
 	n.mu.Lock()
 	n.claimedAt = n.Clock.Now()
 	n.mu.Unlock()
--- a/internal/peer/relay/message.go
+++ b/internal/peer/relay/message.go
@@ -66,9 +66,7 @@
 func encodeUpdate(u update) ([]byte, error) {
 	rows := &wire.TableRows{}
 	for _, row := range u.rows {
-		rows.Rows = append(rows.Rows, &wire.TableRow{
-			Name: row.Name, Version: uint64(row.Version), Value: row.Value, Deleted: row.Value == nil,
-		})
+		rows.Rows = append(rows.Rows, encodeRow(row))
 	}
 	content, err := proto.Marshal(rows)
 	if err != nil {
@@ -109,15 +107,23 @@
 		version: table.Version(message.GetVersion()),
 	}
 	for _, row := range rows.GetRows() {
-		decoded := table.Row{Name: row.GetName(), Version: table.Version(row.GetVersion())}
-		if !row.GetDeleted() {
-			decoded.Value = append([]byte{}, row.GetValue()...)
-		}
-		result.rows = append(result.rows, decoded)
+		result.rows = append(result.rows, decodeRow(row))
 	}
 	return result, nil
 }
 
+func encodeRow(row table.Row) *wire.TableRow {
+	return &wire.TableRow{Name: row.Name, Version: uint64(row.Version), Value: row.Value, Deleted: row.Value == nil}
+}
+
+func decodeRow(row *wire.TableRow) table.Row {
+	decoded := table.Row{Name: row.GetName(), Version: table.Version(row.GetVersion())}
+	if !row.GetDeleted() {
+		decoded.Value = append([]byte{}, row.GetValue()...)
+	}
+	return decoded
+}
+
 // encodeMessage encodes a message.
 func encodeMessage(message *wire.Relay) ([]byte, error) {
 	content, err := proto.Marshal(message)
--- a/internal/peer/relay/role.go
+++ b/internal/peer/relay/role.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rosemarywick.example/rosemarywick/internal/platform/table"
 )
 
-// avoidance is the time until which a relay is not chosen. cutOff is set if the relay responded and did not reach the store.
+// avoidance is the time until which a relay is not chosen. cutOff is set if the relay responded as one that does not reach the store.
 type avoidance struct {
 	until  time.Time
 	cutOff bool
@@ -130,9 +134,12 @@
 	if n.isLeaving() || current.version != lost.version {
 		return false
 	}
-	if err := n.claim(ctx); err != nil {
+	err := n.claim(ctx)
+	if errors.Is(err, table.ErrConflict) {
+		n.refreshRelays(ctx)
+	}
+	if err != nil {
 		n.Log.Debug().Err(err).Msg("replace relay: retrying")
-		return false
 	}
-	return true
+	return err == nil
 }
--- a/internal/peer/relay/serve.go
+++ b/internal/peer/relay/serve.go
@@ -50,6 +50,8 @@
 		n.handleCollect(ctx, from, body.Collect.GetSequence())
 	case *wire.Relay_Collected:
 		n.collector.add(body.Collected.GetSequence(), from, body.Collected.GetContent())
+	case *wire.Relay_Relays:
+		n.handleRelays(from, body.Relays.GetRows())
 	case *wire.Relay_Update, *wire.Relay_Heartbeat:
 		n.passToSubscription(ctx, from, message)
 	}
@@ -99,11 +101,12 @@
 	defer n.removeSubscriber(s)
 	tick := n.Clock.Every(heartbeatInterval)
 	defer tick.Stop()
-	beat, lastAvailable := true, false
+	beat, lastAvailable, relaysSent := true, false, 0
 	var positions map[string]table.Version
 	generation := 0
 	for {
-		changed := n.replica.changedChannel()
+		changed, relaysChanged := n.replica.changedChannel(), n.members.changedChannel()
+		relays := n.members.generation()
 		s.mu.Lock()
 		if s.generation != generation {
 			positions, generation, beat = s.positions, s.generation, true
@@ -117,18 +120,24 @@
 		if beat || available != lastAvailable {
 			lastAvailable, beat = available, false
 			heartbeat := &wire.Heartbeat{
-				Available: available, Starting: n.starting(), Positions: wirePositions(positions), NotRelay: !n.followsStore(),
+				Available: available, Starting: n.starting(), Positions: wirePositions(positions), NotRelay: !n.followsStore() && !n.holdsRole(),
 				AgeMs: uint64(n.Age().Milliseconds()),
 			}
 			if n.send(ctx, s.host, &wire.Relay{Body: &wire.Relay_Heartbeat{Heartbeat: heartbeat}}) != nil {
 				return
 			}
 		}
+		if !available && relays != relaysSent {
+			if relaysSent = relays; !n.sendRelays(ctx, s.host) {
+				return
+			}
+		}
 		if available && !n.sendUpdates(ctx, s.host, positions) {
 			return
 		}
 		select {
 		case <-changed:
+		case <-relaysChanged:
 		case <-s.wake:
 		case <-tick.C:
 			beat = true
--- a/internal/peer/relay/source.go
+++ b/internal/peer/relay/source.go
@@ -21,7 +21,7 @@
 	// tables lists the tables that are followed.
 	tables []string
 	// onOutcome is called after each call, before its rows are stored, with whether the last calls for all tables succeeded.
-	// confirmed is when the store last responded for the table for which that is longest ago, or zero.
+	// confirmed is when the store last responded for the table for which that is longest ago, or zero. It may be nil.
 	onOutcome func(available bool, confirmed time.Time)
 
 	mu sync.Mutex
@@ -87,7 +87,9 @@
 	}
 	available, confirmed := len(s.failing) == 0, s.confirmedAt()
 	s.mu.Unlock()
-	s.onOutcome(available, confirmed)
+	if s.onOutcome != nil {
+		s.onOutcome(available, confirmed)
+	}
 }
 
 // confirmedAt returns when the store last responded for the table for which that is longest ago, or zero. The caller holds mu.
@@ -101,6 +103,13 @@
 	return result
 }
 
+// starting reports whether no call has failed and the store has not responded for all tables yet.
+func (s *source) starting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.failing) == 0 && s.confirmedAt().IsZero()
+}
+
 // available reports whether all tables are being followed, and the store has responded for the table contact within maxAge.
 func (s *source) available(tables []string, contact string, maxAge time.Duration) bool {
 	s.mu.Lock()
--- a/internal/peer/relay/store.go
+++ b/internal/peer/relay/store.go
@@ -65,14 +65,20 @@
 	return source != nil && source.available(n.tableNames, PeersTable, contactLimit)
 }
 
-// starting reports whether this daemon follows the store and has not read all tables yet.
+// starting reports whether this daemon is about to follow the store, and has not read all tables since.
 func (n *Node) starting() bool {
+	n.mu.Lock()
+	source := n.source
+	n.mu.Unlock()
+	if source == nil {
+		return n.holdsRole()
+	}
 	for _, name := range n.tableNames {
 		if _, known := n.replica.position(name); !known {
-			return n.followsStore()
+			return true
 		}
 	}
-	return false
+	return source.starting()
 }
 
 // followsStore reports whether this daemon follows the store itself.
