--- a/internal/peer/relay/announce.go
+++ b/internal/peer/relay/announce.go
@@ -9,8 +9,8 @@
 	"rosemarywick.example/rosemarywick/internal/platform/table"
 )
 
-// announce sends the row of this daemon, which has become a relay, to the relay that it has replaced and to all others. Those that
-// don't reach the store learn of it in no other way, and neither do the daemons that follow them.
+// announce sends the row of this daemon, which has become a relay, to the relay that it has replaced and to all others. Those
+// that don't reach the store learn of it in no other way, and neither do the daemons that follow them.
 func (n *Node) announce(ctx context.Context, replaced member, own table.Row) {
 	if n.links == nil { // before the start no connection exists
 		return
--- a/internal/peer/relay/members.go
+++ b/internal/peer/relay/members.go
@@ -134,8 +134,8 @@
 	return result
 }
 
-// applySeed adopts the seed of the authority's key, and reports whether it is newer than the known one. A seed of the wrong size is
-// replaced by the next relay. The caller holds mu.
+// applySeed adopts the seed of the authority's key, and reports whether it is newer than the known one. A seed of the wrong size
+// is replaced by the next relay. The caller holds mu.
 func (m *members) applySeed(row table.Row) bool {
 	if row.Version < m.seedVersion {
 		return false
--- a/internal/peer/relay/node.go
+++ b/internal/peer/relay/node.go
@@ -34,9 +34,9 @@
 	// one from which on the relay counts as cut off.
 	contactInterval = time.Second
 	contactLimit    = 1700 * time.Millisecond
-	// pollWait is the longest time that one call for the changes of a table waits. A response that was lost while the store answers
-	// other calls is noticed only after it, so the wait is pollFraction of the table's ApplyLimit if that is shorter. The rest of the
-	// limit is for the response that is overdue, the next call, and the way to the subscribers.
+	// pollWait is the longest time that one call for the changes of a table waits. A response that was lost while the store
+	// answers other calls is noticed only after it, so the wait is pollFraction of the table's ApplyLimit if that is shorter.
+	// The rest of the limit is for the response that is overdue, the next call, and the way to the subscribers.
 	pollWait     = 4 * time.Second
 	pollFraction = 0.4
 	// avoidTime is how long a relay that was lost or cut off is not chosen if there is another one.
--- a/internal/peer/relay/role.go
+++ b/internal/peer/relay/role.go
@@ -9,7 +9,8 @@
 	"rosemarywick.example/rosemarywick/internal/platform/table"
 )
 
-// avoidance is the time until which a relay is not chosen. cutOff is set if the relay responded as one that does not reach the store.
+// avoidance is the time until which a relay is not chosen. cutOff is set if the relay responded as one that does not reach the
+// store.
 type avoidance struct {
 	until  time.Time
 	cutOff bool
--- a/internal/peer/relay/serve.go
+++ b/internal/peer/relay/serve.go
@@ -120,8 +120,8 @@
 		if beat || available != lastAvailable {
 			lastAvailable, beat = available, false
 			heartbeat := &wire.Heartbeat{
-				Available: available, Starting: n.starting(), Positions: wirePositions(positions), NotRelay: !n.followsStore() && !n.holdsRole(),
-				AgeMs: uint64(n.Age().Milliseconds()),
+				Available: available, Starting: n.starting(), Positions: wirePositions(positions),
+				NotRelay: !n.followsStore() && !n.holdsRole(), AgeMs: uint64(n.Age().Milliseconds()),
 			}
 			if n.send(ctx, s.host, &wire.Relay{Body: &wire.Relay_Heartbeat{Heartbeat: heartbeat}}) != nil {
 				return
