routing, upstream: obey the limits that upstreams name for all daemons together

Cause: the header was read nowhere, and no daemon knows what the others send. Class: a limit for all that each part applies, or ignores, by itself. Change: the adapter decodes what a response says of its upstream into forward.Notice; upstream/notices keeps it by process. Each relay keeps the limits of a part of the upstreams (rendezvous by upstream and process) and admits requests for all daemons by one schedule (routing/ratelimit); requests for the others go to free upstreams, those for keys wait for half of the time to their target at most, or are refused with upstream-limit and the time after which to return. A daemon that can't ask uses half of its equal share, staggered. The assigner hears of the limits with the load, plans with them and moves keys to servers that are free.

--- a/internal/core/cause/outcome.go
+++ b/internal/core/cause/outcome.go
@@ -45,6 +45,8 @@
 	TenantShare Cause = "tenant-share"
 	// UpstreamRefused means that the upstream stated that it did not run the request.
 	UpstreamRefused Cause = "upstream-refused"
+	// UpstreamLimit means that the upstream limits the requests that it takes from all daemons, and that the limit is used up.
+	UpstreamLimit Cause = "upstream-limit"
 	// UpstreamFailed means that the upstream ran the request and responded with an error of its own.
 	UpstreamFailed Cause = "upstream-failed"
 	// TooLarge means that the body of the request exceeds the limit.
--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -21,9 +21,11 @@
 	"rosemarywick.example/rosemarywick/internal/core/timer"
 	"rosemarywick.example/rosemarywick/internal/peer/relay"
 	"rosemarywick.example/rosemarywick/internal/platform/table"
+	"rosemarywick.example/rosemarywick/internal/routing/ratelimit"
 	"rosemarywick.example/rosemarywick/internal/routing/retry"
 	"rosemarywick.example/rosemarywick/internal/routing/router"
 	"rosemarywick.example/rosemarywick/internal/upstream/forward"
+	"rosemarywick.example/rosemarywick/internal/upstream/notices"
 	"rosemarywick.example/rosemarywick/internal/upstream/rangegrants"
 	"rosemarywick.example/rosemarywick/internal/upstream/registry"
 )
@@ -55,6 +57,8 @@
 	// RetryRatio and RetryBurst limit the retries of all daemons together, for each service: RetryRatio is the number
 	// of retries that each request adds to the budget, and RetryBurst the number of unused retries that are kept.
 	RetryRatio, RetryBurst float64
+	// RateAllowance is what counts as obeying the limit that an upstream names.
+	RateAllowance ratelimit.Allowance
 }
 
 // Daemon is one router process. The exported fields are set before Run.
@@ -89,6 +93,7 @@
 	ownershipMap  *ownershipMap
 	loadTracker   *loadTracker
 	node          *relay.Node
+	notices       *notices.Book
 	router        *router.Router
 	front         *front.Frontend
 	observer      *observer
@@ -160,7 +165,8 @@
 		log: d.Log, decode: d.DecodeConfiguration, rowName: d.Tables.ConfigurationRow, registry: d.registry,
 	}
 	d.ownershipMap = &ownershipMap{clock: d.Timer, log: d.Log}
-	d.loadTracker = &loadTracker{host: d.Host.ID, clock: d.Timer, log: d.Log}
+	d.notices = &notices.Book{Log: d.Log, Now: d.Timer.Now}
+	d.loadTracker = &loadTracker{host: d.Host.ID, clock: d.Timer, log: d.Log, notices: d.notices, allowance: d.Limits.RateAllowance}
 	d.node = d.newNode()
 	d.loadTracker.peers = d.node
 	d.observer = newObserver(d)
@@ -168,7 +174,11 @@
 	d.router = &router.Router{
 		Host: d.Host, Clock: d.Timer, Config: d.configuration, OwnershipMap: d.ownershipMap, LoadObserver: d.loadTracker,
 		Recorder: d.observer, HostCount: d.daemonCount, Dialect: d.UpstreamDialect, BufferLimit: maxBufferedBytes,
-		NewBudget: d.newBudget,
+		NewBudget: d.newBudget, Notices: d.notices,
+		RateLimits: &upstreamLimits{
+			keeper: d.node, allowance: d.Limits.RateAllowance, daemonCount: d.daemonCount, clock: d.Timer,
+			own: ratelimit.Limiter{Staggered: true},
+		},
 	}
 	d.front = &front.Frontend{
 		Address: d.CallerAddress, Router: d.router, Config: d.configuration, Clock: d.Timer, Log: d.Log,
--- a/internal/daemon/entry/loads.go
+++ b/internal/daemon/entry/loads.go
@@ -11,6 +11,8 @@
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/core/timer"
 	"rosemarywick.example/rosemarywick/internal/ownership/ranges"
+	"rosemarywick.example/rosemarywick/internal/routing/ratelimit"
+	"rosemarywick.example/rosemarywick/internal/upstream/notices"
 	"rosemarywick.example/rosemarywick/internal/upstream/rangegrants"
 )
 
@@ -42,6 +44,10 @@
 type serverReport struct {
 	Requests int           `json:"requests"`
 	Total    time.Duration `json:"total"`
+	// Limited is the number of requests that were not sent, because of the server's limit. Limit is the number of requests a second
+	// that are admitted under it, or nil if the server has none.
+	Limited int      `json:"limited,omitempty"`
+	Limit   *float64 `json:"limit,omitempty"`
 }
 
 // serviceOf returns the counts of a service.
@@ -64,6 +70,15 @@
 	s.Servers[server].Total += total
 }
 
+// addLimit adds requests that were not sent because of the server's limit. Daemons learn of a changed limit at different times;
+// the lowest one counts.
+func (s *serverReport) addLimit(limited int, limit *float64) {
+	s.Limited += limited
+	if limit != nil && (s.Limit == nil || *limit < *s.Limit) {
+		s.Limit = limit
+	}
+}
+
 // merge adds another report. Invalid counts are ignored.
 func (l *loadReport) merge(other *loadReport) {
 	for name, measured := range other.Services {
@@ -77,8 +92,9 @@
 			}
 		}
 		for id, server := range measured.Servers {
-			if server != nil && server.Requests > 0 && server.Total >= 0 {
+			if server != nil && server.Requests >= 0 && server.Total >= 0 && server.Limited >= 0 {
 				sum.count(id, server.Requests, server.Total)
+				sum.Servers[id].addLimit(server.Limited, server.Limit)
 			}
 		}
 	}
@@ -101,6 +117,10 @@
 	clock timer.Clock
 	log   zerolog.Logger
 	peers peers
+	// notices holds the limits that servers have named.
+	notices *notices.Book
+	// allowance is what the deployment accepts as obeying a limit.
+	allowance ratelimit.Allowance
 	// onCollected is called with the load of a service each time the reports have been summed.
 	onCollected func(fleet.ServiceName, *ranges.Load)
 
@@ -125,11 +145,15 @@
 	receivedAt time.Time
 }
 
-// serverLoad holds moving averages for one server: the duration of its requests, and the number of requests in flight there.
+// serverLoad holds moving averages for one server: the duration of its requests, the number of requests in flight there, and the
+// requests a second for it, those that were not sent because of its limit included.
 type serverLoad struct {
 	meanDuration time.Duration
 	concurrency  float64
-	updatedAt    time.Time
+	rate         float64
+	// limit is the number of requests a second that the server takes, or nil if it has named none.
+	limit     *float64
+	updatedAt time.Time
 }
 
 // Served counts a keyed request that a server has answered.
@@ -141,6 +165,28 @@
 	counted.count(server, 1, duration)
 }
 
+// Limited counts a keyed request that was not sent, because its server limits the requests that it takes.
+func (l *loadTracker) Limited(service fleet.ServiceName, server fleet.UpstreamID, key fleet.KeyHash) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	counted := l.counts.serviceOf(service)
+	counted.Counts.Add(fleet.NumericKey(key))
+	counted.count(server, 0, 0)
+	counted.Servers[server].Limited++
+}
+
+// addLimits adds the limits of the servers that a report counts.
+func (l *loadTracker) addLimits(report *loadReport) {
+	for _, service := range report.Services {
+		for id, server := range service.Servers {
+			if limit, limited := l.notices.LatestRateLimit(id); limited {
+				rate := l.allowance.Rate(limit)
+				server.addLimit(0, &rate)
+			}
+		}
+	}
+}
+
 // run sends reports until ctx ends.
 func (l *loadTracker) run(ctx context.Context) error {
 	tick := l.clock.Every(reportInterval)
@@ -158,6 +204,7 @@
 		if len(counts.Services) == 0 {
 			continue
 		}
+		l.addLimits(&counts)
 		content, err := json.Marshal(counts)
 		if err != nil {
 			l.log.Error().Err(err).Msg("encode load report: dropping it")
@@ -236,16 +283,20 @@
 			delete(l.serverLoads, id)
 			continue
 		}
-		result.Stats[id] = rangegrants.ServerStats{MeanDuration: entry.meanDuration, Concurrency: entry.concurrency}
+		result.Stats[id] = rangegrants.ServerStats{
+			MeanDuration: entry.meanDuration, Concurrency: entry.concurrency, Rate: entry.rate, RateLimit: entry.limit,
+		}
 	}
 	return result
 }
 
-// durationWeight and concurrencyWeight are the weights of a new report in the moving averages of the duration and of the number
-// of requests in flight.
 const (
+	// durationWeight and concurrencyWeight are the weights of a new report in the moving averages of the duration, and of the number
+	// and the rate of requests.
 	durationWeight    = 0.2
 	concurrencyWeight = 0.5
+	// minRateSpan is the shortest span for which a rate is computed: daemons report every reportInterval.
+	minRateSpan = reportInterval
 )
 
 // addReports adds the sums of several relays, which cover about the same span, to the load of their services and servers.
@@ -262,13 +313,18 @@
 		}
 		l.totals[service].AddReport(now, measured.Counts)
 		for id, server := range measured.Servers {
+			previous, ok := l.serverLoads[id]
 			next := serverLoad{
-				meanDuration: server.Total / time.Duration(server.Requests), concurrency: float64(server.Total) / float64(max(span, 1)),
-				updatedAt: now,
+				meanDuration: previous.meanDuration, concurrency: float64(server.Total) / float64(max(span, 1)), limit: server.Limit,
+				rate: float64(server.Requests+server.Limited) / max(span.Seconds(), minRateSpan.Seconds()), updatedAt: now,
+			}
+			if server.Requests > 0 {
+				next.meanDuration = server.Total / time.Duration(server.Requests)
 			}
-			if previous, ok := l.serverLoads[id]; ok {
+			if ok {
 				next.meanDuration = previous.meanDuration + time.Duration(float64(next.meanDuration-previous.meanDuration)*durationWeight)
 				next.concurrency = previous.concurrency + (next.concurrency-previous.concurrency)*concurrencyWeight
+				next.rate = previous.rate + (next.rate-previous.rate)*concurrencyWeight
 			}
 			l.serverLoads[id] = next
 		}
--- a/internal/daemon/entry/loads_test.go
+++ b/internal/daemon/entry/loads_test.go
@@ -12,6 +12,8 @@
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/core/timer"
 	"rosemarywick.example/rosemarywick/internal/ownership/ranges"
+	"rosemarywick.example/rosemarywick/internal/upstream/forward"
+	"rosemarywick.example/rosemarywick/internal/upstream/notices"
 )
 
 // fakePeers passes the reports of its own daemon back and returns the sums of other relays once.
@@ -32,7 +34,7 @@
 func newTracker(subscribers int) (*loadTracker, *fakePeers) {
 	tracker := &loadTracker{
 		host: "h0", clock: timer.System{}, log: zerolog.Nop(), onCollected: func(fleet.ServiceName, *ranges.Load) {},
-		takenAt: time.Now(),
+		takenAt: time.Now(), notices: &notices.Book{Log: zerolog.Nop(), Now: time.Now},
 	}
 	fake := &fakePeers{tracker: tracker, subscribers: subscribers}
 	tracker.peers = fake
@@ -79,3 +81,34 @@
 		<-done
 	})
 }
+
+// Guards against an assigner that takes a server which refuses most of its requests for one with little load, or that does not
+// learn of its limit.
+func TestLimitOfServerIsCollected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		assigner, fake := newTracker(1)
+		assigner.notices.Record(notices.Exchange{
+			Source: notices.Source{ID: "u1"}, Complete: true, Notices: []forward.Notice{forward.RateLimit{PerSecond: 4}},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = assigner.run(ctx) }()
+		for range 6 {
+			assigner.Served("s", "u1", 4000, 100*time.Millisecond)
+			assigner.Limited("s", "u1", 4000)
+		}
+		assigner.Served("s", "u2", 5000, 100*time.Millisecond)
+		_ = timer.Wait(ctx, timer.System{}, time.Second)
+		fake.others = map[fleet.HostID][]byte{"h1": []byte(
+			`{"services":{"s":{"counts":{},"servers":{"u1":{"requests":0,"total":0,"limited":8,"limit":6}}}}}`)}
+		collected := assigner.Collect(ctx, "s")
+		is.Equal(collected.Load.Samples(), 13.0)
+		is.Equal(*collected.Stats["u1"].RateLimit, 4.0) // the lowest of those that were reported
+		is.Equal(collected.Stats["u1"].Rate, 20.0)
+		is.Equal(collected.Stats["u1"].MeanDuration, 100*time.Millisecond)
+		is.Equal(collected.Stats["u2"].RateLimit, nil)
+		cancel()
+		<-done
+	})
+}
--- a/internal/daemon/entry/metrics.go
+++ b/internal/daemon/entry/metrics.go
@@ -18,6 +18,9 @@
 	if d.node != nil {
 		d.observer.metrics.ExposeTableAges(d.node.Age, d.node.GreatestAge)
 	}
+	if d.notices != nil {
+		d.observer.metrics.ExposeLimitedUpstreams(d.notices.Limited)
+	}
 }
 
 // observeOwners updates churn and time without an owner from a new range table.
--- a/internal/daemon/entry/tables.go
+++ b/internal/daemon/entry/tables.go
@@ -8,6 +8,7 @@
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/peer/relay"
 	"rosemarywick.example/rosemarywick/internal/platform/table"
+	"rosemarywick.example/rosemarywick/internal/routing/ratelimit"
 	"rosemarywick.example/rosemarywick/internal/upstream/rangegrants"
 	"rosemarywick.example/rosemarywick/internal/upstream/registry"
 )
@@ -36,6 +37,7 @@
 		Local: d.Host, Process: d.runID, Store: d.Store, Feed: d.Store, Clock: d.Timer, Log: d.Log, StartDelay: d.startDelay,
 		ClaimDelay: d.linkDelay(),
 		Daemons:    d.daemonCount, OnRecovered: d.registry.StoreRecovered, Reporter: d.loadTracker, Serve: d.runAssigners,
+		Limiter: &ratelimit.Limiter{},
 		Tables: []relay.Table{
 			{
 				Name:       d.Tables.ConfigurationTable,
--- a/internal/observe/records/meaning.go
+++ b/internal/observe/records/meaning.go
@@ -16,6 +16,7 @@
 	cause.DeadlineUnmeetable:  "the queue was too long for the deadline, so that the request was refused early",
 	cause.DeadlinePassed:      "the deadline passed before the answer was complete",
 	cause.TenantShare:         "the tenant had used up its share of a contended upstream",
+	cause.UpstreamLimit:       "the upstream limits the requests that it takes, and the limit was used up",
 	cause.UpstreamRefused:     "the upstream stated that it did not run the request",
 	cause.UpstreamUnreachable: "no connection to the upstream could be made",
 	cause.UpstreamReset:       "the connection was lost after the request may have reached the upstream",
--- a/internal/ownership/ranges/plan.go
+++ b/internal/ownership/ranges/plan.go
@@ -16,6 +16,9 @@
 	// Utilization is the number of requests at the server divided by the number that it runs concurrently. It exceeds 1
 	// when requests queue there, and is zero when it is unknown.
 	Utilization float64
+	// Limited is set if the server has named a limit to the requests that it takes, which Capacity and Utilization are derived from.
+	// Requests beyond it are refused, so that keys move earlier than from other servers.
+	Limited bool
 }
 
 const (
@@ -31,6 +34,10 @@
 	// minOverloadUtilization is the utilization below which requests rarely queue at a server, so that moving keys away
 	// would gain nothing.
 	minOverloadUtilization = 0.6
+	// minLimitedUtilization is such a bound for a server with a limit of its own: requests are refused from 1 on.
+	minLimitedUtilization = 0.8
+	// limitedNoiseFraction is the part of the noise margin that applies to such a server. Waiting for certainty costs refusals.
+	limitedNoiseFraction = 0.5
 	// extraDeviations is added to the number of standard deviations by which counts differ by chance; a larger difference
 	// counts as real. With a lower value, keys of small services move without need.
 	extraDeviations = 0.2
@@ -272,6 +279,10 @@
 // overloaded reports whether the load of a server is significantly above its target and its utilization is high.
 func (p *Planner) overloaded(server *Server) bool {
 	target := p.targetLoad(server)
+	if server.Limited {
+		return server.Utilization > minLimitedUtilization &&
+			p.serverLoads[server.ID] > max(target*overloadRatio, target+p.noiseMargin(target)*limitedNoiseFraction)
+	}
 	return server.Utilization > minOverloadUtilization &&
 		p.serverLoads[server.ID] > max(target*overloadRatio, target+p.noiseMargin(target))
 }
--- a/internal/peer/relay/fleet_test.go
+++ b/internal/peer/relay/fleet_test.go
@@ -16,6 +16,7 @@
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/core/timer"
 	"rosemarywick.example/rosemarywick/internal/platform/table"
+	"rosemarywick.example/rosemarywick/internal/routing/ratelimit"
 )
 
 const (
@@ -360,7 +361,7 @@
 	d.Node = &Node{
 		Local: host, Process: fmt.Sprint(host.ID, "/", time.Now().UnixNano()), Store: view{n.store, host.ID}, Feed: view{n.store, host.ID},
 		Tables: []Table{{Name: "t", Consumer: Consumer{Reset: d.reset, Apply: d.apply}, ApplyLimit: n.applyLimit}}, Clock: timer.System{}, Log: zerolog.Nop(),
-		StartDelay: func() time.Duration { return delay }, Daemons: func() int { return daemons }, OnRecovered: func() {}, Reporter: d,
+		StartDelay: func() time.Duration { return delay }, Daemons: func() int { return daemons }, OnRecovered: func() {}, Reporter: d, Limiter: &ratelimit.Limiter{},
 		Serve: func(ctx context.Context) {
 			d.setServing(true)
 			<-ctx.Done()
--- a/internal/peer/relay/node.go
+++ b/internal/peer/relay/node.go
@@ -23,6 +23,7 @@
 	"rosemarywick.example/rosemarywick/internal/core/timer"
 	"rosemarywick.example/rosemarywick/internal/peer/mesh"
 	"rosemarywick.example/rosemarywick/internal/platform/table"
+	"rosemarywick.example/rosemarywick/internal/routing/ratelimit"
 )
 
 const (
@@ -89,6 +90,8 @@
 	Daemons func() int
 	// OnRecovered is called when the store is followed again after an interruption, before the rows that changed meanwhile.
 	OnRecovered func()
+	// Limiter admits requests to the upstreams whose limits this daemon keeps while it is a relay.
+	Limiter *ratelimit.Limiter
 	// Reporter receives the load reports of other daemons while this one follows the store.
 	Reporter Reporter
 	// Serve is run while this daemon is a relay, or has no peer address. Its context ends with the role or when the daemon stops.
@@ -100,6 +103,8 @@
 	address   netip.AddrPort
 	links     links
 	collector collector
+	// reservations are the requests for admission to upstreams whose limits other relays keep.
+	reservations reservations
 	// tableNames lists the tables that are spread, PeersTable included.
 	tableNames []string
 	// applyLimit is the shortest ApplyLimit of the tables, or zero if none has one.
@@ -192,7 +197,9 @@
 	if err != nil {
 		return errors.CombineErrors(err, socket.Close())
 	}
+	n.mu.Lock()
 	n.links = peerMesh
+	n.mu.Unlock()
 	started := make(chan struct{})
 	peerMesh.Started = func() { close(started) }
 	failed := make(chan error, 1)
--- a/internal/peer/relay/serve.go
+++ b/internal/peer/relay/serve.go
@@ -50,6 +50,10 @@
 		n.handleCollect(ctx, from, body.Collect.GetSequence())
 	case *wire.Relay_Collected:
 		n.collector.add(body.Collected.GetSequence(), from, body.Collected.GetContent())
+	case *wire.Relay_Reserve:
+		n.handleReserve(ctx, from, body.Reserve)
+	case *wire.Relay_Reserved:
+		n.reservations.deliver(body.Reserved)
 	case *wire.Relay_Relays:
 		n.handleRelays(from, body.Relays.GetRows())
 	case *wire.Relay_Update, *wire.Relay_Heartbeat:
--- a/internal/routing/router/pending.go
+++ b/internal/routing/router/pending.go
@@ -76,6 +76,12 @@
 		if rejected != nil {
 			return p.reject(p.preferAttemptCause(*rejected))
 		}
+		if retryAfter, ok := p.awaitLimit(slot); !ok {
+			if rejected := p.refuseForLimit(slot, retryAfter); rejected != nil {
+				return p.reject(*rejected)
+			}
+			continue
+		}
 		result := p.send(slot)
 		if retry.OutcomeOf(result) == cause.Unknown {
 			p.mayHaveRun = true
@@ -181,6 +187,7 @@
 		p.service.budget.RecordFirstAttempt()
 	}
 	result := slot.upstream.client.Send(ctx, outgoing)
+	p.recordNotices(slot, outgoing, result)
 	if _, responded := result.(forward.Responded); cancel != nil && !responded {
 		cancel()
 	}
--- a/internal/routing/router/queue.go
+++ b/internal/routing/router/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -23,6 +24,39 @@
 	controller admission.Controller
 	// waiting is guarded by mu and holds a channel for each request in the controller's queue.
 	waiting map[*admission.Request]chan admission.Decision
+	// heldUntil is guarded by mu: until when an upstream gets no requests because its own limit is used up.
+	heldUntil map[fleet.UpstreamID]time.Time
+}
+
+// hold keeps an upstream from getting requests until a time.
+func (q *admissionQueue) hold(id fleet.UpstreamID, until time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.heldUntil == nil {
+		q.heldUntil = make(map[fleet.UpstreamID]time.Time)
+	}
+	q.heldUntil[id] = until
+}
+
+// retain forgets the holds of all upstreams but those given.
+func (q *admissionQueue) retain(present map[fleet.UpstreamID]*upstreamState) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	maps.DeleteFunc(q.heldUntil, func(id fleet.UpstreamID, _ time.Time) bool { return present[id] == nil })
+}
+
+// held reports whether an upstream gets no requests at a time.
+func (q *admissionQueue) held(id fleet.UpstreamID, now time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return now.Before(q.heldUntil[id])
+}
+
+// choose selects an upstream that is not held. The returned function is called with mu held.
+func (q *admissionQueue) choose(choose upstreamChooser) upstreamChooser {
+	return func(now time.Time, request *admission.Request, hasCapacity func(fleet.UpstreamID) bool) (fleet.UpstreamID, bool) {
+		return choose(now, request, func(id fleet.UpstreamID) bool { return !now.Before(q.heldUntil[id]) && hasCapacity(id) })
+	}
 }
 
 func newAdmissionQueue(clock timer.Clock) *admissionQueue {
--- a/internal/routing/router/response.go
+++ b/internal/routing/router/response.go
@@ -180,6 +180,10 @@
 	if rejected != nil {
 		return nil
 	}
+	if retryAfter, ok := p.awaitLimit(slot); !ok {
+		p.refuseForLimit(slot, retryAfter)
+		return nil
+	}
 	original := p.request
 	ranged := *original
 	ranged.Header = original.Header.Clone()
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -17,6 +17,7 @@
 	"rosemarywick.example/rosemarywick/internal/routing/idempotency"
 	"rosemarywick.example/rosemarywick/internal/routing/retry"
 	"rosemarywick.example/rosemarywick/internal/upstream/forward"
+	"rosemarywick.example/rosemarywick/internal/upstream/notices"
 )
 
 // OwnershipMap is this daemon's copy of the maps that assign the keys of keyed services to servers.
@@ -51,6 +52,8 @@
 // are derived from that.
 type LoadObserver interface {
 	Served(service fleet.ServiceName, server fleet.UpstreamID, key fleet.KeyHash, took time.Duration)
+	// Limited is told of a request that was not sent, because its server limits the requests that it takes.
+	Limited(service fleet.ServiceName, server fleet.UpstreamID, key fleet.KeyHash)
 }
 
 // Recorder receives the record of each request that has ended.
@@ -78,6 +81,10 @@
 	Recorder Recorder
 	// LoadObserver may be nil.
 	LoadObserver LoadObserver
+	// Notices holds what upstreams state about themselves, and RateLimits admits requests to those that have named a limit. Either
+	// may be nil; limits are not regarded then.
+	Notices    *notices.Book
+	RateLimits RateLimits
 	// Dialect translates requests and responses to the headers that the upstreams use. Nil selects the headers of this
 	// product.
 	Dialect forward.Dialect
@@ -207,8 +214,15 @@
 	if current == nil {
 		return
 	}
+	present := make(map[fleet.UpstreamID]fleet.Incarnation)
 	for i := range current.Services {
 		name := current.Services[i].Name
 		r.services[name] = r.buildService(previous[name], &current.Services[i], current)
+		for _, upstream := range current.Services[i].Upstreams {
+			present[upstream.ID] = upstream.Incarnation
+		}
+	}
+	if r.Notices != nil {
+		r.Notices.Retain(present)
 	}
 }
--- a/internal/routing/router/service.go
+++ b/internal/routing/router/service.go
@@ -64,6 +64,7 @@
 	next.pool.SetCandidates(r.Clock.Now(), candidates)
 	if !declared.Keyed() {
 		next.queue = r.configureQueue(next.queue, declared, weights, len(declared.Upstreams), next.pickUpstream)
+		next.queue.retain(next.upstreams)
 	}
 	return next
 }
@@ -106,7 +107,7 @@
 	}
 	queue.configure(func(controller *admission.Controller) {
 		controller.QueueLimit = declared.QueueLimit * upstreamCount
-		controller.ChooseUpstream = chooseUpstream
+		controller.ChooseUpstream = queue.choose(chooseUpstream)
 		controller.TenantWeight = func(tenant fleet.TenantName) int { return max(1, weights[tenant]) }
 		controller.NewLimit = func(fleet.UpstreamID) admission.Limit { return r.newLimit(declared) }
 	})
--- a/internal/upstream/forward/client.go
+++ b/internal/upstream/forward/client.go
@@ -55,6 +55,9 @@
 	Fence     fleet.Fence
 	// ConnectTime is set by Send to the time that it took to open a connection. It is zero if an idle one was reused.
 	ConnectTime time.Duration
+	// Notices is set by Send to what the upstream stated about itself in its response. Responses of other processes, and those to
+	// other requests, do not count.
+	Notices []Notice
 }
 
 // Client sends requests to one upstream over a pool of HTTP/1.1 connections. Set the exported fields before the first Send.
--- a/internal/upstream/forward/dialect.go
+++ b/internal/upstream/forward/dialect.go
@@ -14,6 +14,8 @@
 	EncodeHeader(request *Request, left time.Duration) (string, http.Header)
 	// Classify interprets the status and the headers of a response.
 	Classify(request *Request, status int, header http.Header) Classification
+	// Notices returns what the upstream states about itself in the headers of a response.
+	Notices(header http.Header) []Notice
 }
 
 // Classification is the meaning of a response's status and headers. It is one of Accepted, Refused, Stale and Invalid.
@@ -59,6 +61,9 @@
 	return "", header
 }
 
+// Notices returns none, since the product's own upstreams state nothing about themselves in responses.
+func (NativeDialect) Notices(http.Header) []Notice { return nil }
+
 // Classify recognizes the Not-Run and Not-Owner headers.
 func (NativeDialect) Classify(_ *Request, status int, header http.Header) Classification {
 	if header.Get("Not-Run") == "true" && status == http.StatusServiceUnavailable {
--- a/internal/upstream/forward/result.go
+++ b/internal/upstream/forward/result.go
@@ -59,6 +59,17 @@
 	Err error
 }
 
+// Notice is what an upstream states about itself in a response, whatever the response says about the request. It is one of
+// RateLimit.
+type Notice interface {
+	notice()
+}
+
+// RateLimit means that the upstream takes a number of requests a second from all daemons together, for as long as it says so.
+type RateLimit struct{ PerSecond float64 }
+
+func (RateLimit) notice() {}
+
 func (Responded) result()  {}
 func (Rejected) result()   {}
 func (NotOwner) result()   {}
--- /dev/null
+++ b/internal/upstream/notices/book_test.go
@@ -0,0 +1,61 @@
+package notices_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/upstream/forward"
+	"rosemarywick.example/rosemarywick/internal/upstream/notices"
+)
+
+// Guards against a limit that is forgotten too early, outlives its process, or is never lifted.
+func TestLimitOfUpstream(t *testing.T) {
+	start := time.Unix(1000, 0)
+	first, second := notices.Source{ID: "u", Incarnation: "1"}, notices.Source{ID: "u", Incarnation: "2"}
+	limit := []forward.Notice{forward.RateLimit{PerSecond: 3.5}}
+	for name, test := range map[string]struct {
+		exchanges []notices.Exchange
+		source    notices.Source
+		want      float64
+	}{
+		"named":    {[]notices.Exchange{{Source: first, Complete: true, Notices: limit}}, first, 3.5},
+		"broken":   {[]notices.Exchange{{Source: first, Notices: limit}}, first, 3.5},
+		"restart":  {[]notices.Exchange{{Source: first, Complete: true, Notices: limit}}, second, 0},
+		"unlisted": {[]notices.Exchange{{Source: first, Complete: true}}, first, 0},
+		"lifted": {[]notices.Exchange{
+			{Source: first, Complete: true, Notices: limit},
+			{Source: first, Complete: true, SentAt: start.Add(time.Second)},
+		}, first, 0},
+		"overtaken by an older request": {[]notices.Exchange{
+			{Source: first, Complete: true, Notices: limit},
+			{Source: first, Complete: true, SentAt: start.Add(-time.Second)},
+		}, first, 3.5},
+		"incomplete response without one": {[]notices.Exchange{
+			{Source: first, Complete: true, Notices: limit},
+			{Source: first, SentAt: start.Add(time.Second)},
+		}, first, 3.5},
+		"response of the process before": {[]notices.Exchange{
+			{Source: second, Complete: true, Notices: limit},
+			{Source: first, Complete: true, SentAt: start.Add(time.Second)},
+		}, second, 3.5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			book := &notices.Book{Log: zerolog.Nop(), Now: func() time.Time { return start }}
+			for _, exchange := range test.exchanges {
+				book.Record(exchange)
+			}
+			got, ok := book.RateLimit(test.source)
+			is.Equal(ok, test.want > 0)
+			if ok {
+				is.Equal(got, test.want)
+			}
+			book.Retain(map[fleet.UpstreamID]fleet.Incarnation{"other": "1"})
+			is.Equal(book.Limited(), 0)
+		})
+	}
+}
--- a/internal/upstream/rangegrants/assigner.go
+++ b/internal/upstream/rangegrants/assigner.go
@@ -86,6 +86,10 @@
 	MeanDuration time.Duration
 	// Concurrency is the mean number of requests at the server, running or queued, summed over all daemons.
 	Concurrency float64
+	// Rate is the number of requests a second for the server, those that were not sent because of RateLimit included.
+	Rate float64
+	// RateLimit is the number of requests a second that the server may get, or nil if it has named no limit.
+	RateLimit *float64
 }
 
 // AggregateLoad combines the load reports of all daemons.
--- a/internal/upstream/rangegrants/term.go
+++ b/internal/upstream/rangegrants/term.go
@@ -241,12 +241,27 @@
 		if duration := stats[server.ID].MeanDuration; duration > 0 {
 			capacity *= min(max(meanSeconds/duration.Seconds(), minSpeedFactor), maxSpeedFactor)
 		}
-		result = append(result,
-			ranges.Server{Owner: server.Owner, Capacity: capacity, Utilization: stats[server.ID].Concurrency / slots})
+		next := ranges.Server{Owner: server.Owner, Capacity: capacity, Utilization: stats[server.ID].Concurrency / slots}
+		if limit := stats[server.ID].RateLimit; limit != nil && meanSeconds > 0 {
+			// A slot of mean speed takes 1/meanSeconds requests a second.
+			next.Limited = true
+			next.Capacity = max(min(capacity, *limit*limitUse*meanSeconds), minLimitedCapacity)
+			next.Utilization = max(next.Utilization, stats[server.ID].Rate/max(*limit, minRateLimit))
+		}
+		result = append(result, next)
 	}
 	return result
 }
 
+const (
+	// limitUse is the part of a server's limit that is planned with, so that chance rarely exceeds the limit.
+	limitUse = 0.85
+	// minLimitedCapacity, in slots, and minRateLimit, in requests a second, keep ratios to the load of a server that takes next to
+	// nothing finite.
+	minLimitedCapacity = 0.05
+	minRateLimit       = 0.1
+)
+
 // minSpeedFactor and maxSpeedFactor bound the effect of a server's speed on its capacity.
 const (
 	minSpeedFactor = 0.4
