routing/ratelimit: bound the interval between requests

Callers saw nothing yet; found by reading. Cause: an upstream that names a limit above 1e9 made the interval of a daemon's own share zero, and drawing a random part of it panicked. Change: the interval is at least a microsecond. TestExtremeRates panicked before. Conclusion: no limit that an upstream names can end a task.

--- a/internal/routing/ratelimit/limiter.go
+++ b/internal/routing/ratelimit/limiter.go
@@ -36,7 +36,8 @@
 	maxBurstAge = time.Second
 	// minRate is the lowest rate in requests a second. An upstream that takes none at all would never be heard to take some again.
 	minRate = 0.25
-	// maxInterval bounds the time between two requests of one daemon's share.
+	// minInterval and maxInterval bound the time between two requests, whatever rate is named.
+	minInterval = time.Microsecond
 	maxInterval = 10 * time.Minute
 	// idleTime is how long the schedule of an upstream is kept after its last request.
 	idleTime = time.Minute
@@ -66,12 +67,12 @@
 }
 
 // Reserve admits a request to an upstream that takes rate requests a second, if it can be sent within maxWait. An upstream that
-// is not known gets nothing for startDelay.
+// is not known gets nothing for startDelay, or for a random time if the limiter is staggered.
 func (l *Limiter) Reserve(now time.Time, upstream fleet.UpstreamID, rate float64, maxWait time.Duration) Decision {
 	if !l.Staggered {
 		rate = max(rate, minRate)
 	}
-	interval := time.Duration(min(float64(time.Second)/rate, float64(maxInterval)))
+	interval := max(minInterval, time.Duration(min(float64(time.Second)/rate, float64(maxInterval))))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.removeIdle(now)
--- a/internal/routing/ratelimit/limiter_test.go
+++ b/internal/routing/ratelimit/limiter_test.go
@@ -1,6 +1,7 @@
 package ratelimit_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -83,3 +84,15 @@
 	}
 	is.True(limiter.Size() <= 15)
 }
+
+// Guards against a process that ends because an upstream names a limit without sense.
+func TestExtremeRates(t *testing.T) {
+	allowance := ratelimit.Allowance{Factor: 1.5, Extra: slack, Window: window}
+	for _, limit := range []float64{0, 1e-300, 1e9, 1e300, math.MaxFloat64} {
+		for _, staggered := range []bool{false, true} {
+			limiter := &ratelimit.Limiter{Staggered: staggered}
+			limiter.Reserve(time.Unix(1000, 0), "u", allowance.Rate(limit), 0)
+			limiter.Reserve(time.Unix(1001, 0), "u", ratelimit.Share(allowance.Rate(limit), 295), time.Second)
+		}
+	}
+}
