daemon/entry: come back to a limited upstream as soon as its keeper is asked again

Callers saw nothing yet; found by reading. Cause: a daemon that could not ask the relay that keeps a limit got the wait of its own share, minutes at 295 daemons, and avoided an unkeyed upstream, or sent callers away, for that long, although the relay is asked again after a second. Change: the wait that is told is a second at most. Conclusion: a lost response costs a second.

--- a/internal/daemon/entry/limits.go
+++ b/internal/daemon/entry/limits.go
@@ -6,6 +6,7 @@
 
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/peer/relay"
 	"rosemarywick.example/rosemarywick/internal/routing/ratelimit"
 	"rosemarywick.example/rosemarywick/internal/routing/router"
 )
@@ -16,7 +17,8 @@
 }
 
 // upstreamLimits admits requests to upstreams that take a limited number of requests from all daemons. One relay decides for all
-// daemons. While it can't be asked, this daemon uses its own share.
+// daemons. While it can't be asked, this daemon uses its own share, which may be a request in minutes; requests that are denied
+// return when the relay is asked again.
 type upstreamLimits struct {
 	keeper keeper
 	// allowance is what the deployment accepts as obeying a limit.
@@ -38,5 +40,9 @@
 	if err == nil {
 		return decision
 	}
-	return l.own.Reserve(l.clock.Now(), upstream, ratelimit.Share(rate, l.daemonCount()), maxWait)
+	decision = l.own.Reserve(l.clock.Now(), upstream, ratelimit.Share(rate, l.daemonCount()), maxWait)
+	if denied, ok := decision.(ratelimit.Denied); ok {
+		return ratelimit.Denied{RetryAfter: min(denied.RetryAfter, relay.ReservePause)}
+	}
+	return decision
 }
--- a/internal/peer/relay/reserve.go
+++ b/internal/peer/relay/reserve.go
@@ -17,8 +17,8 @@
 const (
 	// reserveTimeout bounds the wait for the response of the relay that keeps the limit of an upstream.
 	reserveTimeout = 100 * time.Millisecond
-	// reservePause is the time for which a relay that did not respond is not asked again.
-	reservePause = time.Second
+	// ReservePause is the time for which a relay that did not respond is not asked again.
+	ReservePause = time.Second
 	// maxReserveWait bounds the wait that a peer may ask for or report.
 	maxReserveWait = time.Minute
 )
@@ -61,7 +61,7 @@
 	sendCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	if err := n.send(sendCtx, keeper.Host, &wire.Relay{Body: &wire.Relay_Reserve{Reserve: request}}); err != nil {
-		n.reservations.pause(keeper.Run, now.Add(reservePause))
+		n.reservations.pause(keeper.Run, now.Add(ReservePause))
 		return nil, errors.Mark(err, errNoKeeper)
 	}
 	select {
@@ -70,7 +70,7 @@
 	case <-timeout.C:
 		n.Log.Info().Str("relay", string(keeper.Host)).Str("upstream", string(upstream)).
 			Msg("relay that keeps the limit of an upstream does not respond; the daemon uses its own share")
-		n.reservations.pause(keeper.Run, now.Add(reservePause))
+		n.reservations.pause(keeper.Run, now.Add(ReservePause))
 		return nil, errNoKeeper
 	case <-ctx.Done():
 		return nil, errors.Mark(context.Cause(ctx), errNoKeeper)
@@ -114,7 +114,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for process, end := range r.silentUntil {
-		if end.Before(until.Add(-reservePause)) {
+		if end.Before(until.Add(-ReservePause)) {
 			delete(r.silentUntil, process)
 		}
 	}
