routing/router: look up the owner again after waiting for a limit

Callers saw nothing yet; found by reading. Cause: a request with a key waits up to half of the time to its target because of its server's limit. Meanwhile the key can move, as limits make the assigner move keys, or the server's time to drain can end; the request was sent all the same. Change: such a request looks up its owner again before it is sent. TestKeyMovesWhileRequestWaitsForLimit failed before. Conclusion: no request is sent on an older look-up because it waited.

--- a/internal/routing/router/keyed.go
+++ b/internal/routing/router/keyed.go
@@ -41,6 +41,16 @@
 	}
 }
 
+// isSuperseded reports whether the key of a request has been moved, or its owner may no longer be used, while the request waited
+// because of the owner's limit.
+func (p *pendingRequest) isSuperseded(slot *acquiredSlot) bool {
+	if !p.service.Keyed() || !slot.waited {
+		return false
+	}
+	current, _, reason := p.lookUpOwner()
+	return reason != cause.OK || current.Fence != slot.assignment.Fence
+}
+
 // awaitOwner waits until the ownership map names an owner that the breaker does not hold back.
 func (p *pendingRequest) awaitOwner() (fleet.Assignment, *rejection) {
 	if p.router.OwnershipMap == nil {
--- a/internal/routing/router/pending.go
+++ b/internal/routing/router/pending.go
@@ -44,7 +44,9 @@
 	upstream   *upstreamState
 	queue      *admissionQueue
 	assignment fleet.Assignment
-	startedAt  time.Time
+	// waited is set if the request waited because of the upstream's own limit after it had the slot.
+	waited    bool
+	startedAt time.Time
 }
 
 // claimIdempotencyKey claims the idempotency key of a request that must run at most once.
@@ -82,6 +84,10 @@
 			}
 			continue
 		}
+		if p.isSuperseded(slot) {
+			slot.queue.release(slot.upstream.ID, abandoned)
+			continue
+		}
 		result := p.send(slot)
 		if retry.OutcomeOf(result) == cause.Unknown {
 			p.mayHaveRun = true
--- a/internal/routing/router/upstream_limit.go
+++ b/internal/routing/router/upstream_limit.go
@@ -59,6 +59,7 @@
 	}
 	started := p.router.Clock.Now()
 	defer func() { p.record.QueueTime += p.router.Clock.Now().Sub(started) }()
+	slot.waited = true
 	switch decision := p.router.RateLimits.Reserve(p.ctx, slot.upstream.ID, limit, p.limitWait(started)).(type) {
 	case ratelimit.Denied:
 		return decision.RetryAfter, false
