upstream/notices, registry: obey upstreams that state in a response that they leave

Callers' requests reached upstreams that had said in a response that they leave (reported, DRAIN): the header was read nowhere, so only the store's entry counted. Class: a statement that reaches a daemon by a way which nothing listens to.

Change: the adapter decodes the statement from every head that the process sends (any status, refusals, informational and late responses; not those of another worker at the address) into forward.Leaving. notices.Book, made for limits, keeps it for each process; it is not withdrawn and outlives the entry by 5 minutes, as an outdated copy may come back. The registry lets it count like an entry that drains. Responses to orders and probes count as well, and load reports tell the relays, so that the assigner moves the keys early. Statements that can't be understood are counted and logged, those of limits too.

--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -19,6 +19,7 @@
 	"rosemarywick.example/rosemarywick/internal/core/document"
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/ownership/ranges"
 	"rosemarywick.example/rosemarywick/internal/peer/relay"
 	"rosemarywick.example/rosemarywick/internal/platform/table"
 	"rosemarywick.example/rosemarywick/internal/routing/ratelimit"
@@ -160,12 +161,18 @@
 	// The logs of all hosts are searched together.
 	d.Log = d.Log.With().Str("host", string(d.Host.ID)).Logger()
 	d.runID = string(d.Host.ID) + "/" + newRunID()
-	d.registry = &registry.Registry{Clock: d.Timer, Log: d.Log, DrainTimeout: d.Limits.DrainTimeout, OutageGrace: outageGrace}
+	d.notices = &notices.Book{Log: d.Log, Now: d.Timer.Now}
+	d.registry = &registry.Registry{
+		Clock: d.Timer, Log: d.Log, DrainTimeout: d.Limits.DrainTimeout, OutageGrace: outageGrace,
+		LeavingSince: func(id fleet.UpstreamID, incarnation fleet.Incarnation) time.Time {
+			return d.notices.LeavingSince(notices.Source{ID: id, Incarnation: incarnation})
+		},
+	}
+	d.notices.OnLeaving = d.registry.NoteLeaving
 	d.configuration = &configuration{
 		log: d.Log, decode: d.DecodeConfiguration, rowName: d.Tables.ConfigurationRow, registry: d.registry,
 	}
 	d.ownershipMap = &ownershipMap{clock: d.Timer, log: d.Log}
-	d.notices = &notices.Book{Log: d.Log, Now: d.Timer.Now}
 	d.loadTracker = &loadTracker{host: d.Host.ID, clock: d.Timer, log: d.Log, notices: d.notices, allowance: d.Limits.RateAllowance}
 	d.node = d.newNode()
 	d.loadTracker.peers = d.node
@@ -186,6 +193,13 @@
 	}
 }
 
+// RecordNotices adopts what a server stated about itself in a response to the assigner. It is called while the daemon runs.
+func (d *Daemon) RecordNotices(server ranges.Owner, stated []forward.Notice) {
+	d.notices.Record(notices.Exchange{
+		Source: notices.Source{ID: server.ID, Incarnation: server.Incarnation}, SentAt: d.Timer.Now(), Notices: stated,
+	})
+}
+
 // stopFraction returns a fraction of StopTimeout.
 func (d *Daemon) stopFraction(fraction float64) time.Duration {
 	return scaled(d.Limits.StopTimeout, fraction)
--- a/internal/daemon/entry/loads.go
+++ b/internal/daemon/entry/loads.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"rosemarywick.example/rosemarywick/internal/core/timer"
 	"rosemarywick.example/rosemarywick/internal/ownership/ranges"
 	"rosemarywick.example/rosemarywick/internal/routing/ratelimit"
+	"rosemarywick.example/rosemarywick/internal/upstream/forward"
 	"rosemarywick.example/rosemarywick/internal/upstream/notices"
 	"rosemarywick.example/rosemarywick/internal/upstream/rangegrants"
 )
@@ -32,6 +34,8 @@
 	Services map[fleet.ServiceName]*serviceReport `json:"services,omitempty"`
 	// Daemons is the number of daemons whose reports were added. It is zero in the report of one daemon.
 	Daemons int `json:"daemons,omitempty"`
+	// Leaving lists upstreams that have stated recently, in a response to any of the daemons, that they leave.
+	Leaving []notices.Source `json:"leaving,omitempty"`
 }
 
 // serviceReport counts the keyed requests of one service that were forwarded, by buckets of the key space and by server.
@@ -81,6 +85,11 @@
 
 // merge adds another report. Invalid counts are ignored.
 func (l *loadReport) merge(other *loadReport) {
+	for _, source := range other.Leaving {
+		if !slices.Contains(l.Leaving, source) {
+			l.Leaving = append(l.Leaving, source)
+		}
+	}
 	for name, measured := range other.Services {
 		if measured == nil {
 			continue
@@ -201,7 +210,8 @@
 		counts := l.counts
 		l.counts = loadReport{}
 		l.mu.Unlock()
-		if len(counts.Services) == 0 {
+		counts.Leaving = l.notices.LeavingNews()
+		if len(counts.Services) == 0 && len(counts.Leaving) == 0 {
 			continue
 		}
 		l.addLimits(&counts)
@@ -221,11 +231,21 @@
 		l.log.Warn().Err(err).Msg("decode load report: ignoring it")
 		return
 	}
+	l.adoptLeaving(&decoded)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.received.merge(&decoded)
 }
 
+// adoptLeaving notes which upstreams have told other daemons that they leave.
+func (l *loadTracker) adoptLeaving(report *loadReport) {
+	for _, source := range report.Leaving {
+		if l.notices.LeavingSince(source).IsZero() {
+			l.notices.Record(notices.Exchange{Source: source, Notices: []forward.Notice{forward.Leaving{}}})
+		}
+	}
+}
+
 // Take returns the sum of the reports that were added since the last call.
 func (l *loadTracker) Take() []byte {
 	content, err := json.Marshal(l.take())
@@ -262,6 +282,7 @@
 			continue
 		}
 		reports[host] = decoded
+		l.adoptLeaving(decoded)
 	}
 	reports[l.host] = l.take()
 	now := l.clock.Now()
--- a/internal/daemon/entry/metrics.go
+++ b/internal/daemon/entry/metrics.go
@@ -19,7 +19,7 @@
 		d.observer.metrics.ExposeTableAges(d.node.Age, d.node.GreatestAge)
 	}
 	if d.notices != nil {
-		d.observer.metrics.ExposeLimitedUpstreams(d.notices.Limited)
+		d.observer.metrics.ExposeNotices(d.notices)
 	}
 }
 
--- /dev/null
+++ b/internal/observe/metrics/notices.go
@@ -0,0 +1,26 @@
+package metrics
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// NoticeCounts returns the numbers of upstreams that state something about themselves.
+type NoticeCounts interface {
+	// Limited is the number of upstreams that limit the requests that they take.
+	Limited() int
+	// Leaving is the number of registered upstreams that have stated in a response that they leave.
+	Leaving() int
+	// Malformed is the number of statements so far that could not be understood.
+	Malformed() int
+}
+
+// ExposeNotices adds gauges of the upstreams that state something about themselves.
+func (m *Metrics) ExposeNotices(counts NoticeCounts) {
+	gauge := func(name, help string, count func() int) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help},
+			func() float64 { return float64(count()) }))
+	}
+	gauge("rosemarywick_limited_upstreams", "Upstreams that limit the requests that they take from all daemons.", counts.Limited)
+	gauge("rosemarywick_leaving_upstreams", "Registered upstreams that stated in a response that they leave.", counts.Leaving)
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "rosemarywick_malformed_notices_total", Help: "Statements of upstreams that could not be understood.",
+	}, func() float64 { return float64(counts.Malformed()) }))
+}
--- a/internal/upstream/forward/client.go
+++ b/internal/upstream/forward/client.go
@@ -55,8 +55,7 @@
 	Fence     fleet.Fence
 	// ConnectTime is set by Send to the time that it took to open a connection. It is zero if an idle one was reused.
 	ConnectTime time.Duration
-	// Notices is set by Send to what the upstream stated about itself in its response. Responses of other processes, and those to
-	// other requests, do not count.
+	// Notices is set by Send to what the upstream stated about itself in the heads of the responses that it sent meanwhile.
 	Notices []Notice
 }
 
--- a/internal/upstream/forward/dialect.go
+++ b/internal/upstream/forward/dialect.go
@@ -14,8 +14,9 @@
 	EncodeHeader(request *Request, left time.Duration) (string, http.Header)
 	// Classify interprets the status and the headers of a response.
 	Classify(request *Request, status int, header http.Header) Classification
-	// Notices returns what the upstream states about itself in the headers of a response.
-	Notices(header http.Header) []Notice
+	// Notices returns what the upstream of a request states about itself in the headers of a response on the connection. The
+	// response may be informational, or one to an earlier request. Those of other processes state nothing.
+	Notices(request *Request, status int, header http.Header) []Notice
 }
 
 // Classification is the meaning of a response's status and headers. It is one of Accepted, Refused, Stale and Invalid.
@@ -62,7 +63,7 @@
 }
 
 // Notices returns none, since the product's own upstreams state nothing about themselves in responses.
-func (NativeDialect) Notices(http.Header) []Notice { return nil }
+func (NativeDialect) Notices(*Request, int, http.Header) []Notice { return nil }
 
 // Classify recognizes the Not-Run and Not-Owner headers.
 func (NativeDialect) Classify(_ *Request, status int, header http.Header) Classification {
--- a/internal/upstream/forward/exchange.go
+++ b/internal/upstream/forward/exchange.go
@@ -117,6 +117,8 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "forward: read response")
 		}
+		e.request.Notices = append(e.request.Notices,
+			e.client.Dialect.Notices(e.request, response.StatusCode, response.Header)...)
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
@@ -138,16 +140,12 @@
 	e.expires = e.client.Clock.Now().Add(keepAliveTimeout(response.Header, idleTimeout+idleMargin) - idleMargin)
 	switch class := e.client.Dialect.Classify(e.request, response.StatusCode, response.Header).(type) {
 	case Refused:
-		if rejected, ok := class.Result.(Rejected); !ok || !rejected.WrongUpstream {
-			e.request.Notices = e.client.Dialect.Notices(response.Header)
-		}
 		e.discardBody(response)
 		return class.Result
 	case Invalid:
 		e.finish(false)
 		return Truncated{Err: errors.Mark(errors.New(class.Reason), errInvalidResponse)}
 	}
-	e.request.Notices = e.client.Dialect.Notices(response.Header)
 	result := Responded{
 		Status: response.StatusCode, Header: StripHopByHop(response.Header), TimeToFirstByte: timeToFirstByte,
 		Body: &responseBody{Reader: response.Body, exchange: e},
--- a/internal/upstream/forward/result.go
+++ b/internal/upstream/forward/result.go
@@ -60,7 +60,7 @@
 }
 
 // Notice is what an upstream states about itself in a response, whatever the response says about the request. It is one of
-// RateLimit.
+// RateLimit, Leaving and Malformed.
 type Notice interface {
 	notice()
 }
@@ -68,7 +68,15 @@
 // RateLimit means that the upstream takes a number of requests a second from all daemons together, for as long as it says so.
 type RateLimit struct{ PerSecond float64 }
 
+// Leaving means that the upstream is about to stop. It is never withdrawn by the same process.
+type Leaving struct{}
+
+// Malformed is a statement that can't be understood and is ignored.
+type Malformed struct{ Header, Value string }
+
 func (RateLimit) notice() {}
+func (Leaving) notice()   {}
+func (Malformed) notice() {}
 
 func (Responded) result()  {}
 func (Rejected) result()   {}
--- a/internal/upstream/notices/book.go
+++ b/internal/upstream/notices/book.go
@@ -1,5 +1,5 @@
-// Package notices keeps what upstreams state about themselves in their responses to this daemon, such as a limit to the requests
-// that they take. It is the one place from which the parts of a daemon learn that.
+// Package notices keeps what upstreams state about themselves in their responses, such as a limit to the requests that they
+// take, or that they leave. It is the one place from which the parts of a daemon learn that.
 package notices
 
 import (
@@ -12,10 +12,20 @@
 	"rosemarywick.example/rosemarywick/internal/upstream/forward"
 )
 
+const (
+	// leavingMemory is how long it is remembered that an upstream leaves after its entry has disappeared. An outdated copy of the
+	// entry may come back meanwhile.
+	leavingMemory = 5 * time.Minute
+	// leavingNewsTime is how long peers are told that an upstream leaves. Reports may be lost.
+	leavingNewsTime = 5 * time.Second
+	// maxMalformedLogged is the number of malformed statements that are logged. All are counted.
+	maxMalformedLogged = 20
+)
+
 // Source identifies the process of an upstream. One that starts again under the same ID is another source.
 type Source struct {
-	ID          fleet.UpstreamID
-	Incarnation fleet.Incarnation
+	ID          fleet.UpstreamID  `json:"id"`
+	Incarnation fleet.Incarnation `json:"run"`
 }
 
 // Exchange is a request of this daemon to an upstream, with what the upstream stated in its response.
@@ -32,47 +42,90 @@
 type Book struct {
 	Log zerolog.Logger
 	Now func() time.Time
+	// OnLeaving is called when an upstream first states that it leaves. It may be nil.
+	OnLeaving func()
 
 	mu sync.Mutex
 	// entries is guarded by mu. It holds only upstreams with a notice in force.
-	entries map[fleet.UpstreamID]entry
+	entries map[Source]entry
+	// malformed is guarded by mu and counts the statements that could not be understood.
+	malformed int
 }
 
-// entry is the notice of one upstream. It has no other kind yet.
+// entry holds the notices of one process of an upstream.
 type entry struct {
-	incarnation fleet.Incarnation
-	// rateLimit is the number of requests a second that the upstream takes from all daemons. It is at least 0.
-	rateLimit float64
-	// statedAt is when the upstream last named it.
-	statedAt time.Time
+	// limit is nil if the upstream names no limit.
+	limit *namedLimit
+	// leavingSince is when the upstream first stated that it leaves, or zero. It is not withdrawn.
+	leavingSince time.Time
+	// absentSince is since when the upstream is not registered. It is zero while it is.
+	absentSince time.Time
+}
+
+// namedLimit is the number of requests a second that an upstream takes from all daemons, at least 0, and when it last named it.
+type namedLimit struct {
+	perSecond float64
+	statedAt  time.Time
 }
 
 // Record adopts the notices of a response.
 func (b *Book) Record(exchange Exchange) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	current, known := b.entries[exchange.Source.ID]
-	known = known && current.incarnation == exchange.Source.Incarnation
+	current, leaves := b.entries[exchange.Source], false
+	var limit *forward.RateLimit
 	for _, notice := range exchange.Notices {
-		limit, ok := notice.(forward.RateLimit)
-		if !ok {
-			continue
-		}
-		if !known || current.rateLimit != limit.PerSecond {
-			b.Log.Info().Str("upstream", string(exchange.Source.ID)).Float64("per-second", limit.PerSecond).
-				Float64("before", current.rateLimit).Msg("upstream limits the requests that it takes")
+		switch notice := notice.(type) {
+		case forward.RateLimit:
+			limit = &notice
+		case forward.Leaving:
+			leaves = current.leavingSince.IsZero()
+		case forward.Malformed:
+			b.countMalformed(exchange.Source, notice)
 		}
-		if b.entries == nil {
-			b.entries = make(map[fleet.UpstreamID]entry)
-		}
-		b.entries[exchange.Source.ID] = entry{
-			incarnation: exchange.Source.Incarnation, rateLimit: limit.PerSecond, statedAt: b.Now(),
+	}
+	if leaves {
+		current.leavingSince = b.Now()
+		b.log(exchange.Source).Msg("upstream states that it leaves")
+	}
+	switch {
+	case limit != nil:
+		if current.limit == nil || current.limit.perSecond != limit.PerSecond {
+			b.log(exchange.Source).Float64("per-second", limit.PerSecond).Msg("upstream limits the requests that it takes")
 		}
+		current.limit = &namedLimit{perSecond: limit.PerSecond, statedAt: b.Now()}
+	case current.limit != nil && exchange.Complete && exchange.SentAt.After(current.limit.statedAt):
+		current.limit = nil
+		b.log(exchange.Source).Msg("upstream no longer limits the requests that it takes")
+	}
+	b.store(exchange.Source, current)
+	b.mu.Unlock()
+	if leaves && b.OnLeaving != nil {
+		b.OnLeaving()
+	}
+}
+
+// store stores an entry, or removes it if it holds nothing. The caller holds mu.
+func (b *Book) store(source Source, next entry) {
+	if next.limit == nil && next.leavingSince.IsZero() {
+		delete(b.entries, source)
 		return
 	}
-	if known && exchange.Complete && exchange.SentAt.After(current.statedAt) {
-		delete(b.entries, exchange.Source.ID)
-		b.Log.Info().Str("upstream", string(exchange.Source.ID)).Msg("upstream no longer limits the requests that it takes")
+	if b.entries == nil {
+		b.entries = make(map[Source]entry)
+	}
+	b.entries[source] = next
+}
+
+// log starts a log line about an upstream.
+func (b *Book) log(source Source) *zerolog.Event {
+	return b.Log.Info().Str("upstream", string(source.ID)).Str("run", string(source.Incarnation))
+}
+
+// countMalformed counts a statement that could not be understood. The caller holds mu.
+func (b *Book) countMalformed(source Source, statement forward.Malformed) {
+	if b.malformed++; b.malformed <= maxMalformedLogged {
+		b.Log.Warn().Str("upstream", string(source.ID)).Str("header", statement.Header).Str("value", statement.Value).
+			Msg("statement of an upstream cannot be understood; it is ignored")
 	}
 }
 
@@ -81,32 +134,96 @@
 func (b *Book) RateLimit(source Source) (float64, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	current, known := b.entries[source.ID]
-	return current.rateLimit, known && current.incarnation == source.Incarnation
+	if current := b.entries[source]; current.limit != nil {
+		return current.limit.perSecond, true
+	}
+	return 0, false
 }
 
 // LatestRateLimit returns the limit of whichever process of an upstream named one last.
 func (b *Book) LatestRateLimit(id fleet.UpstreamID) (float64, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	current, known := b.entries[id]
-	return current.rateLimit, known
+	var latest *namedLimit
+	for source, current := range b.entries {
+		if source.ID == id && current.limit != nil && (latest == nil || current.limit.statedAt.After(latest.statedAt)) {
+			latest = current.limit
+		}
+	}
+	if latest == nil {
+		return 0, false
+	}
+	return latest.perSecond, true
+}
+
+// LeavingSince returns when an upstream first stated that it leaves. It is zero for one that has not.
+func (b *Book) LeavingSince(source Source) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.entries[source].leavingSince
+}
+
+// LeavingNews returns the upstreams that have stated recently that they leave.
+func (b *Book) LeavingNews() []Source {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var result []Source
+	now := b.Now()
+	for source, current := range b.entries {
+		if !current.leavingSince.IsZero() && now.Sub(current.leavingSince) < leavingNewsTime {
+			result = append(result, source)
+		}
+	}
+	return result
 }
 
-// Retain removes the notices of all upstreams but those given, by their present processes.
+// Retain removes the notices of all upstreams but those given, by their present processes. That one leaves is kept for
+// leavingMemory, unless it has started again.
 func (b *Book) Retain(present map[fleet.UpstreamID]fleet.Incarnation) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for id, current := range b.entries {
-		if incarnation, ok := present[id]; !ok || incarnation != current.incarnation {
-			delete(b.entries, id)
+	now := b.Now()
+	for source, current := range b.entries {
+		incarnation, registered := present[source.ID]
+		switch {
+		case registered && incarnation == source.Incarnation:
+			current.absentSince = time.Time{}
+		case registered:
+			current = entry{}
+		case current.absentSince.IsZero():
+			current.limit, current.absentSince = nil, now
+		case now.Sub(current.absentSince) > leavingMemory:
+			current = entry{}
 		}
+		b.store(source, current)
 	}
 }
 
 // Limited returns the number of upstreams that limit the requests that they take.
 func (b *Book) Limited() int {
+	return b.count(func(current entry) bool { return current.limit != nil })
+}
+
+// Leaving returns the number of registered upstreams that have stated that they leave.
+func (b *Book) Leaving() int {
+	return b.count(func(current entry) bool { return !current.leavingSince.IsZero() && current.absentSince.IsZero() })
+}
+
+// Malformed returns the number of statements that could not be understood.
+func (b *Book) Malformed() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.malformed
+}
+
+func (b *Book) count(matches func(entry) bool) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.entries)
+	count := 0
+	for _, current := range b.entries {
+		if matches(current) {
+			count++
+		}
+	}
+	return count
 }
--- a/internal/upstream/notices/book_test.go
+++ b/internal/upstream/notices/book_test.go
@@ -59,3 +59,39 @@
 		})
 	}
 }
+
+// Guards against an upstream that counts as present again although it has said that it leaves: because an outdated entry came back, or
+// because of a response of the process before.
+func TestLeavingOfUpstream(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	first, second := notices.Source{ID: "u", Incarnation: "1"}, notices.Source{ID: "u", Incarnation: "2"}
+	leaving := []forward.Notice{forward.Leaving{}}
+	told := 0
+	book := &notices.Book{Log: zerolog.Nop(), Now: func() time.Time { return now }, OnLeaving: func() { told++ }}
+	book.Record(notices.Exchange{Source: first, Notices: leaving})
+	since := now
+	now = now.Add(time.Second)
+	book.Record(notices.Exchange{Source: first, Notices: leaving})
+	book.Record(notices.Exchange{Source: first, SentAt: now, Complete: true}) // nothing withdraws it
+	is.Equal(book.LeavingSince(first), since)
+	is.Equal(told, 1)
+	is.Equal(book.LeavingNews(), []notices.Source{first})
+
+	book.Retain(nil) // the entry disappears, and comes back
+	is.Equal(book.Leaving(), 0)
+	book.Retain(map[fleet.UpstreamID]fleet.Incarnation{"u": "1"})
+	is.Equal(book.LeavingSince(first), since)
+	is.Equal(book.Leaving(), 1)
+
+	book.Retain(map[fleet.UpstreamID]fleet.Incarnation{"u": "2"}) // another process under the same ID
+	is.True(book.LeavingSince(first).IsZero())
+	is.True(book.LeavingSince(second).IsZero())
+
+	book.Record(notices.Exchange{Source: second, Notices: leaving})
+	book.Retain(nil)
+	now = now.Add(time.Hour)
+	book.Retain(nil)
+	is.True(book.LeavingSince(second).IsZero()) // forgotten with time
+	is.Equal(book.LeavingNews(), nil)
+}
--- a/internal/upstream/registry/registry.go
+++ b/internal/upstream/registry/registry.go
@@ -49,6 +49,9 @@
 	DrainTimeout time.Duration
 	// OutageGrace is the time after an outage of the store within which upstreams register again.
 	OutageGrace time.Duration
+	// LeavingSince returns when an upstream stated in a response that it leaves, or zero. It counts like an entry that says so,
+	// whatever the store says. Nil means that none has.
+	LeavingSince func(fleet.UpstreamID, fleet.Incarnation) time.Time
 
 	mu sync.Mutex
 	// records is guarded by mu.
@@ -70,6 +73,25 @@
 	expires time.Time
 }
 
+// NoteLeaving notes that LeavingSince has changed.
+func (r *Registry) NoteLeaving() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.notify()
+}
+
+// leavingSince returns when an upstream was first known to leave, or zero. The caller holds mu.
+func (r *Registry) leavingSince(rec *record) time.Time {
+	if r.LeavingSince == nil {
+		return rec.drainingSince
+	}
+	stated := r.LeavingSince(rec.ID, rec.Incarnation)
+	if stated.IsZero() || !rec.drainingSince.IsZero() && rec.drainingSince.Before(stated) {
+		return rec.drainingSince
+	}
+	return stated
+}
+
 // StoreRecovered notes that the store can be reached again after an outage.
 func (r *Registry) StoreRecovered() {
 	r.mu.Lock()
@@ -134,7 +156,7 @@
 func (r *Registry) setExpiry(now time.Time) {
 	lost := 0
 	for _, rec := range r.records {
-		if !rec.missingSince.IsZero() && rec.drainingSince.IsZero() && now.Sub(rec.missingSince) <= massLossWindow {
+		if !rec.missingSince.IsZero() && r.leavingSince(rec).IsZero() && now.Sub(rec.missingSince) <= massLossWindow {
 			lost++
 		}
 	}
@@ -145,7 +167,7 @@
 			continue
 		}
 		switch {
-		case !rec.drainingSince.IsZero() || !massLoss:
+		case !r.leavingSince(rec).IsZero() || !massLoss:
 		case afterOutage:
 			rec.expires = r.recoveredAt.Add(r.OutageGrace)
 		default:
@@ -251,8 +273,8 @@
 		upstream := document.Upstream{
 			ID: rec.ID, Address: rec.Address, Locality: rec.Locality, Incarnation: rec.Incarnation, Slots: rec.Slots,
 		}
-		if !rec.drainingSince.IsZero() {
-			upstream.DrainDeadline = rec.drainingSince.Add(time.Duration(float64(r.DrainTimeout) * drainUseFraction))
+		if leavingSince := r.leavingSince(rec); !leavingSince.IsZero() {
+			upstream.DrainDeadline = leavingSince.Add(time.Duration(float64(r.DrainTimeout) * drainUseFraction))
 		}
 		result[rec.Service] = append(result[rec.Service], upstream)
 	}
--- a/internal/upstream/registry/registry_test.go
+++ b/internal/upstream/registry/registry_test.go
@@ -121,3 +121,53 @@
 func wait(duration time.Duration) {
 	_ = timer.Wait(context.Background(), timer.System{}, duration)
 }
+
+// Guards against an upstream that gets requests again after it stated in a response that it leaves: its entry says otherwise,
+// disappears with many others, or comes back.
+func TestStatedLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var since time.Time
+		r := &registry.Registry{
+			Clock: timer.System{}, Log: zerolog.Nop(), DrainTimeout: drainTimeout, OutageGrace: 2 * time.Second,
+			LeavingSince: func(id fleet.UpstreamID, run fleet.Incarnation) time.Time {
+				if id == "0" && run == "1" {
+					return since
+				}
+				return time.Time{}
+			},
+		}
+		deadline := func() time.Time { return r.Upstreams()["s"][0].DrainDeadline }
+		r.Reset(newEntries(20))
+		is.True(deadline().IsZero())
+		changed := r.Changed()
+		since = time.Now()
+		r.NoteLeaving()
+		<-changed
+		want := since.Add(drainTimeout * 3 / 4)
+		is.Equal(deadline(), want)
+		wait(time.Second)
+		changedEntry := newEntry(0)
+		changedEntry.Slots = 7
+		r.Put(changedEntry)
+		is.Equal(deadline(), want)
+		draining := changedEntry
+		draining.Draining = true // the later of two statements changes nothing
+		r.Put(draining)
+		is.Equal(deadline(), want)
+		r.StoreRecovered()
+		r.Remove("0", "1", "2", "3", "4")
+		is.Equal(r.Upstreams()["s"][0].ID, fleet.UpstreamID("0")) // expires at once, unlike the others
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = r.Run(ctx) }()
+		synctest.Wait()
+		is.Equal(r.Upstreams()["s"][0].ID, fleet.UpstreamID("1"))
+		cancel()
+		r.Put(newEntry(0))
+		is.Equal(deadline(), want)
+		restarted := newEntry(0)
+		restarted.Incarnation = "2"
+		r.Put(restarted)
+		is.True(deadline().IsZero())
+	})
+}
