routing/router, upstream/notices: send nothing to an upstream for as long as it asks

Change: a refusal with Retry-After is decoded into forward.Pause and kept in notices.Book for the process, at most a minute, with a random quarter of it (1 s at most) added so that the daemons don't return at once. Requests without a key go to another upstream; if all pause, or for the owner of a key, a request waits if the pause ends within half of the time to its target, and is refused at once else: upstream-paused, not run, with the time that is left. Those that wait already decide anew. The balancer does not count a pause as illness, keys do not move for it, the assigner does not probe meanwhile but renews.

--- a/internal/core/cause/outcome.go
+++ b/internal/core/cause/outcome.go
@@ -47,6 +47,8 @@
 	UpstreamRefused Cause = "upstream-refused"
 	// UpstreamLimit means that the upstream limits the requests that it takes from all daemons, and that the limit is used up.
 	UpstreamLimit Cause = "upstream-limit"
+	// UpstreamPaused means that the upstream has asked this daemon to send nothing for some time.
+	UpstreamPaused Cause = "upstream-paused"
 	// UpstreamFailed means that the upstream ran the request and responded with an error of its own.
 	UpstreamFailed Cause = "upstream-failed"
 	// TooLarge means that the body of the request exceeds the limit.
--- a/internal/daemon/entry/assigners.go
+++ b/internal/daemon/entry/assigners.go
@@ -9,6 +9,7 @@
 	"rosemarywick.example/rosemarywick/internal/core/document"
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/ownership/ranges"
+	"rosemarywick.example/rosemarywick/internal/upstream/notices"
 	"rosemarywick.example/rosemarywick/internal/upstream/rangegrants"
 )
 
@@ -66,12 +67,17 @@
 func (d *Daemon) newAssigner(name fleet.ServiceName) *rangegrants.Assigner {
 	return &rangegrants.Assigner{
 		Service: name, Daemon: d.runID, Store: d.Store, Registry: serverRegistry{d.configuration}, Client: d.ServerClient,
-		LoadSource: d.loadTracker, Candidates: d.node.Relays, Clock: d.Timer, Uptime: d.Timer, Log: d.Log,
+		LoadSource: d.loadTracker, Paused: d.isPaused, Candidates: d.node.Relays, Clock: d.Timer, Uptime: d.Timer, Log: d.Log,
 		GrantDuration:       scaled(d.Limits.MaxGrantDuration, grantFraction),
 		OutageGrantDuration: d.Limits.MaxGrantDuration, LeaseDuration: scaled(d.Limits.MaxGrantDuration, leaseFraction),
 	}
 }
 
+// isPaused reports whether a server has asked this daemon for a pause.
+func (d *Daemon) isPaused(server ranges.Owner) bool {
+	return d.Timer.Now().Before(d.notices.PausedUntil(notices.Source{ID: server.ID, Incarnation: server.Incarnation}))
+}
+
 // serverRegistry lists the servers of a service for its assigner, from the document in force.
 type serverRegistry struct {
 	configuration *configuration
--- a/internal/observe/metrics/notices.go
+++ b/internal/observe/metrics/notices.go
@@ -8,6 +8,8 @@
 	Limited() int
 	// Leaving is the number of registered upstreams that have stated in a response that they leave.
 	Leaving() int
+	// Paused is the number of upstreams that want nothing from this daemon at present.
+	Paused() int
 	// Malformed is the number of statements so far that could not be understood.
 	Malformed() int
 }
@@ -20,6 +22,7 @@
 	}
 	gauge("rosemarywick_limited_upstreams", "Upstreams that limit the requests that they take from all daemons.", counts.Limited)
 	gauge("rosemarywick_leaving_upstreams", "Registered upstreams that stated in a response that they leave.", counts.Leaving)
+	gauge("rosemarywick_paused_upstreams", "Upstreams that have asked this daemon for a pause.", counts.Paused)
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "rosemarywick_malformed_notices_total", Help: "Statements of upstreams that could not be understood.",
 	}, func() float64 { return float64(counts.Malformed()) }))
--- a/internal/routing/balance/pool.go
+++ b/internal/routing/balance/pool.go
@@ -18,7 +18,7 @@
 	Drained  bool
 }
 
-// Observation is what the result of one request showed about its upstream. It is one of Responded, Rejected, Leaving,
+// Observation is what the result of one request showed about its upstream. It is one of Responded, Rejected, Paused, Leaving,
 // Unreachable and Abandoned.
 type Observation interface {
 	observation()
@@ -32,6 +32,9 @@
 // Rejected means that the upstream stated that it did not run the request, or that it failed.
 type Rejected struct{}
 
+// Paused means that the upstream asked for a pause, which says nothing about its health.
+type Paused struct{}
+
 // Leaving means that the upstream stated that it is shutting down.
 type Leaving struct{}
 
@@ -43,6 +46,7 @@
 
 func (Responded) observation()   {}
 func (Rejected) observation()    {}
+func (Paused) observation()      {}
 func (Leaving) observation()     {}
 func (Unreachable) observation() {}
 func (Abandoned) observation()   {}
@@ -207,6 +211,8 @@
 	case Rejected:
 		estimate.markAlive(now)
 		estimate.recordRejection(now, 1)
+	case Paused:
+		estimate.markAlive(now)
 	case Leaving:
 		estimate.markAlive(now)
 		estimate.leavingUntil = now.Add(leavingDuration)
--- a/internal/routing/router/keyed.go
+++ b/internal/routing/router/keyed.go
@@ -33,20 +33,25 @@
 		if rejected != nil {
 			return nil, rejected
 		}
-		// The key may have been moved while the request waited for a slot.
-		if current, ok := p.router.OwnershipMap.Locate(p.service.Name, p.key); ok && current.Fence == assignment.Fence {
+		// The key may have been moved, or the owner may have asked for a pause, while the request waited for a slot.
+		current, ok := p.router.OwnershipMap.Locate(p.service.Name, p.key)
+		paused := p.service.pauseLeft(p.router.Clock.Now(), owner.ID) > 0
+		if ok && current.Fence == assignment.Fence && !paused {
 			return &acquiredSlot{upstream: owner, queue: owner.queue, assignment: assignment}, nil
 		}
 		owner.queue.release(owner.ID, abandoned)
 	}
 }
 
-// isSuperseded reports whether the key of a request has been moved, or its owner may no longer be used, while the request waited
-// because of the owner's limit.
+// isSuperseded reports whether the key of a request has been moved, or its upstream may no longer be used, while the
+// request waited because of the upstream's limit.
 func (p *pendingRequest) isSuperseded(slot *acquiredSlot) bool {
-	if !p.service.Keyed() || !slot.waited {
+	if !slot.waited {
 		return false
 	}
+	if !p.service.Keyed() {
+		return p.service.pauseLeft(p.router.Clock.Now(), slot.upstream.ID) > 0
+	}
 	current, _, reason := p.lookUpOwner()
 	return reason != cause.OK || current.Fence != slot.assignment.Fence
 }
@@ -66,6 +71,12 @@
 			}
 			return assignment, nil
 		}
+		if reason == cause.UpstreamPaused && pause > p.limitWait(p.router.Clock.Now()) {
+			if waiting {
+				p.service.breaker.removeWaiter()
+			}
+			return assignment, &rejection{outcome: cause.NotRun, cause: reason, retryAfter: pause}
+		}
 		if !waiting && !p.service.breaker.addWaiter(p.service.QueueLimit*max(1, len(p.service.upstreams))) {
 			return assignment, &rejection{outcome: cause.NotRun, cause: cause.Moving, retryAfter: time.Second}
 		}
@@ -108,6 +119,9 @@
 	if drainDeadline := p.service.upstreams[assignment.Owner].DrainDeadline; !drainDeadline.IsZero() && !now.Before(drainDeadline) {
 		return assignment, p.service.Timeout, cause.UpstreamDraining
 	}
+	if pause := p.service.pauseLeft(now, assignment.Owner); pause > 0 {
+		return assignment, pause, cause.UpstreamPaused
+	}
 	if p.service.Guard == fleet.GuardNone {
 		p.capDeadline(until)
 	}
@@ -193,6 +207,17 @@
 	return ctx, cancel
 }
 
+// cancelWaitingAt cancels the requests that wait for a slot at a server.
+func (t *attemptTracker) cancelWaitingAt(server fleet.UpstreamID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, attempt := range t.attempts {
+		if attempt.waiting && attempt.assignment.Owner == server {
+			attempt.cancel()
+		}
+	}
+}
+
 func (t *attemptTracker) untrack(p *pendingRequest) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/routing/router/pending.go
+++ b/internal/routing/router/pending.go
@@ -101,7 +101,7 @@
 			return p.respond(slot, decision.Response)
 		case retry.Stop:
 			p.release(slot, result)
-			return p.reject(rejection{outcome: decision.Outcome, cause: decision.Cause})
+			return p.reject(rejection{outcome: decision.Outcome, cause: decision.Cause, retryAfter: p.retryDelay(slot)})
 		case retry.Resend, retry.AwaitMap:
 			if response, ok := result.(forward.Responded); ok {
 				_ = response.Body.Close()
@@ -143,7 +143,7 @@
 	if len(p.service.upstreams) == 0 {
 		return nil, &rejection{outcome: cause.NotRun, cause: cause.NoUpstream}
 	}
-	id, rejected := p.admit(p.ctx, p.service.queue)
+	id, rejected := p.admitToAny()
 	if rejected != nil {
 		return nil, rejected
 	}
@@ -155,6 +155,20 @@
 	return &acquiredSlot{upstream: upstream, queue: p.service.queue}, nil
 }
 
+// admitToAny waits for admission to any upstream of a service without keys. If all of them ask for a pause meanwhile, it decides
+// anew.
+func (p *pendingRequest) admitToAny() (fleet.UpstreamID, *rejection) {
+	for {
+		if rejected := p.awaitPauses(); rejected != nil {
+			return "", rejected
+		}
+		id, rejected := p.admit(p.ctx, p.service.queue)
+		if rejected == nil || rejected.cause != cause.UpstreamPaused {
+			return id, rejected
+		}
+	}
+}
+
 // admit waits for admission by a queue and returns the upstream that was selected.
 func (p *pendingRequest) admit(ctx context.Context, queue *admissionQueue) (fleet.UpstreamID, *rejection) {
 	candidate := &admission.Request{
@@ -225,6 +239,9 @@
 		observation = balance.Rejected{}
 	case forward.Rejected:
 		observation, feedback = balance.Rejected{}, admission.Shed{}
+		if p.service.pauseLeft(now, slot.upstream.ID) > 0 {
+			observation = balance.Paused{}
+		}
 		if result.WrongUpstream {
 			p.reportStaleMap()
 			observation, feedback = balance.Unreachable{}, admission.Abandoned{}
--- a/internal/routing/router/queue.go
+++ b/internal/routing/router/queue.go
@@ -139,6 +139,19 @@
 	return q.controller.DeadlineRefusal(q.clock.Now())
 }
 
+// refuseWaiting refuses all waiting requests.
+func (q *admissionQueue) refuseWaiting(refusal admission.Refused) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.clock.Now()
+	for request, decisions := range q.waiting {
+		if q.controller.Cancel(now, request) {
+			decisions <- refusal
+			delete(q.waiting, request)
+		}
+	}
+}
+
 // release frees a slot and passes on what the request showed about the upstream.
 func (q *admissionQueue) release(id fleet.UpstreamID, feedback admission.Feedback) {
 	q.mu.Lock()
--- a/internal/routing/router/service.go
+++ b/internal/routing/router/service.go
@@ -9,6 +9,7 @@
 	"rosemarywick.example/rosemarywick/internal/routing/balance"
 	"rosemarywick.example/rosemarywick/internal/routing/retry"
 	"rosemarywick.example/rosemarywick/internal/upstream/forward"
+	"rosemarywick.example/rosemarywick/internal/upstream/notices"
 )
 
 // serviceState is the state of one service under one version of the configuration document. It is immutable once requests
@@ -19,6 +20,8 @@
 	upstreams map[fleet.UpstreamID]*upstreamState
 	// queue admits requests to any upstream of a service without keys. It is nil for a keyed service.
 	queue *admissionQueue
+	// notices holds what the upstreams state about themselves. It may be nil.
+	notices *notices.Book
 	*runtimeState
 }
 
@@ -44,7 +47,9 @@
 // buildService returns the state of a declared service. It keeps the runtime state and the queue of the previous state,
 // unless the service has changed between keyed and unkeyed.
 func (r *Router) buildService(previous *serviceState, declared *document.Service, current *document.Document) *serviceState {
-	next := &serviceState{Service: declared, version: current.Version, upstreams: make(map[fleet.UpstreamID]*upstreamState)}
+	next := &serviceState{
+		Service: declared, version: current.Version, upstreams: make(map[fleet.UpstreamID]*upstreamState), notices: r.Notices,
+	}
 	if previous != nil && previous.Keyed() == declared.Keyed() {
 		next.runtimeState, next.queue = previous.runtimeState, previous.queue
 	} else {
@@ -146,5 +151,6 @@
 func (s *serviceState) pickUpstream(
 	now time.Time, req *admission.Request, hasCapacity func(fleet.UpstreamID) bool,
 ) (fleet.UpstreamID, bool) {
-	return s.pool.Pick(now, balance.Criteria{Avoid: req.Avoid, Idempotent: req.Idempotent, Bulk: req.Bulk, HasCapacity: hasCapacity})
+	usable := func(id fleet.UpstreamID) bool { return s.pauseLeft(now, id) <= 0 && hasCapacity(id) }
+	return s.pool.Pick(now, balance.Criteria{Avoid: req.Avoid, Idempotent: req.Idempotent, Bulk: req.Bulk, HasCapacity: usable})
 }
--- a/internal/routing/router/upstream_limit.go
+++ b/internal/routing/router/upstream_limit.go
@@ -45,6 +45,9 @@
 			Source: slot.upstream.noticeSource(), SentAt: slot.startedAt, Complete: complete, Notices: outgoing.Notices,
 		})
 	}
+	if asksForPause(outgoing.Notices) {
+		p.applyPause(slot)
+	}
 }
 
 // awaitLimit waits until the upstream of a slot takes the request, if it limits the requests that it takes. It returns false,
@@ -76,8 +79,8 @@
 	return 0, p.ctx.Err() == nil
 }
 
-// limitWait returns how long the request may wait because of an upstream's limit. One that another upstream can run does not
-// wait.
+// limitWait returns how long the request may wait because of an upstream's limit or pause. One that another upstream can
+// run does not wait.
 func (p *pendingRequest) limitWait(now time.Time) time.Duration {
 	if !p.service.Keyed() && len(p.service.upstreams) > 1 {
 		return 0
@@ -99,11 +102,7 @@
 	}
 	slot.queue.release(slot.upstream.ID, admission.Abandoned{})
 	if p.ctx.Err() != nil {
-		reason := cause.DeadlinePassed
-		if p.callerCtx.Err() != nil {
-			reason = cause.CallerGone
-		}
-		return &rejection{outcome: cause.NotRun, cause: reason}
+		return &rejection{outcome: cause.NotRun, cause: p.endedBy()}
 	}
 	if p.service.Keyed() {
 		if p.router.LoadObserver != nil {
@@ -117,10 +116,10 @@
 	return nil
 }
 
-// allLimited reports whether every upstream of a service without keys holds back requests because of its limit.
+// allLimited reports whether every upstream of a service without keys holds back requests because of its limit or a pause.
 func (s *serviceState) allLimited(now time.Time) bool {
 	for id := range s.upstreams {
-		if !s.queue.held(id, now) {
+		if !s.queue.held(id, now) && s.pauseLeft(now, id) <= 0 {
 			return false
 		}
 	}
--- a/internal/upstream/forward/dialect.go
+++ b/internal/upstream/forward/dialect.go
@@ -68,10 +68,7 @@
 // Classify recognizes the Not-Run and Not-Owner headers.
 func (NativeDialect) Classify(_ *Request, status int, header http.Header) Classification {
 	if header.Get("Not-Run") == "true" && status == http.StatusServiceUnavailable {
-		seconds, _ := strconv.Atoi(header.Get("Retry-After"))
-		return Refused{Result: Rejected{
-			Draining: header.Get("Draining") == "true", RetryAfter: time.Duration(seconds) * time.Second,
-		}}
+		return Refused{Result: Rejected{Draining: header.Get("Draining") == "true"}}
 	}
 	if header.Get("Not-Owner") == "true" && status == http.StatusMisdirectedRequest {
 		return Refused{Result: NotOwner{}}
--- a/internal/upstream/forward/result.go
+++ b/internal/upstream/forward/result.go
@@ -32,8 +32,6 @@
 	Draining bool
 	// WrongUpstream reports whether another upstream has taken over the address.
 	WrongUpstream bool
-	// RetryAfter is zero if the response has no Retry-After header.
-	RetryAfter time.Duration
 }
 
 // NotOwner means that the upstream stated that it does not own the key and did not run the request.
@@ -60,7 +58,7 @@
 }
 
 // Notice is what an upstream states about itself in a response, whatever the response says about the request. It is one of
-// RateLimit, Leaving and Malformed.
+// RateLimit, Leaving, Pause and Malformed.
 type Notice interface {
 	notice()
 }
@@ -71,11 +69,15 @@
 // Leaving means that the upstream is about to stop. It is never withdrawn by the same process.
 type Leaving struct{}
 
+// Pause means that the upstream refused the request and wants nothing more from this daemon for a time.
+type Pause struct{ Duration time.Duration }
+
 // Malformed is a statement that can't be understood and is ignored.
 type Malformed struct{ Header, Value string }
 
 func (RateLimit) notice() {}
 func (Leaving) notice()   {}
+func (Pause) notice()     {}
 func (Malformed) notice() {}
 
 func (Responded) result()  {}
--- a/internal/upstream/notices/book.go
+++ b/internal/upstream/notices/book.go
@@ -3,6 +3,7 @@
 package notices
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -18,6 +19,12 @@
 	leavingMemory = 5 * time.Minute
 	// leavingNewsTime is how long peers are told that an upstream leaves. Reports may be lost.
 	leavingNewsTime = 5 * time.Second
+	// maxPause bounds a pause. An upstream that wants a longer one says so again when it is tried then.
+	maxPause = time.Minute
+	// pauseSpread is the fraction of a pause over which the daemons that were told at the same time return, at most
+	// maxPauseSpread.
+	pauseSpread    = 0.25
+	maxPauseSpread = time.Second
 	// maxMalformedLogged is the number of malformed statements that are logged. All are counted.
 	maxMalformedLogged = 20
 )
@@ -31,7 +38,8 @@
 // Exchange is a request of this daemon to an upstream, with what the upstream stated in its response.
 type Exchange struct {
 	Source Source
-	// SentAt is when the request was sent. A response to a request that was sent before the latest notice arrived withdraws nothing.
+	// SentAt is when the request was sent. A response to a request that was sent before the latest notice arrived withdraws
+	// nothing.
 	SentAt time.Time
 	// Complete is set if the response was received whole, so that what it does not state is withdrawn.
 	Complete bool
@@ -58,6 +66,8 @@
 	limit *namedLimit
 	// leavingSince is when the upstream first stated that it leaves, or zero. It is not withdrawn.
 	leavingSince time.Time
+	// pausedUntil is until when the upstream wants nothing from this daemon.
+	pausedUntil time.Time
 	// absentSince is since when the upstream is not registered. It is zero while it is.
 	absentSince time.Time
 }
@@ -79,6 +89,8 @@
 			limit = &notice
 		case forward.Leaving:
 			leaves = current.leavingSince.IsZero()
+		case forward.Pause:
+			current.pausedUntil = b.pause(exchange.Source, current.pausedUntil, notice)
 		case forward.Malformed:
 			b.countMalformed(exchange.Source, notice)
 		}
@@ -106,7 +118,7 @@
 
 // store stores an entry, or removes it if it holds nothing. The caller holds mu.
 func (b *Book) store(source Source, next entry) {
-	if next.limit == nil && next.leavingSince.IsZero() {
+	if next.limit == nil && next.leavingSince.IsZero() && !b.Now().Before(next.pausedUntil) {
 		delete(b.entries, source)
 		return
 	}
@@ -116,6 +128,22 @@
 	b.entries[source] = next
 }
 
+// pause returns until when an upstream gets nothing. A later statement does not shorten a pause, since responses overtake
+// each other. The end is delayed by a random time, so that the daemons don't return all at once. The caller holds mu.
+func (b *Book) pause(source Source, before time.Time, stated forward.Pause) time.Time {
+	now := b.Now()
+	duration := min(stated.Duration, maxPause)
+	spread := min(time.Duration(float64(duration)*pauseSpread), maxPauseSpread)
+	until := now.Add(duration + time.Duration(rand.Float64()*float64(spread)))
+	if until.Before(before) {
+		return before
+	}
+	if duration > 0 && !now.Before(before) {
+		b.log(source).Dur("stated", stated.Duration).Dur("pause", until.Sub(now)).Msg("upstream asks for a pause")
+	}
+	return until
+}
+
 // log starts a log line about an upstream.
 func (b *Book) log(source Source) *zerolog.Event {
 	return b.Log.Info().Str("upstream", string(source.ID)).Str("run", string(source.Incarnation))
@@ -156,6 +184,13 @@
 	return latest.perSecond, true
 }
 
+// PausedUntil returns until when an upstream wants nothing from this daemon. It is in the past or zero for one that has no pause.
+func (b *Book) PausedUntil(source Source) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.entries[source].pausedUntil
+}
+
 // LeavingSince returns when an upstream first stated that it leaves. It is zero for one that has not.
 func (b *Book) LeavingSince(source Source) time.Time {
 	b.mu.Lock()
@@ -191,7 +226,7 @@
 		case registered:
 			current = entry{}
 		case current.absentSince.IsZero():
-			current.limit, current.absentSince = nil, now
+			current.limit, current.pausedUntil, current.absentSince = nil, time.Time{}, now
 		case now.Sub(current.absentSince) > leavingMemory:
 			current = entry{}
 		}
@@ -209,6 +244,11 @@
 	return b.count(func(current entry) bool { return !current.leavingSince.IsZero() && current.absentSince.IsZero() })
 }
 
+// Paused returns the number of upstreams that want nothing from this daemon at present.
+func (b *Book) Paused() int {
+	return b.count(func(current entry) bool { return b.Now().Before(current.pausedUntil) })
+}
+
 // Malformed returns the number of statements that could not be understood.
 func (b *Book) Malformed() int {
 	b.mu.Lock()
--- a/internal/upstream/notices/book_test.go
+++ b/internal/upstream/notices/book_test.go
@@ -1,6 +1,8 @@
 package notices_test
 
 import (
+	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -60,8 +62,8 @@
 	}
 }
 
-// Guards against an upstream that counts as present again although it has said that it leaves: because an outdated entry came back, or
-// because of a response of the process before.
+// Guards against an upstream that counts as present again although it has said that it leaves: because an outdated entry came
+// back, or because of a response of the process before.
 func TestLeavingOfUpstream(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
@@ -95,3 +97,58 @@
 	is.True(book.LeavingSince(second).IsZero()) // forgotten with time
 	is.Equal(book.LeavingNews(), nil)
 }
+
+// Guards against a pause that is cut short by a response which overtook another one, that lasts for a time no one meant, or
+// that holds for another process.
+func TestPauseOfUpstream(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	now := start
+	source := notices.Source{ID: "u", Incarnation: "1"}
+	book := &notices.Book{Log: zerolog.Nop(), Now: func() time.Time { return now }}
+	state := func(pause time.Duration) time.Duration {
+		book.Record(notices.Exchange{Source: source, Notices: []forward.Notice{forward.Pause{Duration: pause}}})
+		return book.PausedUntil(source).Sub(now)
+	}
+	first := state(2 * time.Second)
+	is.True(first >= 2*time.Second && first <= 2500*time.Millisecond)
+	is.Equal(state(time.Second), first)
+	is.Equal(book.Paused(), 1)
+	is.True(book.PausedUntil(notices.Source{ID: "u", Incarnation: "2"}).IsZero())
+	book.Record(notices.Exchange{Source: source, Complete: true, SentAt: now.Add(time.Second)}) // a success does not end it
+	is.Equal(book.Paused(), 1)
+	now = now.Add(first)
+	is.Equal(book.Paused(), 0)
+	huge := state(24 * time.Hour)
+	is.True(huge >= time.Minute && huge <= 61*time.Second)
+	now = now.Add(huge)
+	is.True(state(0) <= 0)
+	is.Equal(book.Paused(), 0)
+}
+
+// Guards against a server that is flooded when its pause ends: all daemons were told at the same moment and have requests
+// waiting.
+func TestDaemonsReturnFromPauseOneByOne(t *testing.T) {
+	const pause, tick = 2 * time.Second, 50 * time.Millisecond
+	for _, daemons := range []int{12, 78, 295} {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			source := notices.Source{ID: "u", Incarnation: "1"}
+			returned := make(map[time.Duration]int)
+			for range daemons {
+				book := &notices.Book{Log: zerolog.Nop(), Now: func() time.Time { return now }}
+				book.Record(notices.Exchange{Source: source, Notices: []forward.Notice{forward.Pause{Duration: pause}}})
+				returned[book.PausedUntil(source).Sub(now)/tick]++
+			}
+			busiest := 0
+			for at, count := range returned {
+				is.New(t).True(at >= pause/tick)
+				busiest = max(busiest, count)
+			}
+			t.Logf("%d daemons: %d return within the busiest %v", daemons, busiest, tick)
+			// Evenly spread over a quarter of the pause, a tenth of them return within a tick. Chance adds to that.
+			mean := float64(daemons) * float64(tick) / (float64(pause) / 4)
+			is.New(t).True(float64(busiest) <= mean+5*math.Sqrt(mean))
+		})
+	}
+}
--- a/internal/upstream/rangegrants/assigner.go
+++ b/internal/upstream/rangegrants/assigner.go
@@ -161,6 +161,9 @@
 	Log        zerolog.Logger
 	// Candidates returns the number of daemons that take part in the election.
 	Candidates func() int
+	// Paused reports whether a server has asked this daemon to send nothing for some time. It is not probed then; grants and
+	// releases go on, since ownership depends on them. Nil means that none has.
+	Paused func(ranges.Owner) bool
 	// GrantDuration is the usual duration of a grant. OutageGrantDuration is used while the store does not respond, so that
 	// grants outlast an outage during which no assigner can be elected.
 	GrantDuration, OutageGrantDuration time.Duration
--- a/internal/upstream/rangegrants/server.go
+++ b/internal/upstream/rangegrants/server.go
@@ -235,6 +235,9 @@
 // probeUntilBack probes a server that is down until it responds, and then makes it available again.
 func (t *term) probeUntilBack(ctx context.Context, owner ranges.Owner) {
 	for timer.Wait(ctx, t.Clock, probeInterval) == nil {
+		if t.Paused != nil && t.Paused(owner) {
+			continue
+		}
 		callCtx, cancel := context.WithTimeout(ctx, requestTimeout)
 		responded := t.Client.Probe(callCtx, owner)
 		cancel()
