platform/store, platform/table: order versions by the store's era before its number

Class: trust in a store that forgets nothing.

Change: a version is the era, which the adapter reads from each response, and the number. So rows of a later era are later for tables, relays, followers and peer messages alike. A position of an earlier era needs all rows again, a transaction that expects one conflicts without a call; if the store took it by its number, its outcome is unknown. Relays tell consumers of a restoration, and log it. The stand-in of the store can be copied and restored.

--- a/internal/peer/relay/node.go
+++ b/internal/peer/relay/node.go
@@ -115,11 +115,12 @@
 	stopped chan struct{}
 
 	mu sync.Mutex
-	// source and followers are guarded by mu: the followers of the store while this daemon follows it, and their feed. Both are nil
-	// else.
+	// source and followers are guarded by mu: the followers of the store while this daemon follows it, and their feed. Both
+	// are nil else.
 	source    *source
 	followers []*table.Follower
-	// interrupted is guarded by mu and set while the tables are not followed, neither in the store nor at a relay that reaches it.
+	// interrupted is guarded by mu and set while the tables are not followed, neither in the store nor at a relay that
+	// reaches it.
 	interrupted bool
 	// confirmedAt is guarded by mu: when all tables were last known to be those of the store, or zero before. It never decreases.
 	// greatestAge is the greatest age that the tables had when they were confirmed anew.
@@ -133,7 +134,8 @@
 	avoided map[string]avoidance
 	// claimedAt is guarded by mu: when this daemon last became a relay.
 	claimedAt time.Time
-	// abandoned is guarded by mu: the version of the row of a role that this daemon gave up because it was cut off from the store.
+	// abandoned is guarded by mu: the version of the row of a role that this daemon gave up because it was cut off from the
+	// store.
 	abandoned table.Version
 	// leaving is guarded by mu and set by Leave.
 	leaving bool
@@ -150,7 +152,7 @@
 func (n *Node) Prepare() {
 	n.left = make(chan struct{})
 	n.subscribers, n.avoided = make(map[fleet.HostID]*subscriber), make(map[string]avoidance)
-	n.members.log = n.Log
+	n.members.log, n.replica.log = n.Log, n.Log
 	n.replica.consumers = map[string]Consumer{PeersTable: n.members.consumer()}
 	n.tableNames = []string{PeersTable}
 	for _, spread := range n.Tables {
--- a/internal/peer/relay/replica.go
+++ b/internal/peer/relay/replica.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 
+	"github.com/rs/zerolog"
+
 	"rosemarywick.example/rosemarywick/internal/platform/table"
 )
 
@@ -17,11 +19,15 @@
 	Reset func([]table.Row)
 	// Apply is called with the rows that changed. A deleted row has a nil value.
 	Apply func([]table.Row)
+	// Restored, if set, is called before Apply when the store has come back from an older copy. What was written shortly before
+	// may be missing, and what was overwritten or deleted may be there again.
+	Restored func()
 }
 
 // replica holds copies of tables of the platform's store. Whoever supplies rows, the version of a copy never decreases.
 type replica struct {
 	consumers map[string]Consumer
+	log       zerolog.Logger
 
 	mu sync.Mutex
 	// copies is guarded by mu.
@@ -80,10 +86,11 @@
 			return false
 		}
 		rows := copied.differences(snapshot)
+		before := copied.version
 		copied.version = snapshot.Version
 		r.addAndNotify(copied, table.Changes{Rows: rows, Version: snapshot.Version})
 		r.mu.Unlock()
-		r.passChanges(name, rows)
+		r.passChanges(name, rows, before, snapshot.Version)
 		return true
 	}
 	copied.known, copied.version, copied.rows = true, snapshot.Version, make(map[string]table.Row, len(snapshot.Rows))
@@ -114,10 +121,11 @@
 		return true
 	}
 	rows := changesAfter(changes.Rows, copied.version)
+	before := copied.version
 	copied.version = changes.Version
 	r.addAndNotify(copied, table.Changes{Rows: rows, Version: changes.Version})
 	r.mu.Unlock()
-	r.passChanges(name, rows)
+	r.passChanges(name, rows, before, changes.Version)
 	return true
 }
 
@@ -129,9 +137,17 @@
 	}
 }
 
-// passChanges passes changed rows, if there are any, to the consumer of their table.
-func (r *replica) passChanges(name string, rows []table.Row) {
-	if consumer := r.consumers[name]; consumer.Apply != nil && len(rows) > 0 {
+// passChanges passes the rows that changed between two versions, if there are any, to the consumer of their table.
+func (r *replica) passChanges(name string, rows []table.Row, before, after table.Version) {
+	consumer := r.consumers[name]
+	if after.Era() > before.Era() {
+		r.log.Warn().Str("table", name).Uint32("era", uint32(after.Era())).Uint64("version", after.Number()).
+			Uint64("before", before.Number()).Int("rows", len(rows)).Msg("store has come back from an older copy")
+		if consumer.Restored != nil {
+			consumer.Restored()
+		}
+	}
+	if consumer.Apply != nil && len(rows) > 0 {
 		consumer.Apply(rows)
 	}
 }
--- a/internal/platform/standin/table.go
+++ b/internal/platform/standin/table.go
@@ -80,6 +80,16 @@
 	t.overload = overload
 }
 
+// Restore replaces all rows by those of a copy. Versions after lastVersion are given out again.
+func (t *Table) Restore(rows []table.Row, lastVersion table.Version) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rows, t.lastVersion = make(map[string]table.Row, len(rows)), lastVersion
+	for _, row := range rows {
+		t.rows[row.Name] = row
+	}
+}
+
 // LoseResponses makes the next count commits that take effect return table.ErrUnknown.
 func (t *Table) LoseResponses(count int) {
 	t.mu.Lock()
--- a/internal/platform/table/store.go
+++ b/internal/platform/table/store.go
@@ -10,9 +10,6 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Version orders the writes to one row. A row that does not exist has version zero.
-type Version uint64
-
 // Row is the content of one row at the time of the read.
 type Row struct {
 	Name string
@@ -63,8 +60,11 @@
 	Reading() ClockReading
 }
 
-// ClockReading is a reading of the store's clock, taken from a response. The clock is monotonic and the same for all daemons.
+// ClockReading is a reading of the store's clock, taken from a response. The clock is monotonic and the same for all daemons,
+// also when the store comes back from an older copy.
 type ClockReading struct {
+	// Era is the era of the response.
+	Era Era
 	// Time is the store's time at some moment between SentAt, when the daemon sent the request, and ReceivedAt, when it
 	// received the response. SentAt and ReceivedAt are uptimes of the daemon.
 	Time, SentAt, ReceivedAt time.Duration
