upstream/rangegrants, ownership/ranges: go on from the newest known table after the store lost its last writes

Cause: a new assigner took the table of the copy for the last one written, and answered a refusal by a higher fence with a higher one of its own. Class: an acknowledged write taken as a fact for ever.

Change: tables and the assigner's lease say in which era they were written; in a later one they came back from a copy. Then the assigner goes on from the newest table that its daemon has received, or has written itself, with fences above all of the eras before; daemons keep a newer table than that of the copy. For as long as a lost table's grants can last, a range whose owner does not confirm it (it refuses, or is gone) gets another owner only when every server has released it or could not own it any more. A lease that may be lost is waited for; its last holder goes on at once.

--- a/internal/daemon/entry/assigners.go
+++ b/internal/daemon/entry/assigners.go
@@ -70,6 +70,7 @@
 		LoadSource: d.loadTracker, Paused: d.isPaused, Candidates: d.node.Relays, Clock: d.Timer, Uptime: d.Timer, Log: d.Log,
 		GrantDuration:       scaled(d.Limits.MaxGrantDuration, grantFraction),
 		OutageGrantDuration: d.Limits.MaxGrantDuration, LeaseDuration: scaled(d.Limits.MaxGrantDuration, leaseFraction),
+		FirstStart: d.FirstStart, Known: func() *ranges.Table { return d.ownershipMap.table(name) },
 	}
 }
 
--- a/internal/daemon/entry/ownership.go
+++ b/internal/daemon/entry/ownership.go
@@ -123,6 +123,11 @@
 		if previous != nil && row.Version <= previous.version {
 			continue
 		}
+		if previous != nil && next.Precedes(previous.table) {
+			o.log.Warn().Str("service", string(service)).Uint32("era", uint32(row.Version.Era())).Uint64("fence", uint64(next.Fence)).
+				Uint64("known", uint64(previous.table.Fence)).Msg("older table of the ranges came back; the newer one stays in force")
+			continue
+		}
 		if o.tables == nil {
 			o.tables = make(map[fleet.ServiceName]*versionedTable)
 		}
--- a/internal/ownership/ranges/encoding.go
+++ b/internal/ownership/ranges/encoding.go
@@ -25,6 +25,8 @@
 type compactTable struct {
 	Term        uint64              `json:"t"`
 	Fence       Fence               `json:"f"`
+	Era         uint32              `json:"e,omitempty"`
+	UnsureUntil time.Duration       `json:"u,omitempty"`
 	Daemons     int                 `json:"d"`
 	Owners      []Owner             `json:"o"`
 	Assignments []compactAssignment `json:"a"`
@@ -47,7 +49,7 @@
 
 // Encode returns the table in the compact form, as Parse reads it.
 func (t *Table) Encode() []byte {
-	compact := compactTable{Term: t.Term, Fence: t.Fence, Daemons: t.Daemons}
+	compact := compactTable{Term: t.Term, Fence: t.Fence, Era: t.Era, UnsureUntil: t.UnsureUntil, Daemons: t.Daemons}
 	indices := make(map[Owner]int)
 	indexOf := func(owner Owner) int {
 		if owner == (Owner{}) {
@@ -101,7 +103,7 @@
 
 // expand returns the table. It fails if an index does not name an owner.
 func (c *compactTable) expand() (*Table, error) {
-	result := &Table{Term: c.Term, Fence: c.Fence, Daemons: c.Daemons}
+	result := &Table{Term: c.Term, Fence: c.Fence, Era: c.Era, UnsureUntil: c.UnsureUntil, Daemons: c.Daemons}
 	var invalid error
 	ownerAt := func(index int) Owner {
 		if index < 0 || index > len(c.Owners) {
--- a/internal/ownership/ranges/plan.go
+++ b/internal/ownership/ranges/plan.go
@@ -16,8 +16,8 @@
 	// Utilization is the number of requests at the server divided by the number that it runs concurrently. It exceeds 1
 	// when requests queue there, and is zero when it is unknown.
 	Utilization float64
-	// Limited is set if the server has named a limit to the requests that it takes, which Capacity and Utilization are derived from.
-	// Requests beyond it are refused, so that keys move earlier than from other servers.
+	// Limited is set if the server has named a limit to the requests that it takes, which Capacity and Utilization are
+	// derived from. Requests beyond it are refused, so that keys move earlier than from other servers.
 	Limited bool
 }
 
@@ -98,8 +98,10 @@
 		fenced = p.rebalance() || fenced
 	}
 	fenced = p.fillUnderloaded() || fenced
-	fenced = p.consolidate() || fenced
-	fenced = p.mergeNeighbours() || fenced
+	if !p.unsure() { // these change the fences of ranges whose owners need not be confirmed
+		fenced = p.consolidate() || fenced
+		fenced = p.mergeNeighbours() || fenced
+	}
 	if fenced {
 		p.table.Fence = p.fence
 	}
@@ -168,11 +170,21 @@
 		if server == nil || server.SameProcess(assignment.Owner) && !p.Refused(*assignment) {
 			continue
 		}
+		if p.unsure() && !p.Granted(*assignment) {
+			assignment.FormerOwners = append(assignment.FormerOwners, p.unknownOwner())
+		}
 		assignment.Owner, assignment.Fence, changed = server.Owner, p.fence, true
 	}
 	return changed
 }
 
+// unsure reports whether servers that the table does not name may own keys. The owner that has accepted the grant of the table is
+// the right one: a server that has released a range, or has been granted it by a later table, refuses earlier grants.
+func (p *Planner) unsure() bool { return p.Now < p.table.UnsureUntil }
+
+// unknownOwner returns a former owner that stands for any server.
+func (p *Planner) unknownOwner() FormerOwner { return FormerOwner{GrantsExpireAt: p.table.UnsureUntil} }
+
 // reassignOrphans assigns the ranges whose owner is not available to the servers with the most headroom.
 func (p *Planner) reassignOrphans() bool {
 	var next []Assignment
@@ -220,6 +232,9 @@
 	if assignment.Owner.ID != "" && !p.Ended(assignment.Owner) {
 		result = append(result, FormerOwner{Owner: assignment.Owner, GrantsExpireAt: p.GrantsExpireAt(assignment.Owner)})
 	}
+	if p.unsure() && !p.Granted(assignment) {
+		result = append(result, p.unknownOwner())
+	}
 	return result
 }
 
--- a/internal/ownership/ranges/table.go
+++ b/internal/ownership/ranges/table.go
@@ -28,7 +28,8 @@
 	return o.ID == other.ID && o.Incarnation == other.Incarnation
 }
 
-// FormerOwner is a server that may still have a valid grant of a range that was assigned to another one.
+// FormerOwner is a server that may still have a valid grant of a range that was assigned to another one. An empty owner
+// stands for any server.
 type FormerOwner struct {
 	Owner
 	// GrantsExpireAt is the time of the store's clock at which every grant to the server has expired.
@@ -52,6 +53,12 @@
 	Term uint64 `json:"term"`
 	// Fence is the highest fence used so far.
 	Fence Fence `json:"fence"`
+	// Era is the store's era in which the table was written. A table that is stored in a later era came back from a copy, and
+	// later ones may have been lost.
+	Era uint32 `json:"era,omitempty"`
+	// UnsureUntil is the time of the store's clock until which servers that the table does not name may own keys, because of
+	// tables that the store has lost. It is zero if there are none.
+	UnsureUntil time.Duration `json:"unsure-until,omitempty"`
 	// Daemons is the number of daemons that send requests to the servers.
 	Daemons int `json:"daemons"`
 	// Assignments are ordered by key and do not overlap. They cover all keys, or there are none.
@@ -80,6 +87,27 @@
 	return result, nil
 }
 
+// fencesPerEra is the number of fences that can be issued in one era of the store.
+const fencesPerEra = 1 << 32
+
+// FirstFence returns a fence that is higher than all that were issued before an era of the store.
+func FirstFence(era uint32) Fence { return Fence(era) * fencesPerEra }
+
+// Precedes reports whether a table is older than another one of the same service. Each table that changes owners has a higher
+// fence, and each assigner a higher term, also across eras of the store.
+func (t *Table) Precedes(other *Table) bool {
+	return t.Fence < other.Fence || t.Fence == other.Fence && t.Term < other.Term
+}
+
+// Recover returns the table with which to go on after the store has come back from an older copy. t is the newest table that is
+// known. Its successors may have been lost, and with them grants that last until unsureUntil.
+func (t *Table) Recover(era uint32, unsureUntil time.Duration) *Table {
+	next := t.Clone()
+	next.Era, next.UnsureUntil = era, max(t.UnsureUntil, unsureUntil)
+	next.Fence = max(next.Fence, FirstFence(era))
+	return next
+}
+
 // Clone returns a deep copy.
 func (t *Table) Clone() *Table {
 	result := *t
--- a/internal/platform/table/version.go
+++ b/internal/platform/table/version.go
@@ -9,9 +9,10 @@
 
 const (
 	numberBits = 44
-	// MaxNumber is the highest number of a version, and MaxEra the highest era.
+	// MaxNumber is the highest number of a version.
 	MaxNumber = 1<<numberBits - 1
-	MaxEra    = 1<<(64-numberBits) - 1
+	// MaxEra is the highest era.
+	MaxEra = 1<<(64-numberBits) - 1
 )
 
 // NewVersion returns the version with a number that the store gave out in an era. Neither may exceed its maximum.
--- a/internal/upstream/rangegrants/assigner.go
+++ b/internal/upstream/rangegrants/assigner.go
@@ -169,6 +169,21 @@
 	GrantDuration, OutageGrantDuration time.Duration
 	// LeaseDuration is how long the assigner may act without renewing its lease.
 	LeaseDuration time.Duration
+	// FirstStart is set if the whole deployment starts for the first time, so that nobody has held the lease.
+	FirstStart bool
+	// Known returns the newest table that this daemon has received, or nil. It may be newer than that of a store which came back
+	// from an older copy. Known may be nil.
+	Known func() *ranges.Table
+
+	// The fields below are used only by Run. era is the latest era of the store, which was first seen at eraSeenAt, an uptime;
+	// eras counts those seen.
+	era       table.Era
+	eraSeenAt time.Duration
+	eras      int
+	// heldUntil is the time of the store's clock until which the lease of this daemon's last term excluded others.
+	heldUntil time.Duration
+	// lastTable is the last table that this daemon has written, or nil.
+	lastTable *ranges.Table
 }
 
 // leaseRow returns the name of the row that holds the assigner's lease.
@@ -209,6 +224,12 @@
 	termCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	term := newTerm(a, lease)
+	defer func() {
+		a.lastTable = term.table
+		lease.mu.Lock()
+		defer lease.mu.Unlock()
+		a.heldUntil = lease.expiresAt
+	}()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/upstream/rangegrants/cluster_test.go
+++ b/internal/upstream/rangegrants/cluster_test.go
@@ -365,6 +365,29 @@
 	serversUnreachable, storeRejects bool
 	// suspended is the total time for which the daemon's machine was suspended. Its timers do not include it.
 	suspended time.Duration
+	// known is the newest table that the daemon has received. It follows the store while followsTable is set.
+	known        *ranges.Table
+	followsTable bool
+}
+
+// knownTable returns the newest table that the daemon has received.
+func (d *daemon) knownTable() *ranges.Table {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.followsTable {
+		return d.known
+	}
+	d.cluster.store.mu.Lock()
+	row, ok := d.cluster.store.rows[rangegrants.TableRow(service)]
+	d.cluster.store.mu.Unlock()
+	if !ok {
+		return d.known
+	}
+	current, err := ranges.Parse(row.Value)
+	if err == nil && (d.known == nil || d.known.Precedes(current)) {
+		d.known = current
+	}
+	return d.known
 }
 
 // Uptime includes suspensions.
@@ -398,7 +421,7 @@
 		Service: service, Daemon: host + "/" + fmt.Sprint(c.Uptime()), Store: store, Registry: c,
 		Client:     serverClient{cluster: c, unreachable: d.getter(func(d *daemon) bool { return d.serversUnreachable })},
 		LoadSource: c, Clock: timer.System{}, Uptime: d, Log: c.log.With().Str("daemon", host).Logger(),
-		Candidates:    func() int { return 3 },
+		Candidates: func() int { return 3 }, Known: d.knownTable,
 		GrantDuration: grantDuration, OutageGrantDuration: outageGrantDuration, LeaseDuration: leaseDuration,
 	}
 	go func() {
--- a/internal/upstream/rangegrants/election.go
+++ b/internal/upstream/rangegrants/election.go
@@ -20,6 +20,9 @@
 	Holder string `json:"holder"`
 	// ExpiresAt is the time of the store's clock from which another daemon may acquire the lease.
 	ExpiresAt time.Duration `json:"until"`
+	// Era is the store's era in which the lease was written. A lease that is stored in a later era came back from a copy, and
+	// says nothing of who holds it.
+	Era table.Era `json:"era,omitempty"`
 }
 
 // heldLease is this daemon's lease on the role of assigner.
@@ -31,6 +34,8 @@
 	renewedAt time.Duration
 	// version is that of the lease's row. Only the goroutine that renews the lease uses it.
 	version table.Version
+	// uninterrupted is set if no other daemon can have held the lease since this daemon's last term. It does not change.
+	uninterrupted bool
 }
 
 // acquireLease waits until the lease is free and acquires it. It returns nil when ctx ends.
@@ -67,16 +72,35 @@
 			a.Log.Warn().Err(err).Msg("lease of the assigner is malformed and is treated as expired")
 		}
 	}
-	if left := current.ExpiresAt - a.Store.Reading().Earliest(a.Uptime.Uptime()); left >= 0 && !a.holderEnded(current.Holder) {
+	if left := a.leaseTimeLeft(current); left > 0 {
 		return nil, left
 	}
-	lease := &heldLease{version: version}
+	lease := &heldLease{version: version, uninterrupted: a.Store.Reading().Latest(a.Uptime.Uptime()) < a.heldUntil}
 	if a.writeLease(callCtx, lease) != nil {
 		return nil, 0
 	}
 	return lease, 0
 }
 
+// leaseTimeLeft returns how long another daemon may hold the lease. It is not positive if the lease is free.
+func (a *Assigner) leaseTimeLeft(current leaseRecord) time.Duration {
+	reading, now := a.Store.Reading(), a.Uptime.Uptime()
+	if a.era != reading.Era {
+		a.era, a.eraSeenAt, a.eras = reading.Era, now, a.eras+1
+	}
+	if current.Era == reading.Era {
+		if a.holderEnded(current.Holder) {
+			return 0
+		}
+		return current.ExpiresAt - reading.Earliest(now) + 1
+	}
+	// The lease that was in force when the store went away may be lost. Its holder renewed it before this era began.
+	if reading.Latest(now) < a.heldUntil || a.FirstStart && a.eras == 1 {
+		return 0
+	}
+	return a.eraSeenAt + a.LeaseDuration - now
+}
+
 // holderEnded reports whether the process that holds the lease is known to have ended its term: the lease was released, or the
 // holder is an earlier process on this host or this process, which is not in a term now.
 func (a *Assigner) holderEnded(holder string) bool {
@@ -89,7 +113,8 @@
 func (a *Assigner) writeLease(ctx context.Context, lease *heldLease) error {
 	sentAt := a.Uptime.Uptime()
 	expiresAt := a.Store.Reading().Latest(sentAt) + a.LeaseDuration
-	value, err := json.Marshal(leaseRecord{Holder: a.Daemon, ExpiresAt: expiresAt})
+	era := a.Store.Reading().Era
+	value, err := json.Marshal(leaseRecord{Holder: a.Daemon, ExpiresAt: expiresAt, Era: era})
 	if err != nil {
 		return errors.Wrap(err, "rangegrants: encode lease")
 	}
@@ -154,9 +179,17 @@
 	callCtx, cancel := context.WithTimeout(ctx, t.LeaseDuration/renewalsPerLease)
 	defer cancel()
 	rows, err := t.Store.Read(callCtx, t.leaseRow())
-	if err != nil || len(rows) == 0 {
+	if err != nil {
 		return true // the next renewal finds out; until then leaseValid bounds the term
 	}
+	if t.Store.Reading().Era != t.era {
+		t.Log.Warn().Str("service", string(t.Service)).Uint32("era", uint32(t.Store.Reading().Era)).
+			Msg("store came back from an older copy; the assigner starts anew")
+		return false
+	}
+	if len(rows) == 0 {
+		return true
+	}
 	var current leaseRecord
 	if json.Unmarshal(rows[0].Value, &current) != nil || current.Holder != t.Daemon {
 		return false
@@ -169,7 +202,7 @@
 func (t *term) releaseLease(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	value, err := json.Marshal(leaseRecord{})
+	value, err := json.Marshal(leaseRecord{Era: t.era})
 	if err == nil {
 		err = t.Store.Commit(callCtx, table.Change{Name: t.leaseRow(), Expected: t.lease.version, Write: true, Value: value})
 	}
--- a/internal/upstream/rangegrants/release.go
+++ b/internal/upstream/rangegrants/release.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
@@ -37,33 +38,59 @@
 // runRelease asks the former owner to release the range until it has done so, its process has ended, or all its grants have
 // expired.
 func (t *term) runRelease(ctx context.Context, key releaseKey, nextOwner ranges.Owner) {
+	if key.former == (ranges.Owner{}) {
+		t.releaseEverywhere(ctx, key, nextOwner)
+		return
+	}
+	if handover, why, ended := t.awaitRelease(ctx, key); ended {
+		t.finishRelease(key, nextOwner, handover, why)
+	}
+}
+
+// releaseEverywhere asks all servers but the next owner to release a range whose former owner is not known.
+func (t *term) releaseEverywhere(ctx context.Context, key releaseKey, nextOwner ranges.Owner) {
+	var servers sync.WaitGroup
+	for _, server := range t.Registry.Servers(t.Service) {
+		if !server.SameProcess(nextOwner) {
+			servers.Go(func() {
+				_, _, _ = t.awaitRelease(ctx, releaseKey{keys: key.keys, fence: key.fence, former: server.Owner})
+			})
+		}
+	}
+	servers.Wait()
+	if ctx.Err() == nil {
+		t.finishRelease(key, nextOwner, "", "no server owns it")
+	}
+}
+
+// awaitRelease asks a server to release a range until it has done so, its process has ended, or all its grants have expired. It
+// returns the handover, and which of these it was, or false if ctx has ended before.
+func (t *term) awaitRelease(ctx context.Context, key releaseKey) (handover, why string, ended bool) {
 	goneCount := 0
 	for ctx.Err() == nil {
 		timeLeft := t.grantTimeLeft(key)
 		if timeLeft < 0 {
-			t.finishRelease(key, nextOwner, "", "its grants have expired")
-			return
+			return "", "its grants have expired", true
 		}
 		callCtx, cancel := context.WithTimeout(ctx, min(releaseTimeout, timeLeft+time.Millisecond))
 		response := t.Client.Release(callCtx, key.former, key.keys, key.fence)
 		cancel()
 		switch response := response.(type) {
 		case Accepted:
-			t.finishRelease(key, nextOwner, response.Handover, "it released the range")
-			return
+			return response.Handover, "it released the range", true
 		case ProcessGone:
 			// A server that leaves may refuse connections while its last requests run.
 			if goneCount++; goneCount > 1 && !t.mayBeLeaving(key.former) {
-				t.finishRelease(key, nextOwner, "", "its process has ended")
-				return
+				return "", "its process has ended", true
 			}
 		case NoResponse, Superseded:
 			goneCount = 0
 		}
 		if timer.Wait(ctx, t.Clock, min(goneRetryDelay, max(t.grantTimeLeft(key), 0)+time.Millisecond)) != nil {
-			return
+			return "", "", false
 		}
 	}
+	return "", "", false
 }
 
 // grantTimeLeft returns how long grants of the range to the former owner may still be valid. It is negative once all have
--- a/internal/upstream/rangegrants/store_test.go
+++ b/internal/upstream/rangegrants/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -18,10 +19,11 @@
 	cluster *cluster
 
 	mu sync.Mutex
-	// random, rows, lastVersion, down, ackLossRate and delayRate are guarded by mu.
+	// random, rows, lastVersion, era, down, ackLossRate and delayRate are guarded by mu.
 	random      *rand.Rand
 	rows        map[string]table.Row
 	lastVersion table.Version
+	era         table.Era
 	down        bool
 	// ackLossRate is the fraction of writes that are applied at once without a response, and delayRate of those that are
 	// applied seconds later without one.
@@ -34,6 +36,26 @@
 	change(s)
 }
 
+// copyRows returns the present rows.
+func (s *fakeStore) copyRows() map[string]table.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.rows)
+}
+
+// restore replaces the rows by a copy and begins a new era, in which all rows have new versions.
+func (s *fakeStore) restore(rows map[string]table.Row) {
+	s.update(func(s *fakeStore) {
+		s.era++
+		s.rows = make(map[string]table.Row)
+		for name, row := range rows {
+			row.Version = table.NewVersion(s.era, row.Version.Number())
+			s.rows[name] = row
+			s.lastVersion = max(s.lastVersion, row.Version)
+		}
+	})
+}
+
 // storeClient is the connection of one assigner to the store.
 type storeClient struct {
 	*fakeStore
@@ -61,7 +83,9 @@
 func (c *storeClient) updateReading(sentAt time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = table.ClockReading{Time: c.daemon.Uptime() + time.Hour, SentAt: sentAt, ReceivedAt: c.daemon.Uptime()}
+	c.fakeStore.mu.Lock()
+	defer c.fakeStore.mu.Unlock()
+	c.reading = table.ClockReading{Era: c.era, Time: c.daemon.Uptime() + time.Hour, SentAt: sentAt, ReceivedAt: c.daemon.Uptime()}
 }
 
 func (c *storeClient) Reading() table.ClockReading {
@@ -127,7 +151,7 @@
 			return 0, errors.Wrap(table.ErrConflict, "fake store")
 		}
 	}
-	c.lastVersion++
+	c.lastVersion = table.NewVersion(c.era, c.lastVersion.Number()+1)
 	for _, change := range changes {
 		c.rows[change.Name] = table.Row{Name: change.Name, Version: c.lastVersion, Value: bytes.Clone(change.Value)}
 	}
--- a/internal/upstream/rangegrants/term.go
+++ b/internal/upstream/rangegrants/term.go
@@ -19,6 +19,8 @@
 type term struct {
 	*Assigner
 	lease *heldLease
+	// era is the store's era at the start of the term. The term ends with it.
+	era table.Era
 	// startedAt is the uptime at the start of the term. It bounds the expiry of grants that the previous assigner sent.
 	startedAt time.Duration
 	// replan makes the planner run at once. moveEnded makes it run after moveBatchDelay.
@@ -45,7 +47,8 @@
 
 func newTerm(a *Assigner, acquired *heldLease) *term {
 	return &term{
-		Assigner: a, lease: acquired, startedAt: a.Uptime.Uptime(), replan: make(chan struct{}, 1), moveEnded: make(chan struct{}, 1),
+		Assigner: a, lease: acquired, era: a.Store.Reading().Era, startedAt: a.Uptime.Uptime(),
+		replan: make(chan struct{}, 1), moveEnded: make(chan struct{}, 1),
 		serverTasks: make(map[ranges.Owner]*serverTask), releases: make(map[releaseKey]*releaseState),
 		down: make(map[ranges.Owner]bool),
 	}
@@ -56,8 +59,11 @@
 func (t *term) claimTable(ctx context.Context) bool {
 	for t.leaseValid() && ctx.Err() == nil {
 		current, version, err := t.readTable(ctx)
+		if err == nil && t.Store.Reading().Era != t.era {
+			return false // the lease may be lost
+		}
 		if err == nil {
-			next := current.Clone()
+			next := t.recoverTable(current)
 			next.Term++
 			t.table, t.tableVersion = current, version
 			if t.writeTable(ctx, next) {
@@ -73,6 +79,33 @@
 	return false
 }
 
+// recoverTable returns the table with which the term begins. If the stored one came back from an older copy of the store,
+// that is the newest table that this daemon knows. Tables that no one here has received may have been in force after it.
+func (t *term) recoverTable(stored *ranges.Table) *ranges.Table {
+	era := uint32(t.era)
+	if stored.Era == era || stored.Term == 0 && t.FirstStart && t.eras == 1 {
+		next := stored.Clone()
+		next.Era = era
+		return next
+	}
+	newest := stored
+	if t.Known != nil {
+		if known := t.Known(); known != nil && newest.Precedes(known) {
+			newest = known
+		}
+	}
+	unsureUntil := t.grantsExpireAt(ranges.Owner{})
+	if own := t.lastTable; own != nil && !own.Precedes(newest) && t.lease.uninterrupted {
+		newest, unsureUntil = own, 0
+	}
+	t.Log.Warn().Str("service", string(t.Service)).Uint32("era", era).Uint32("stored-era", stored.Era).
+		Uint64("stored-fence", uint64(stored.Fence)).Uint64("known-fence", uint64(newest.Fence)).Bool("unsure", unsureUntil > 0).
+		Msg("stored table of the ranges came back from an older copy; the newest known one is written again")
+	next := newest.Recover(era, unsureUntil)
+	next.Term = max(next.Term, stored.Term)
+	return next
+}
+
 // readTable returns the stored table and its version. The table is empty if none was written yet.
 func (t *term) readTable(ctx context.Context) (*ranges.Table, table.Version, error) {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -256,8 +289,8 @@
 const (
 	// limitUse is the part of a server's limit that is planned with, so that chance rarely exceeds the limit.
 	limitUse = 0.85
-	// minLimitedCapacity, in slots, and minRateLimit, in requests a second, keep ratios to the load of a server that takes next to
-	// nothing finite.
+	// minLimitedCapacity, in slots, and minRateLimit, in requests a second, keep ratios to the load of a server that takes
+	// next to nothing finite.
 	minLimitedCapacity = 0.05
 	minRateLimit       = 0.1
 )
