upstream/registry: what an upstream said in its entry outlives the entry

Class: the latest row is believed against what was known before.

Change: that an entry says it leaves is kept by notices.Book like what a response says, for the process and beyond the entry. Entries that are missing in a copy get the time in which upstreams write them again.

Evidence: TestStoreRestored (before: no such callbacks; without the memory in the test the deadline is gone, by reading).

Remains: an upstream that left without saying so, and whose deleted entry comes back, is used until the entry disappears anew.

--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -167,6 +167,11 @@
 		LeavingSince: func(id fleet.UpstreamID, incarnation fleet.Incarnation) time.Time {
 			return d.notices.LeavingSince(notices.Source{ID: id, Incarnation: incarnation})
 		},
+		NoteDraining: func(id fleet.UpstreamID, incarnation fleet.Incarnation) {
+			d.notices.Record(notices.Exchange{
+				Source: notices.Source{ID: id, Incarnation: incarnation}, Notices: []forward.Notice{forward.Leaving{}},
+			})
+		},
 	}
 	d.notices.OnLeaving = d.registry.NoteLeaving
 	d.configuration = &configuration{
--- a/internal/daemon/entry/entry_test.go
+++ b/internal/daemon/entry/entry_test.go
@@ -82,7 +82,7 @@
 		_, ok := o.Locate("s", 7)
 		is.True(!ok)
 		o.applyRows([]table.Row{encodeTableRow(2, 2, "b", ranges.FormerOwner{GrantsExpireAt: time.Hour})})
-		o.applyRows([]table.Row{encodeTableRow(1, 1, "a")}) // older
+		o.applyRows([]table.Row{encodeTableRow(1, 1, "a")})                      // older
 		o.applyRows([]table.Row{encodeTableRow(table.NewVersion(1, 1), 1, "a")}) // came back from a copy of the store
 		o.applyRows([]table.Row{{Name: rangegrants.TableRow("s"), Version: 3, Value: []byte("?")}})
 		got, ok := o.Locate("s", 7)
--- a/internal/daemon/entry/tables.go
+++ b/internal/daemon/entry/tables.go
@@ -45,7 +45,10 @@
 				ApplyLimit: d.Limits.ApplyTimeout,
 			},
 			{
-				Name: d.Tables.UpstreamsTable, Consumer: relay.Consumer{Reset: d.resetUpstreams, Apply: d.applyUpstreams},
+				Name: d.Tables.UpstreamsTable,
+				Consumer: relay.Consumer{
+					Reset: d.resetUpstreams, Apply: d.applyUpstreams, Restored: d.registry.StoreRestored,
+				},
 				BatchDelay: d.upstreamsDelay, ApplyLimit: d.Limits.DrainTimeout,
 			},
 			{
--- a/internal/upstream/notices/book.go
+++ b/internal/upstream/notices/book.go
@@ -64,7 +64,7 @@
 type entry struct {
 	// limit is nil if the upstream names no limit.
 	limit *namedLimit
-	// leavingSince is when the upstream first stated that it leaves, or zero. It is not withdrawn.
+	// leavingSince is when the upstream first stated that it leaves, in a response or in its entry, or zero. It is not withdrawn.
 	leavingSince time.Time
 	// pausedUntil is until when the upstream wants nothing from this daemon.
 	pausedUntil time.Time
@@ -198,7 +198,7 @@
 	return b.entries[source].leavingSince
 }
 
-// LeavingNews returns the upstreams that have stated recently that they leave.
+// LeavingNews returns the upstreams that have stated recently that they leave, in a response or in an entry.
 func (b *Book) LeavingNews() []Source {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/upstream/registry/registry.go
+++ b/internal/upstream/registry/registry.go
@@ -49,9 +49,11 @@
 	DrainTimeout time.Duration
 	// OutageGrace is the time after an outage of the store within which upstreams register again.
 	OutageGrace time.Duration
-	// LeavingSince returns when an upstream stated in a response that it leaves, or zero. It counts like an entry that says so,
-	// whatever the store says. Nil means that none has.
+	// LeavingSince returns when an upstream stated in a response, or in an entry that was passed to NoteDraining, that it
+	// leaves. It is zero for one that has not, and counts whatever the present entry says. Nil means that none has.
 	LeavingSince func(fleet.UpstreamID, fleet.Incarnation) time.Time
+	// NoteDraining, if set, is called with each upstream whose entry says that it leaves.
+	NoteDraining func(fleet.UpstreamID, fleet.Incarnation)
 
 	mu sync.Mutex
 	// records is guarded by mu.
@@ -60,6 +62,8 @@
 	changed chan struct{}
 	// recoveredAt is guarded by mu. It is the time at which the store was reached again after its last outage.
 	recoveredAt time.Time
+	// restoredAt is guarded by mu. It is the time at which the store came back from an older copy, or zero.
+	restoredAt time.Time
 }
 
 // record is an entry with the times at which it began to drain, went missing, and expires.
@@ -99,13 +103,28 @@
 	r.recoveredAt = r.Clock.Now()
 }
 
+// StoreRestored notes that the store has come back from an older copy, in which entries may be missing until the upstreams write
+// them again.
+func (r *Registry) StoreRestored() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.restoredAt = r.Clock.Now()
+}
+
 // Put adds or replaces an entry.
 func (r *Registry) Put(entry Entry) {
+	if r.put(entry) && entry.Draining && r.NoteDraining != nil {
+		r.NoteDraining(entry.ID, entry.Incarnation)
+	}
+}
+
+// put adds or replaces an entry, and reports whether it differs from the known one.
+func (r *Registry) put(entry Entry) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	before := r.records[entry.ID]
 	if before != nil && before.Entry == entry && before.missingSince.IsZero() {
-		return
+		return false
 	}
 	if r.records == nil {
 		r.records = make(map[fleet.UpstreamID]*record)
@@ -120,6 +139,7 @@
 	r.records[entry.ID] = next
 	r.logChange(entry, before)
 	r.notify()
+	return true
 }
 
 // logChange logs that an entry was added or changed.
@@ -150,9 +170,10 @@
 	r.notify()
 }
 
-// setExpiry sets when the entries that disappeared within massLossWindow expire. If many disappeared together, the upstreams
-// are probably alive and register again soon, especially just after an outage of the store. A single one expires at once, even
-// after an outage: a daemon that was cut off learns late of upstreams that left long ago. The caller holds mu.
+// setExpiry sets when the entries that disappeared within massLossWindow expire. Entries that are missing in a copy of the
+// store get the time in which upstreams write them again. If many disappeared together, the upstreams are probably alive and
+// register again soon, especially just after an outage of the store. A single one expires at once, even after an outage: a
+// daemon that was cut off learns late of upstreams that left long ago. The caller holds mu.
 func (r *Registry) setExpiry(now time.Time) {
 	lost := 0
 	for _, rec := range r.records {
@@ -162,19 +183,23 @@
 	}
 	massLoss := lost >= massLossMin && float64(lost) >= massLossFraction*float64(len(r.records))
 	afterOutage := !r.recoveredAt.IsZero() && now.Sub(r.recoveredAt) < r.OutageGrace
+	afterRestoration := !r.restoredAt.IsZero() && now.Sub(r.restoredAt) < r.OutageGrace
 	for _, rec := range r.records {
 		if rec.missingSince.IsZero() || now.Sub(rec.missingSince) > massLossWindow {
 			continue
 		}
 		switch {
-		case !r.leavingSince(rec).IsZero() || !massLoss:
+		case !r.leavingSince(rec).IsZero():
+		case afterRestoration:
+			rec.expires = r.restoredAt.Add(r.OutageGrace)
+		case !massLoss:
 		case afterOutage:
 			rec.expires = r.recoveredAt.Add(r.OutageGrace)
 		default:
 			rec.expires = rec.missingSince.Add(time.Duration(float64(r.DrainTimeout) * drainUseFraction))
 		}
 		r.Log.Info().Str("upstream", string(rec.ID)).Str("service", string(rec.Service)).Bool("draining", rec.Draining).
-			Bool("together", massLoss).Bool("after-outage", afterOutage).Dur("kept", rec.expires.Sub(now)).
+			Bool("together", massLoss).Bool("after-outage", afterOutage).Bool("after-restoration", afterRestoration).Dur("kept", rec.expires.Sub(now)).
 			Msg("upstream's entry disappeared")
 	}
 }
--- a/internal/upstream/registry/registry_test.go
+++ b/internal/upstream/registry/registry_test.go
@@ -171,3 +171,40 @@
 		is.True(deadline().IsZero())
 	})
 }
+
+// Guards against requests to an upstream that has left, or to none of those that have just started, because the store came
+// back from an older copy: its entry says that it is ready, or is missing.
+func TestStoreRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		leaving := make(map[fleet.UpstreamID]time.Time)
+		r := &registry.Registry{
+			Clock: timer.System{}, Log: zerolog.Nop(), DrainTimeout: drainTimeout, OutageGrace: 2 * time.Second,
+			LeavingSince: func(id fleet.UpstreamID, _ fleet.Incarnation) time.Time { return leaving[id] },
+			NoteDraining: func(id fleet.UpstreamID, _ fleet.Incarnation) { leaving[id] = time.Now() },
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = r.Run(ctx) }()
+		r.Reset(newEntries(20))
+		draining := newEntry(0)
+		draining.Draining = true
+		r.Put(draining)
+		deadline := r.Upstreams()["s"][0].DrainDeadline
+		wait(time.Second)
+		r.StoreRestored()
+		r.Put(newEntry(0)) // as it was before
+		is.Equal(r.Upstreams()["s"][0].DrainDeadline, deadline)
+		r.Remove("1") // it registered after the copy was made
+		wait(1900 * time.Millisecond)
+		synctest.Wait()
+		is.Equal(len(r.Upstreams()["s"]), 20)
+		wait(200 * time.Millisecond)
+		synctest.Wait()
+		is.Equal(len(r.Upstreams()["s"]), 19)
+		r.Remove("0")
+		synctest.Wait()
+		r.Put(newEntry(0))
+		is.Equal(r.Upstreams()["s"][0].DrainDeadline, deadline)
+	})
+}
