upstream/forward, platform: a refusal counts for the try that it answers only

Callers would be told 'not run' for a request that an upstream runs, or it would run twice, if an upstream writes an earlier refusal once more on a kept connection (reported by other operators; not seen here). Cause: the second try of an attempt carries the same ID as the first, and a refusal without an ID was taken for any request. Class: an answer matched by what does not identify the exchange.

Change: a try does not use a connection on which its attempt was refused before, and a connection with 16 refusals is not used again.

--- a/internal/upstream/forward/client.go
+++ b/internal/upstream/forward/client.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,6 +56,8 @@
 	Fence     fleet.Fence
 	// ConnectTime is set by Send to the time that it took to open a connection. It is zero if an idle one was reused.
 	ConnectTime time.Duration
+	// Reused is set by Send if the connection had carried other requests, so that a response may belong to one of them.
+	Reused bool
 	// Notices is set by Send to what the upstream stated about itself in the heads of the responses that it sent meanwhile.
 	Notices []Notice
 }
@@ -132,11 +135,15 @@
 		if conn == nil {
 			break
 		}
-		if c.Clock.Now().Before(conn.expires) && conn.checkIdle() == nil {
+		// A refusal that is repeated on the connection would look like that of this try.
+		refusedBefore := slices.Contains(conn.refused, request.ID)
+		if !refusedBefore && c.Clock.Now().Before(conn.expires) && conn.checkIdle() == nil {
+			request.Reused = true
 			return conn, nil
 		}
 		_ = conn.Close()
 	}
+	request.Reused = false
 	start := c.Clock.Now()
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", c.Address.String())
--- a/internal/upstream/forward/connection.go
+++ b/internal/upstream/forward/connection.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
 )
 
 // maxHeadBytes limits the bytes that are read while a response's status line and headers are awaited, including informational
@@ -39,8 +41,13 @@
 	headLeft    int
 	// expires is the time from which the idle connection is not used again.
 	expires time.Time
+	// refused lists the requests that were refused on this connection, at most maxRefused. A faulty upstream may repeat a refusal.
+	refused []fleet.RequestID
 }
 
+// maxRefused is the number of refused requests after which a connection is not used again.
+const maxRefused = 16
+
 func newConnection(conn net.Conn, connectTime time.Duration) *connection {
 	result := &connection{Conn: conn, connectTime: connectTime}
 	result.reader = bufio.NewReaderSize(result, readBufferSize)
--- a/internal/upstream/forward/exchange.go
+++ b/internal/upstream/forward/exchange.go
@@ -140,6 +140,8 @@
 	e.expires = e.client.Clock.Now().Add(keepAliveTimeout(response.Header, idleTimeout+idleMargin) - idleMargin)
 	switch class := e.client.Dialect.Classify(e.request, response.StatusCode, response.Header).(type) {
 	case Refused:
+		e.connection.refused = append(e.connection.refused, e.request.ID)
+		e.reusable = e.reusable && len(e.connection.refused) < maxRefused
 		e.discardBody(response)
 		return class.Result
 	case Invalid:
