--- a/internal/routing/router/service.go
+++ b/internal/routing/router/service.go
@@ -114,7 +114,7 @@
 		controller.QueueLimit = declared.QueueLimit * upstreamCount
 		controller.ChooseUpstream = queue.choose(chooseUpstream)
 		controller.TenantWeight = func(tenant fleet.TenantName) int { return max(1, weights[tenant]) }
-		controller.NewLimit = func(fleet.UpstreamID) admission.Limit { return r.newLimit(declared) }
+		controller.NewLimit = func(id fleet.UpstreamID) admission.Limit { return r.newLimit(declared, id) }
 	})
 	return queue
 }
@@ -126,12 +126,20 @@
 	return &retry.Budget{}
 }
 
-func (r *Router) newLimit(declared *document.Service) admission.Limit {
+// newLimit returns this daemon's limit for an upstream. It follows from the slots that the upstream itself registered, if it
+// did, so that an odd entry affects no other one.
+func (r *Router) newLimit(declared *document.Service, id fleet.UpstreamID) admission.Limit {
 	if r.NewLimit != nil {
 		return r.NewLimit(declared)
 	}
+	slots := declared.Slots
+	for _, upstream := range declared.Upstreams {
+		if upstream.ID == id && upstream.Slots > 0 {
+			slots = upstream.Slots
+		}
+	}
 	return &admission.AdaptiveLimit{
-		Ceiling: float64(min(declared.Slots, r.connectionLimit(declared))), FairShare: float64(declared.Slots) / float64(r.hostCount()),
+		Ceiling: float64(min(slots, r.connectionLimit(declared))), FairShare: float64(slots) / float64(r.hostCount()),
 	}
 }
 
