--- a/internal/upstream/notices/book.go
+++ b/internal/upstream/notices/book.go
@@ -66,6 +66,8 @@
 	limit *namedLimit
 	// leavingSince is when the upstream first stated that it leaves, in a response or in its entry, or zero. It is not withdrawn.
 	leavingSince time.Time
+	// told is when the upstream first stated it in a response to this daemon, or zero. Other daemons need not know it then.
+	told time.Time
 	// pausedUntil is until when the upstream wants nothing from this daemon.
 	pausedUntil time.Time
 	// absentSince is since when the upstream is not registered. It is zero while it is.
