--- a/internal/upstream/notices/book.go
+++ b/internal/upstream/notices/book.go
@@ -40,6 +40,7 @@
 	Source Source
 	// SentAt is when the request was sent. A response to a request that was sent before the latest notice arrived withdraws
 	// nothing.
+	// It is zero if the notices were not made in a response to this daemon, but in an entry or to a peer.
 	SentAt time.Time
 	// Complete is set if the response was received whole, so that what it does not state is withdrawn.
 	Complete bool
@@ -91,6 +92,9 @@
 			limit = &notice
 		case forward.Leaving:
 			leaves = current.leavingSince.IsZero()
+			if current.told.IsZero() && !exchange.SentAt.IsZero() {
+				current.told = b.Now()
+			}
 		case forward.Pause:
 			current.pausedUntil = b.pause(exchange.Source, current.pausedUntil, notice)
 		case forward.Malformed:
@@ -200,14 +204,14 @@
 	return b.entries[source].leavingSince
 }
 
-// LeavingNews returns the upstreams that have stated recently that they leave, in a response or in an entry.
+// LeavingNews returns the upstreams that have stated recently, in a response to this daemon, that they leave.
 func (b *Book) LeavingNews() []Source {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var result []Source
 	now := b.Now()
 	for source, current := range b.entries {
-		if !current.leavingSince.IsZero() && now.Sub(current.leavingSince) < leavingNewsTime {
+		if !current.told.IsZero() && now.Sub(current.told) < leavingNewsTime {
 			result = append(result, source)
 		}
 	}
--- a/internal/upstream/notices/book_test.go
+++ b/internal/upstream/notices/book_test.go
@@ -71,10 +71,11 @@
 	leaving := []forward.Notice{forward.Leaving{}}
 	told := 0
 	book := &notices.Book{Log: zerolog.Nop(), Now: func() time.Time { return now }, OnLeaving: func() { told++ }}
-	book.Record(notices.Exchange{Source: first, Notices: leaving})
+	book.Record(notices.Exchange{Source: first, Notices: leaving}) // in its entry, or to a peer
+	is.Equal(book.LeavingNews(), nil)
 	since := now
 	now = now.Add(time.Second)
-	book.Record(notices.Exchange{Source: first, Notices: leaving})
+	book.Record(notices.Exchange{Source: first, SentAt: now, Notices: leaving})
 	book.Record(notices.Exchange{Source: first, SentAt: now, Complete: true}) // nothing withdraws it
 	is.Equal(book.LeavingSince(first), since)
 	is.Equal(told, 1)
