--- a/review/build.sh
+++ b/review/build.sh
@@ -3,8 +3,8 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p ../target/review
-for folder in [1-6]; do
+for folder in [1-5] more/*; do
   if [ -f "$folder/main.go" ]; then
-    go build -o "../target/review/$folder" "./$folder"
+    go build -o "../target/review/$(basename "$folder")" "./$folder"
   fi
 done
--- /dev/null
+++ b/review/more/descriptors/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")" && PROGRAM=$PWD/../../../target/rosemarywick exec ../../../target/review/descriptors
--- a/review/rig/owner.go
+++ b/review/rig/owner.go
@@ -4,7 +4,7 @@
 	"time"
 )
 
-// Limits of the rule OWNER.
+// maxShared is how long the rule OWNER lets two workers hold a key.
 const maxShared = 500 * time.Millisecond
 
 // checkGrant checks a grant at the moment at which a worker takes it. The caller holds mu.
@@ -21,6 +21,20 @@
 	}
 }
 
+// checkFence checks that a worker takes keys with a higher fence than those with which other lives of it had them. The caller holds
+// mu.
+func (f *Fleet) checkFence(w *Worker, o order) {
+	if !f.CheckFences {
+		return
+	}
+	for _, other := range f.workers {
+		if other != w && other.ID == w.ID && other.held[o.From] >= o.Fence {
+			f.Record.Broken("OWNER: worker %s takes %d-%d with fence %d, with which its earlier start %s had key %d",
+				w.Name, o.From, o.Target, o.Fence, other.Name, o.From)
+		}
+	}
+}
+
 // CheckOwners checks until done is closed that no two workers that are up hold a key for longer than the rule allows.
 func (f *Fleet) CheckOwners(done <-chan struct{}) {
 	type pair struct {
--- a/review/rig/record.go
+++ b/review/rig/record.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -52,8 +54,11 @@
 	exit(exitUnable)
 }
 
-// OpenRecord creates the record in a file.
+// OpenRecord creates the record in a file. From then on, SIGINT and SIGTERM end the case.
 func OpenRecord(path string) *Record {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() { Unable("got signal %s", <-signals) }()
 	file, err := os.Create(path)
 	if err != nil {
 		Unable("create record: %v", err)
@@ -97,3 +102,14 @@
 
 // Trouble reports whether the disruption is to be made.
 func Trouble() bool { return os.Getenv("TROUBLE") != "0" }
+
+// Await waits until a condition holds. The case can't run if it doesn't within 30 s.
+func Await(what string, holds func() bool) {
+	for range 3000 {
+		if holds() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	Unable("not within 30 s: %s", what)
+}
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -27,6 +27,8 @@
 	Record *Record
 	// Heartbeat is the interval at which workers write their entries.
 	Heartbeat time.Duration
+	// CheckFences makes a violation of a grant whose fence is not above that with which an earlier start of the worker had the keys.
+	CheckFences bool
 
 	// mu guards the holds, the fences and the running requests of all workers.
 	mu      sync.Mutex
@@ -51,6 +53,9 @@
 	// Copies reports whether a second copy of the response to a call is sent, late, where the next response is expected.
 	Copies func(r *http.Request) bool
 
+	// cut is set while the worker does not reach the store. It is guarded by the fleet's mu.
+	cut bool
+
 	listener net.Listener
 	born     int64
 
@@ -117,11 +122,26 @@
 // beat writes the entry until the worker ends.
 func (w *Worker) beat() {
 	for w.isUp() {
-		w.Fleet.Store.Put("servers", w.ID, w.Entry())
+		if !w.isCut() {
+			w.Fleet.Store.Put("servers", w.ID, w.Entry())
+		}
 		time.Sleep(w.Fleet.Heartbeat)
 	}
 }
 
+// Cut makes the worker lose its connection to the store, or gives it back.
+func (w *Worker) Cut(cut bool) {
+	w.Fleet.mu.Lock()
+	defer w.Fleet.mu.Unlock()
+	w.cut = cut
+}
+
+func (w *Worker) isCut() bool {
+	w.Fleet.mu.Lock()
+	defer w.Fleet.mu.Unlock()
+	return w.cut
+}
+
 func (w *Worker) isUp() bool {
 	w.Fleet.mu.Lock()
 	defer w.Fleet.mu.Unlock()
@@ -359,6 +379,7 @@
 		f.Record.Note("worker %s is granted %d-%d with fence %d for %.1f s", w.Name, o.From, o.Target, o.Fence, o.Hold)
 	}
 	f.checkGrant(w, o, now)
+	f.checkFence(w, o)
 	until := now.Add(time.Duration(o.Hold * float64(time.Second)))
 	for key := o.From; key <= o.Target; key++ {
 		if until.After(w.until[key]) {
