upstream/rangegrants, platform: a refused connection ends no grant

Cause: platform/ translated a refused connection, a 421 and a 400 alike into ProcessGone, and two of these in a row ended the grants of the process. A live server can refuse connections (a cut that refuses, a listener that is closed early) and answer 400.

Change: AddressTaken (421, twice) still ends grants, since an address is used again only after its worker has ended. Unavailable (refused, 400) only takes the server out of the plan; its keys are given on when it releases them or when its grants have ended. The same for releases, which waited for two refusals as well. mayBeLeaving, which guarded two of the cases, has become needless. The log line names the reason.

--- a/internal/upstream/rangegrants/assigner.go
+++ b/internal/upstream/rangegrants/assigner.go
@@ -15,7 +15,7 @@
 	"rosemarywick.example/rosemarywick/internal/platform/table"
 )
 
-// Response is the outcome of a grant or release request: one of Accepted, Superseded, ProcessGone and NoResponse.
+// Response is the outcome of a grant or release request: one of Accepted, Superseded, AddressTaken, Unavailable and NoResponse.
 type Response interface {
 	response()
 }
@@ -30,8 +30,14 @@
 // Superseded means that the server ignored the request because it has seen a higher fence.
 type Superseded struct{}
 
-// ProcessGone means that no process listens at the address, or that another server does.
-type ProcessGone struct{}
+// AddressTaken means that another server responded at the address, so that the process that had it has ended.
+type AddressTaken struct{}
+
+// Unavailable means that the server's host refused the connection, or that the response is not one to the request. The request
+// was not applied. The process may still run and own its ranges: a network that is cut off can refuse connections, too.
+type Unavailable struct {
+	Err error
+}
 
 // NoResponse means that no response arrived. Unless NotSent is set, the server may have applied the request or may still do so.
 type NoResponse struct {
@@ -40,10 +46,11 @@
 	Err     error
 }
 
-func (Accepted) response()    {}
-func (Superseded) response()  {}
-func (ProcessGone) response() {}
-func (NoResponse) response()  {}
+func (Accepted) response()     {}
+func (Superseded) response()   {}
+func (AddressTaken) response() {}
+func (Unavailable) response()  {}
+func (NoResponse) response()   {}
 
 // Grant allows a server to own a range for a limited time.
 type Grant struct {
@@ -126,9 +133,9 @@
 	renewalsPerLease = 3
 	// maxSilence is how long a server may fail to respond before its ranges are reassigned.
 	maxSilence = 1500 * time.Millisecond
-	// goneRetryDelay is the pause before a second attempt confirms ProcessGone: a single refused connection may be caused
-	// by a restart in progress.
-	goneRetryDelay = 150 * time.Millisecond
+	// confirmDelay is the pause before a second attempt confirms AddressTaken or Unavailable: a single refused connection may
+	// be caused by a restart in progress.
+	confirmDelay = 150 * time.Millisecond
 	// loadInterval is the interval at which the load is collected. minRebalanceInterval is the time between two moves that
 	// are caused by load: the effect of a move has to show in the load before the next one.
 	loadInterval         = 500 * time.Millisecond
--- a/internal/upstream/rangegrants/release.go
+++ b/internal/upstream/rangegrants/release.go
@@ -66,7 +66,7 @@
 // awaitRelease asks a server to release a range until it has done so, its process has ended, or all its grants have expired. It
 // returns the handover, and which of these it was, or false if ctx has ended before.
 func (t *term) awaitRelease(ctx context.Context, key releaseKey) (handover, why string, ended bool) {
-	goneCount := 0
+	takenCount := 0
 	for ctx.Err() == nil {
 		timeLeft := t.grantTimeLeft(key)
 		if timeLeft < 0 {
@@ -78,15 +78,14 @@
 		switch response := response.(type) {
 		case Accepted:
 			return response.Handover, "it released the range", true
-		case ProcessGone:
-			// A server that leaves may refuse connections while its last requests run.
-			if goneCount++; goneCount > 1 && !t.mayBeLeaving(key.former) {
-				return "", "its process has ended", true
+		case AddressTaken:
+			if takenCount++; takenCount > 1 {
+				return "", "another server has its address", true
 			}
-		case NoResponse, Superseded:
-			goneCount = 0
+		case Unavailable, NoResponse, Superseded:
+			takenCount = 0
 		}
-		if timer.Wait(ctx, t.Clock, min(goneRetryDelay, max(t.grantTimeLeft(key), 0)+time.Millisecond)) != nil {
+		if timer.Wait(ctx, t.Clock, min(confirmDelay, max(t.grantTimeLeft(key), 0)+time.Millisecond)) != nil {
 			return "", "", false
 		}
 	}
@@ -123,17 +122,6 @@
 	return state != nil && state.done
 }
 
-// mayBeLeaving reports whether a server leaves by its own account, or is no longer registered. Such a server need not have ended
-// when it refuses connections. A restarted process of the server proves that the former one has ended.
-func (t *term) mayBeLeaving(owner ranges.Owner) bool {
-	for _, server := range t.Registry.Servers(t.Service) {
-		if server.ID == owner.ID {
-			return server.Leaving && server.SameProcess(owner)
-		}
-	}
-	return true
-}
-
 // processEnded reports whether the process of a server is known to have ended.
 func (t *term) processEnded(owner ranges.Owner) bool {
 	t.mu.Lock()
--- a/internal/upstream/rangegrants/server.go
+++ b/internal/upstream/rangegrants/server.go
@@ -19,8 +19,8 @@
 	grants map[grantKey]*grantState
 	// lastResponse is the uptime of the last response. Only the task's goroutine uses it.
 	lastResponse time.Duration
-	// goneCount counts consecutive ProcessGone responses. Only the task's goroutine uses it.
-	goneCount int
+	// takenCount and unavailableCount count consecutive responses of their kind. Only the task's goroutine uses them.
+	takenCount, unavailableCount int
 }
 
 // grantKey identifies a grant to a server.
@@ -151,13 +151,11 @@
 	}
 }
 
-// handleResponse records the response to a grant. It returns false if the server did not respond or its process is gone, so that
-// its other assignments are not tried.
+// handleResponse records the response to a grant. It returns false if no grants reach the server, so that its other assignments
+// are not tried.
 func (s *serverTask) handleResponse(ctx context.Context, a ranges.Assignment, sent, duration time.Duration, resp Response) bool {
 	key := grantKey{keys: a.Range, fence: a.Fence}
-	if _, gone := resp.(ProcessGone); !gone {
-		s.goneCount = 0
-	}
+	s.countResponse(resp)
 	switch resp := resp.(type) {
 	case Accepted:
 		s.lastResponse = s.term.Uptime.Uptime()
@@ -175,17 +173,20 @@
 		s.term.mu.Unlock()
 		s.term.requestReplan()
 		return true
-	case ProcessGone:
-		if s.goneCount++; s.goneCount > 1 {
-			ended := !s.term.mayBeLeaving(s.owner)
-			if ended {
-				s.recordProcessEnded()
-			}
-			s.term.markDown(ctx, s.owner, ended, "no process accepts connections at its address")
-		} else if timer.Wait(ctx, s.term.Clock, goneRetryDelay) == nil {
+	case AddressTaken:
+		if s.takenCount > 1 {
+			s.recordProcessEnded()
+			s.term.markDown(ctx, s.owner, true, "another server has its address")
+		} else if timer.Wait(ctx, s.term.Clock, confirmDelay) == nil {
+			s.wakeUp()
+		}
+	case Unavailable:
+		s.term.Log.Warn().Err(resp.Err).Str("server", string(s.owner.ID)).Msg("server did not take a grant")
+		if s.unavailableCount > 1 {
+			s.term.markDown(ctx, s.owner, false, "it takes no grants; its grants may still be in force")
+		} else if timer.Wait(ctx, s.term.Clock, confirmDelay) == nil {
 			s.wakeUp()
 		}
-		return false
 	case NoResponse:
 		silence := s.term.Uptime.Uptime() - s.lastResponse
 		s.term.Log.Warn().Err(resp.Err).Str("server", string(s.owner.ID)).Dur("silent", silence).
@@ -199,6 +200,18 @@
 	return false
 }
 
+// countResponse counts consecutive responses after which the server is taken as down.
+func (s *serverTask) countResponse(resp Response) {
+	switch resp.(type) {
+	case AddressTaken:
+		s.takenCount, s.unavailableCount = s.takenCount+1, 0
+	case Unavailable:
+		s.takenCount, s.unavailableCount = 0, s.unavailableCount+1
+	case Accepted, Superseded, NoResponse:
+		s.takenCount, s.unavailableCount = 0, 0
+	}
+}
+
 // recordAccepted records that the server accepted a grant, and reports whether it is the first acceptance.
 func (s *serverTask) recordAccepted(key grantKey, sendTime, duration time.Duration) bool {
 	s.term.mu.Lock()
