upstream/rangegrants: a released lease says when all grants have ended

A daemon that takes over as assigner does not know whether the one before sent grants with the duration for outages (10 s), so after each planned stop of the assigner the keys of a server that refused connections were without an owner for up to 10.6 s instead of 3.6 s.

Change: an assigner that gives up its lease writes the time until which any grant of its own or of an earlier term can be in force, on the store's clock. It has ended all its tasks by then, so no grant follows. The next one starts from that bound. A lease that expired, was lost or came from another era of the store has no such time, and the longest duration is assumed as before.

TestStopsPassOnExpiry stops two assigners in a row after grants of an outage: it fails (two owners) without the bound that the first inherited, and without that of its own grants.

--- a/internal/upstream/rangegrants/election.go
+++ b/internal/upstream/rangegrants/election.go
@@ -20,6 +20,9 @@
 	Holder string `json:"holder"`
 	// ExpiresAt is the time of the store's clock from which another daemon may acquire the lease.
 	ExpiresAt time.Duration `json:"until"`
+	// GrantsExpireAt is the time of the store's clock at which every grant of the last term and of those before it has expired.
+	// It is set when the lease is released, and zero while it is held: a holder that is lost may have sent any grants until then.
+	GrantsExpireAt time.Duration `json:"grants-until,omitempty"`
 	// Era is the store's era in which the lease was written. A lease that is stored in a later era came back from a copy, and
 	// says nothing of who holds it.
 	Era table.Era `json:"era,omitempty"`
@@ -34,6 +37,9 @@
 	renewedAt time.Duration
 	// version is that of the lease's row. Only the goroutine that renews the lease uses it.
 	version table.Version
+	// grantsExpireAt is the time of the store's clock at which all grants of earlier terms have expired, or zero if it is not
+	// known. It does not change.
+	grantsExpireAt time.Duration
 	// uninterrupted is set if no other daemon can have held the lease since this daemon's last term. It does not change.
 	uninterrupted bool
 }
@@ -76,6 +82,9 @@
 		return nil, left
 	}
 	lease := &heldLease{version: version, uninterrupted: a.Store.Reading().Latest(a.Uptime.Uptime()) < a.heldUntil}
+	if current.Era == a.Store.Reading().Era {
+		lease.grantsExpireAt = current.GrantsExpireAt
+	}
 	if a.writeLease(callCtx, lease) != nil {
 		return nil, 0
 	}
@@ -202,7 +211,7 @@
 func (t *term) releaseLease(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	value, err := json.Marshal(leaseRecord{Era: t.era})
+	value, err := json.Marshal(leaseRecord{Era: t.era, GrantsExpireAt: t.allGrantsExpireAt()})
 	if err == nil {
 		err = t.Store.Commit(callCtx, table.Change{Name: t.leaseRow(), Expected: t.lease.version, Write: true, Value: value})
 	}
--- a/internal/upstream/rangegrants/rangegrants_test.go
+++ b/internal/upstream/rangegrants/rangegrants_test.go
@@ -52,8 +52,8 @@
 }
 
 // Guards against keys that stay without an owner after a single fault. The time limits follow from the durations of the lease and
-// of grants: where nothing proves that a process has ended, its grants have to expire. A new assigner does not know whether the
-// former one sent grants with the duration for outages.
+// of grants: where nothing proves that a process has ended, its grants have to expire. An assigner that was lost may have sent
+// grants with the duration for outages; one that stops says when its grants end.
 func TestRecoversFromFault(t *testing.T) {
 	cases := []struct {
 		name   string
@@ -77,7 +77,7 @@
 			first.stop()
 			sleep(2 * time.Second)
 			c.updateServer("s1", func(s *fakeServer) { s.crashed = true })
-		}, outageGrantDuration + 2*time.Second},
+		}, grantDuration + 2*time.Second},
 		{"assigner loses its connection to the store", func(c *cluster, first, _ *daemon) {
 			first.update(func(d *daemon) { d.storeRejects = true })
 			sleep(5 * time.Second)
@@ -149,6 +149,27 @@
 	}
 }
 
+// Guards against a key with two owners after several planned stops in a row: an assigner that was just elected says when the grants
+// of those before it end, and one of them may have sent grants with the duration for outages.
+func TestStopsPassOnExpiry(t *testing.T) {
+	runWithSeeds(t, 4, func(c *cluster, first *daemon, seed uint64) {
+		second := c.startDaemon("b")
+		sleep(time.Duration(15000+37*seed) * time.Millisecond)
+		c.store.update(func(s *fakeStore) { s.down = true })
+		sleep(leaseDuration - 300*time.Millisecond) // grants for an outage are sent
+		c.store.update(func(s *fakeStore) { s.down = false })
+		sleep(time.Second)
+		c.closeServers("s1")
+		first.stop()
+		sleep(time.Second)
+		second.stop()
+		third := c.startDaemon("c")
+		sleep(2 * outageGrantDuration)
+		c.awaitAllOwned(20*time.Millisecond, "after the grants ended")
+		c.stopAndCheck(first, second, third)
+	})
+}
+
 // closeServers makes servers refuse new connections.
 func (c *cluster) closeServers(ids ...fleet.UpstreamID) {
 	for _, id := range ids {
--- a/internal/upstream/rangegrants/server.go
+++ b/internal/upstream/rangegrants/server.go
@@ -292,8 +292,7 @@
 // that were sent to another process with the same ID and address, since the present process may have accepted them. The caller
 // holds mu.
 func (t *term) grantExpiryUptime(owner ranges.Owner, keys fleet.KeyRange) time.Duration {
-	// The previous assigner may have sent grants until its lease expired, which was before this term started.
-	expiryUptime := t.startedAt + requestTimeout + maxGrantLifetime(t.OutageGrantDuration)
+	expiryUptime := t.inheritedExpiry
 	for _, task := range t.serverTasks {
 		if task.owner.ID != owner.ID || task.owner.Address != owner.Address {
 			continue
--- a/internal/upstream/rangegrants/term.go
+++ b/internal/upstream/rangegrants/term.go
@@ -21,8 +21,8 @@
 	lease *heldLease
 	// era is the store's era at the start of the term. The term ends with it.
 	era table.Era
-	// startedAt is the uptime at the start of the term. It bounds the expiry of grants that the previous assigner sent.
-	startedAt time.Duration
+	// inheritedExpiry is the uptime at which every grant that earlier assigners sent has expired.
+	inheritedExpiry time.Duration
 	// replan makes the planner run at once. moveEnded makes it run after moveBatchDelay.
 	replan, moveEnded chan struct{}
 	// tasks counts the goroutines of servers, releases and probes.
@@ -47,13 +47,39 @@
 
 func newTerm(a *Assigner, acquired *heldLease) *term {
 	return &term{
-		Assigner: a, lease: acquired, era: a.Store.Reading().Era, startedAt: a.Uptime.Uptime(),
+		Assigner: a, lease: acquired, era: a.Store.Reading().Era, inheritedExpiry: a.inheritedExpiry(acquired),
 		replan: make(chan struct{}, 1), moveEnded: make(chan struct{}, 1),
 		serverTasks: make(map[ranges.Owner]*serverTask), releases: make(map[releaseKey]*releaseState),
 		down: make(map[ranges.Owner]bool),
 	}
 }
 
+// inheritedExpiry returns the uptime at which every grant that earlier assigners sent has expired. One that was lost may have sent
+// grants until its lease expired, which was before now.
+func (a *Assigner) inheritedExpiry(acquired *heldLease) time.Duration {
+	now := a.Uptime.Uptime()
+	expiry := now + requestTimeout + maxGrantLifetime(a.OutageGrantDuration)
+	if acquired.grantsExpireAt > 0 {
+		expiry = min(expiry, now+acquired.grantsExpireAt-a.Store.Reading().Earliest(now))
+	}
+	return expiry
+}
+
+// allGrantsExpireAt returns the time of the store's clock at which every grant that this assigner or earlier ones sent has expired.
+// It is called when no more grants are sent.
+func (t *term) allGrantsExpireAt() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	expiry := t.inheritedExpiry
+	for _, task := range t.serverTasks {
+		for _, state := range task.grants {
+			expiry = max(expiry, state.expiryUptime)
+		}
+	}
+	now := t.Uptime.Uptime()
+	return t.Store.Reading().Latest(now) + expiry - now
+}
+
 // writeTable replaces the stored table. Until the outcome is known, no range is renewed that the new table assigns to another
 // server. It returns false if another daemon wrote the table or the term ended.
 func (t *term) writeTable(ctx context.Context, next *ranges.Table) bool {
--- a/spec/ranges.pml
+++ b/spec/ranges.pml
@@ -200,19 +200,32 @@
 /* The former owner processes the release and from then on rejects grants with a lower fence. */
 inline released(a) {
 	atomic {
-		releaseSent[a] && !releaseDone[a] ->
-		if
-		:: ended[releaseTo[a]]	/* no process listens, so none holds the range */
-		:: else ->
-			holdLeft[releaseTo[a]] = 0;
+		releaseSent[a] && !releaseDone[a] && !ended[releaseTo[a]] ->
+		holdLeft[releaseTo[a]] = 0;
 #ifndef M_BAR
-			bar[releaseTo[a]] = MAX(bar[releaseTo[a]], releaseFence[a])
+		bar[releaseTo[a]] = MAX(bar[releaseTo[a]], releaseFence[a]);
 #endif
-		fi;
 		releaseDone[a] = 1
 	}
 }
 
+/*
+ * The connection for a release is refused. A network that is cut off may refuse connections at any time, so that this says
+ * nothing about the process.
+ */
+inline refused(a) {
+	atomic {
+		releaseSent[a] && !releaseDone[a] ->
+#ifdef M_REFUSED
+		if
+		:: phase[a] == 2 && former[a] == releaseTo[a] && fence[a] == releaseFence[a] -> freed[a] = 1
+		:: else
+		fi;
+#endif
+		releaseSent[a] = 0; releaseTo[a] = 0; releaseFence[a] = 0
+	}
+}
+
 /* The answer to a release arrives or is lost. */
 inline answered(a) {
 	atomic {
@@ -318,6 +331,7 @@
 	:: learn(0) :: learn(1)
 	:: release(0) :: release(1)
 	:: released(0) :: released(1)
+	:: refused(0) :: refused(1)
 	:: answered(0) :: answered(1)
 	:: expire(0) :: expire(1)
 	:: grant(0) :: grant(1)
