upstream/rangegrants, router: requests for keys that are known not to be free in time are refused at once

Cause: the table named the longest possible end of grants (10.6 s) for every former owner, so that nobody could tell a release that is due any moment from an owner that has to be waited for.

Change: for a server that is down, the table has the end of the grants that were sent, and says that the server can't be asked. Nothing is granted to such a server, and it becomes available again only between two plans, so that the time holds when the table is written. A daemon refuses a request with that time as Retry-After if it lies beyond the request's deadline, and does not send to the next owner before. Other requests wait as before.

TestRequestForKeyThatIsNotFree and TestUnreachableFormerOwner failed before (neither field existed); TestRandomFaults has servers that refuse connections among its faults, TestRefusedConnectionsProveNothing an assigner that is lost after it wrote such a table. A mutant that makes the server available between plan and write is not found by these tests: a plan takes no time in their clock.

--- a/internal/core/fleet/assignment.go
+++ b/internal/core/fleet/assignment.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "time"
+
 // Assignment is the owner of a partition, as far as the holder of the value knows.
 type Assignment struct {
 	Partition PartitionID
@@ -13,4 +15,7 @@
 	Fence Fence
 	// Moving is set from the revocation at the old owner until the grant to the new one.
 	Moving bool
+	// FreeIn is the time until the grants of the old owner end, if it cannot be reached. The partition is granted to the new owner
+	// no earlier unless the old one comes back. It is zero if the old owner is expected to release the partition.
+	FreeIn time.Duration
 }
--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -177,7 +177,10 @@
 	d.configuration = &configuration{
 		log: d.Log, decode: d.DecodeConfiguration, rowName: d.Tables.ConfigurationRow, registry: d.registry,
 	}
-	d.ownershipMap = &ownershipMap{clock: d.Timer, log: d.Log}
+	d.ownershipMap = &ownershipMap{
+		clock: d.Timer, log: d.Log,
+		storeTime: func() time.Duration { return d.Store.Reading().Latest(d.Timer.Uptime()) },
+	}
 	d.loadTracker = &loadTracker{host: d.Host.ID, clock: d.Timer, log: d.Log, notices: d.notices, allowance: d.Limits.RateAllowance}
 	d.node = d.newNode()
 	d.loadTracker.peers = d.node
--- a/internal/daemon/entry/entry_test.go
+++ b/internal/daemon/entry/entry_test.go
@@ -95,6 +95,38 @@
 	})
 }
 
+// Guards against a key that is taken for free while a former owner that cannot be reached may own it, and against one that counts
+// as moving forever after that.
+func TestUnreachableFormerOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		started := time.Now()
+		o := &ownershipMap{
+			clock: timer.System{}, log: zerolog.Nop(), onAdopted: func(fleet.ServiceName, *ranges.Table) {},
+			storeTime: func() time.Duration { return time.Hour + time.Since(started) },
+		}
+		o.applyRows([]table.Row{encodeTableRow(2, 2, "b",
+			ranges.FormerOwner{GrantsExpireAt: time.Hour + 10*time.Second},
+			ranges.FormerOwner{GrantsExpireAt: time.Hour + 3*time.Second, Unreachable: true},
+		)})
+		for _, step := range []struct {
+			after, freeIn time.Duration
+			moving        bool
+		}{
+			{0, 3 * time.Second, true},
+			{2 * time.Second, time.Second, true},
+			{time.Second, 0, true}, // the table that ends the move is on its way
+			{maxMoveDuration, 0, false},
+		} {
+			is.NoErr(timer.Wait(t.Context(), timer.System{}, step.after))
+			got, ok := o.Locate("s", 7)
+			is.True(ok)
+			is.Equal(got.FreeIn, step.freeIn)
+			is.Equal(got.Moving, step.moving)
+		}
+	})
+}
+
 // Guards against a batch delay of the upstreams table that grows with a long drain timeout. An assigner makes the
 // first range table once the entries have not changed for a second, so a long delay would leave upstreams out of it.
 func TestUpstreamsDelayIsBounded(t *testing.T) {
--- a/internal/daemon/entry/ownership.go
+++ b/internal/daemon/entry/ownership.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -21,6 +22,8 @@
 type ownershipMap struct {
 	clock timer.Clock
 	log   zerolog.Logger
+	// storeTime returns the latest time that the store's clock may show now.
+	storeTime func() time.Duration
 	// onAdopted is called with each newly adopted table. mu is not held, so that requests can look up owners meanwhile.
 	onAdopted func(fleet.ServiceName, *ranges.Table)
 
@@ -52,13 +55,27 @@
 	if entry == nil {
 		return fleet.Assignment{}, false
 	}
+	freeIn, sinceAdopted := o.freeIn(entry), o.clock.Now().Sub(latest.adoptedAt)
 	return fleet.Assignment{
 		Partition: fleet.PartitionID(entry.Range.First), Owner: entry.Owner.ID,
 		Fence:  fleet.Fence{Counter: uint64(entry.Fence)},
-		Moving: len(entry.FormerOwners) > 0 && o.clock.Now().Sub(latest.adoptedAt) < maxMoveDuration,
+		Moving: len(entry.FormerOwners) > 0 && (sinceAdopted < maxMoveDuration || freeIn > -maxMoveDuration),
+		FreeIn: max(0, freeIn),
 	}, true
 }
 
+// freeIn returns the time until the grants of the former owners that cannot be reached have ended. It is negative afterwards, and
+// lowest if there are none.
+func (o *ownershipMap) freeIn(entry *ranges.Assignment) time.Duration {
+	result := time.Duration(math.MinInt64)
+	for _, former := range entry.FormerOwners {
+		if former.Unreachable {
+			result = max(result, former.GrantsExpireAt-o.storeTime())
+		}
+	}
+	return result
+}
+
 // Changed returns a channel that is closed at the next change.
 func (o *ownershipMap) Changed() <-chan struct{} {
 	o.mu.Lock()
--- a/internal/ownership/ranges/encoding.go
+++ b/internal/ownership/ranges/encoding.go
@@ -45,6 +45,7 @@
 type compactFormer struct {
 	Owner          int           `json:"o"`
 	GrantsExpireAt time.Duration `json:"e"`
+	Unreachable    bool          `json:"u,omitempty"`
 }
 
 // Encode returns the table in the compact form, as Parse reads it.
@@ -64,7 +65,9 @@
 	for _, assignment := range t.Assignments {
 		next := compactAssignment{Last: assignment.Range.Last, Owner: indexOf(assignment.Owner), Fence: assignment.Fence}
 		for _, former := range assignment.FormerOwners {
-			next.Formers = append(next.Formers, compactFormer{Owner: indexOf(former.Owner), GrantsExpireAt: former.GrantsExpireAt})
+			next.Formers = append(next.Formers, compactFormer{
+				Owner: indexOf(former.Owner), GrantsExpireAt: former.GrantsExpireAt, Unreachable: former.Unreachable,
+			})
 		}
 		compact.Assignments = append(compact.Assignments, next)
 	}
@@ -120,7 +123,9 @@
 			Range: fleet.KeyRange{First: first, Last: assignment.Last}, Owner: ownerAt(assignment.Owner), Fence: assignment.Fence,
 		}
 		for _, former := range assignment.Formers {
-			next.FormerOwners = append(next.FormerOwners, FormerOwner{Owner: ownerAt(former.Owner), GrantsExpireAt: former.GrantsExpireAt})
+			next.FormerOwners = append(next.FormerOwners, FormerOwner{
+				Owner: ownerAt(former.Owner), GrantsExpireAt: former.GrantsExpireAt, Unreachable: former.Unreachable,
+			})
 		}
 		result.Assignments = append(result.Assignments, next)
 		first = assignment.Last + 1
--- a/internal/ownership/ranges/hot_range_test.go
+++ b/internal/ownership/ranges/hot_range_test.go
@@ -138,6 +138,7 @@
 		hot.Assignments[i].Owner = ranges.Owner{ID: id, Incarnation: "1791234567890", Address: address}
 		hot.Assignments[i].FormerOwners = []ranges.FormerOwner{{
 			Owner: hot.Assignments[random.IntN(i+1)].Owner, GrantsExpireAt: time.Duration(random.Int64N(1 << 42)),
+			Unreachable: random.IntN(2) == 0,
 		}}
 	}
 	is.True(len(hot.Encode()) < 64<<10)
--- a/internal/ownership/ranges/orphans.go
+++ b/internal/ownership/ranges/orphans.go
@@ -72,7 +72,10 @@
 		return p.Released(assignment, former)
 	})
 	if assignment.Owner.ID != "" && !p.Ended(assignment.Owner) {
-		result = append(result, FormerOwner{Owner: assignment.Owner, GrantsExpireAt: p.GrantsExpireAt(assignment.Owner)})
+		result = append(result, FormerOwner{
+			Owner: assignment.Owner, GrantsExpireAt: p.GrantsExpireAt(assignment.Owner),
+			Unreachable: p.Unreachable != nil && p.Unreachable(assignment.Owner),
+		})
 	}
 	if p.unsure() && !p.Granted(assignment) {
 		result = append(result, p.unknownOwner())
--- a/internal/ownership/ranges/plan.go
+++ b/internal/ownership/ranges/plan.go
@@ -63,6 +63,8 @@
 	Now time.Duration
 	// Released reports whether a former owner is known to own no key of an assignment's range any more.
 	Released func(Assignment, FormerOwner) bool
+	// Unreachable reports whether an owner cannot be asked to release a range. Nil means that all can.
+	Unreachable func(Owner) bool
 	// Ended reports whether the process of an owner is known to have ended, so that it owns nothing.
 	Ended func(Owner) bool
 	// Granted reports whether the owner has accepted the grant of an assignment.
--- a/internal/ownership/ranges/table.go
+++ b/internal/ownership/ranges/table.go
@@ -34,6 +34,9 @@
 	Owner
 	// GrantsExpireAt is the time of the store's clock at which every grant to the server has expired.
 	GrantsExpireAt time.Duration `json:"free-at"`
+	// Unreachable is set if the server cannot be asked to release the range, so that it is free no earlier than at GrantsExpireAt
+	// unless the server comes back.
+	Unreachable bool `json:"unreachable,omitempty"`
 }
 
 // Assignment is a range of keys and the server that owns it.
--- a/internal/routing/router/keyed.go
+++ b/internal/routing/router/keyed.go
@@ -71,11 +71,11 @@
 			}
 			return assignment, nil
 		}
-		if reason == cause.UpstreamPaused && pause > p.limitWait(p.router.Clock.Now()) {
+		if retryAfter := p.hopelessWait(assignment, pause, reason); retryAfter > 0 {
 			if waiting {
 				p.service.breaker.removeWaiter()
 			}
-			return assignment, &rejection{outcome: cause.NotRun, cause: reason, retryAfter: pause}
+			return assignment, &rejection{outcome: cause.NotRun, cause: reason, retryAfter: retryAfter}
 		}
 		if !waiting && !p.service.breaker.addWaiter(p.service.QueueLimit*max(1, len(p.service.upstreams))) {
 			return assignment, &rejection{outcome: cause.NotRun, cause: cause.Moving, retryAfter: time.Second}
@@ -95,6 +95,19 @@
 	}
 }
 
+// hopelessWait returns after which time the caller may try again, if it is known that the request cannot be served in time: its
+// owner has asked for a longer pause, or the grants of an owner that cannot be reached end too late. Otherwise it returns zero.
+func (p *pendingRequest) hopelessWait(assignment fleet.Assignment, pause time.Duration, reason cause.Cause) time.Duration {
+	now := p.router.Clock.Now()
+	switch {
+	case reason == cause.UpstreamPaused && pause > p.limitWait(now):
+		return pause
+	case reason == cause.NoOwner && assignment.FreeIn >= p.deadline.Sub(now):
+		return assignment.FreeIn
+	}
+	return 0
+}
+
 // reportStaleMap signals that the ownership map seems to be out of date.
 func (p *pendingRequest) reportStaleMap() {
 	if p.router.OnStaleMap != nil {
--- a/internal/routing/router/keyed_test.go
+++ b/internal/routing/router/keyed_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
+	"rosemarywick.example/rosemarywick/internal/core/cause"
 	"rosemarywick.example/rosemarywick/internal/core/document"
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/core/timer"
 )
 
 // fixedOwners is an ownership map that returns the same assignment for every key.
@@ -49,3 +54,64 @@
 		})
 	}
 }
+
+// freedOwner is an ownership map in which one server owns all keys once the grants of another one have ended.
+type freedOwner struct {
+	at      time.Time
+	changed chan struct{}
+}
+
+func (o *freedOwner) Locate(fleet.ServiceName, fleet.KeyHash) (fleet.Assignment, bool) {
+	left := max(0, time.Until(o.at))
+	return fleet.Assignment{Owner: "a", Moving: left > 0, FreeIn: left}, true
+}
+
+func (o *freedOwner) Changed() <-chan struct{} {
+	if !time.Now().Before(o.at) {
+		return nil
+	}
+	return o.changed
+}
+
+// Guards against a request that waits until its deadline although its key is known not to be free by then, and against one that
+// is refused although it can still be served.
+func TestRequestForKeyThatIsNotFree(t *testing.T) {
+	for name, test := range map[string]struct {
+		freeIn, wait time.Duration
+	}{
+		"not free in time": {3 * time.Second, 0},
+		"free in time":     {300 * time.Millisecond, 300 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				service := document.Service{
+					Name: "s", Timeout: time.Second, QueueLimit: 9, Slots: 2, Guard: fleet.GuardHold,
+					Key: document.KeyNumericHeader{Name: "k"}, Upstreams: []document.Upstream{{ID: "a"}},
+				}
+				owner := &freedOwner{at: time.Now().Add(test.freeIn), changed: make(chan struct{})}
+				time.AfterFunc(test.freeIn, func() { close(owner.changed) })
+				var record cause.Record
+				r := &Router{
+					Clock: timer.System{}, OwnershipMap: owner,
+					Config:   configuration{&document.Document{Services: []document.Service{service}}},
+					Recorder: recorderFunc(func(ended cause.Record) { record = ended }),
+				}
+				response, ok := r.Do(t.Context(), &Request{
+					ID: "r", Service: "s", Method: http.MethodGet, Target: "/", Key: "7", MaxAttempts: 1,
+				}).(Rejected)
+				is.True(ok)
+				is.Equal(response.Outcome, cause.NotRun)
+				if test.wait == 0 {
+					is.Equal(response.Cause, cause.NoOwner)
+					is.Equal(response.RetryAfter, test.freeIn)
+					is.Equal(record.TotalTime, time.Duration(0))
+					return
+				}
+				is.True(len(record.Attempts) > 0) // nothing listens at the zero address
+				is.Equal(record.Attempts[0].Upstream, fleet.UpstreamID("a"))
+				is.True(record.Attempts[0].Started.Sub(record.Started) >= test.wait)
+			})
+		})
+	}
+}
--- a/internal/upstream/rangegrants/rangegrants_test.go
+++ b/internal/upstream/rangegrants/rangegrants_test.go
@@ -124,9 +124,13 @@
 // that finds this out may have granted the keys itself, or have just been elected.
 func TestRefusedConnectionsProveNothing(t *testing.T) {
 	for name, first := range map[string]func(*cluster, *daemon){
-		"same assigner":     func(*cluster, *daemon) {},
-		"assigner stops":    func(_ *cluster, first *daemon) { first.stop() },
-		"assigner is lost":  func(_ *cluster, first *daemon) { first.update(func(d *daemon) { d.storeRejects = true }) },
+		"same assigner":    func(*cluster, *daemon) {},
+		"assigner stops":   func(_ *cluster, first *daemon) { first.stop() },
+		"assigner is lost": func(_ *cluster, first *daemon) { first.update(func(d *daemon) { d.storeRejects = true }) },
+		"assigner is lost later": func(_ *cluster, first *daemon) {
+			sleep(time.Second)
+			first.update(func(d *daemon) { d.storeRejects = true })
+		},
 		"server is back":    func(c *cluster, _ *daemon) { c.reopen("s1", time.Second) },
 		"server flickers":   func(c *cluster, _ *daemon) { c.reopen("s1", 400*time.Millisecond) },
 		"all are cut off":   func(c *cluster, _ *daemon) { c.closeServers("s0", "s2", "s3") },
@@ -324,7 +328,7 @@
 	id := fleet.UpstreamID(fmt.Sprint("s", random.IntN(5)))
 	target := daemons[random.IntN(len(daemons))]
 	flip := random.IntN(2) == 0
-	switch random.IntN(10) {
+	switch random.IntN(11) {
 	case 0:
 		c.updateServer(id, func(s *fakeServer) { s.unreachable = flip })
 	case 1:
@@ -343,6 +347,8 @@
 		c.store.update(func(s *fakeStore) { s.down = flip })
 	case 9:
 		c.store.update(func(s *fakeStore) { s.ackLossRate, s.delayRate = 0.3*random.Float64(), 0.3*random.Float64() })
+	case 10:
+		c.updateServer(id, func(s *fakeServer) { s.closed = flip })
 	}
 }
 
@@ -360,6 +366,6 @@
 		if gone {
 			c.startServer(id)
 		}
-		c.updateServer(id, func(s *fakeServer) { s.unreachable, s.leaving, s.delayRate = false, false, 0 })
+		c.updateServer(id, func(s *fakeServer) { s.unreachable, s.closed, s.leaving, s.delayRate = false, false, false, 0 })
 	}
 }
--- a/internal/upstream/rangegrants/server.go
+++ b/internal/upstream/rangegrants/server.go
@@ -258,7 +258,7 @@
 			continue
 		}
 		t.mu.Lock()
-		delete(t.down, owner)
+		t.back[owner] = true
 		t.mu.Unlock()
 		t.Log.Info().Str("server", string(owner.ID)).Msg("server is back")
 		t.requestReplan()
--- a/internal/upstream/rangegrants/term.go
+++ b/internal/upstream/rangegrants/term.go
@@ -41,8 +41,11 @@
 	// releases is guarded by mu and contains the releases that were started.
 	releases map[releaseKey]*releaseState
 	// down is guarded by mu. Its keys are the servers that have failed and have not responded to a probe since; the value is
-	// set if the process is known to have ended. Nothing is granted to them.
+	// set if the process is known to have ended. Nothing is granted to them. Only the goroutine that plans deletes keys, so that
+	// no grant is sent between its decision and the write of the table.
 	down map[ranges.Owner]bool
+	// back is guarded by mu and contains the servers in down that have responded to a probe since the last plan.
+	back map[ranges.Owner]bool
 }
 
 func newTerm(a *Assigner, acquired *heldLease) *term {
@@ -50,7 +53,7 @@
 		Assigner: a, lease: acquired, era: a.Store.Reading().Era, inheritedExpiry: a.inheritedExpiry(acquired),
 		replan: make(chan struct{}, 1), moveEnded: make(chan struct{}, 1),
 		serverTasks: make(map[ranges.Owner]*serverTask), releases: make(map[releaseKey]*releaseState),
-		down: make(map[ranges.Owner]bool),
+		down: make(map[ranges.Owner]bool), back: make(map[ranges.Owner]bool),
 	}
 }
 
@@ -183,11 +186,13 @@
 // plan computes and writes the next table if it differs, and then starts the releases and grants that the table requires. It
 // returns false if the term is over.
 func (t *term) plan(ctx context.Context, load AggregateLoad) bool {
+	t.readmitServers()
 	now := t.Uptime.Uptime()
 	rebalance := now-t.lastMove >= minRebalanceInterval
 	planner := &ranges.Planner{
 		Servers: t.availableServers(load.Stats), Load: load.Load, Rebalance: rebalance, Now: t.Store.Reading().Earliest(now),
 		GrantsExpireAt: t.grantsExpireAt, Released: t.released, Ended: t.processEnded, Granted: t.granted, Refused: t.refused,
+		Unreachable: t.isDown,
 	}
 	next, changed := planner.Next(t.table)
 	if daemonsChanged(next.Daemons, load.Daemons) {
@@ -206,6 +211,24 @@
 	return true
 }
 
+// readmitServers makes the servers available again that have responded to a probe.
+func (t *term) readmitServers() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for owner := range t.back {
+		delete(t.down, owner)
+	}
+	clear(t.back)
+}
+
+// isDown reports whether a server has failed and has not responded to a probe since.
+func (t *term) isDown(owner ranges.Owner) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, down := t.down[owner]
+	return down
+}
+
 // daemonsChanged reports whether the number of daemons is to be written. The limits that daemons share are divided by it, so a
 // higher one is written at once. A lower one is written only if it is significantly lower, since each write is read by all.
 func daemonsChanged(written, counted int) bool {
@@ -260,10 +283,18 @@
 	maxSpeedFactor = 2
 )
 
-// grantsExpireAt returns the time of the store's clock at which every grant that was sent until now has expired. Later assigners
-// read it in the table, as the bound for a former owner.
-func (t *term) grantsExpireAt(ranges.Owner) time.Duration {
-	return t.Store.Reading().Latest(t.Uptime.Uptime()) + requestTimeout + maxGrantLifetime(t.OutageGrantDuration)
+// grantsExpireAt returns the time of the store's clock at which every grant to a server has expired. Later assigners read it in the
+// table, as the bound for a former owner. A server that is down is sent no more grants, so that those sent bound the time; any
+// other one may be sent grants until the table is written.
+func (t *term) grantsExpireAt(owner ranges.Owner) time.Duration {
+	now := t.Uptime.Uptime()
+	expiry := now + requestTimeout + maxGrantLifetime(t.OutageGrantDuration)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, down := t.down[owner]; down {
+		expiry = min(expiry, max(now, t.grantExpiryUptime(owner, fleet.KeyRange{Last: fleet.MaxNumericKey})))
+	}
+	return t.Store.Reading().Latest(now) + expiry - now
 }
 
 // logOwnerChanges logs each range to which the next table assigns another owner.
