upstream/forward: bound the bodies of refusals and of responses to earlier requests

Reported by other operators: a faulty worker sent bytes without end, the machine that had called it kept them all, and other clients' requests ended with it. Looked for here with stand-ins that never stop, in heads and bodies, for requests, orders and probes.

Cause: the skipped body was copied to nothing without a limit, and the body of a refusal had a limit of bytes, but not of time.

Change: 1 MiB of a response to an earlier request, then the connection is closed and the outcome is that of bytes that are no response; 100 ms for the body of a refusal, then the connection is closed and the refusal counts.

--- a/internal/upstream/forward/endless_test.go
+++ b/internal/upstream/forward/endless_test.go
@@ -33,9 +33,10 @@
 		_, _ = conn.Read(make([]byte, 4096))
 		_, err = io.WriteString(conn, start)
 		content := []byte(block) // converted once, since heapGrowth counts the allocations of the whole process
-		for err == nil {
+		for err == nil && len(content) > 0 {
 			_, err = conn.Write(content)
 		}
+		_, _ = conn.Read(make([]byte, 1)) // until the peer closes
 	}()
 	client := &forward.Client{Address: listener.Addr().(*net.TCPAddr).AddrPort(), Clock: timer.System{}, BufferLimit: 1 << 20}
 	t.Cleanup(func() { _ = listener.Close(); client.Close(); <-closed })
@@ -110,15 +111,51 @@
 	}
 }
 
-// Guards against a request that waits for bytes without an end that are not part of its response: the rest of a response to an
-// earlier request, and the body of a refusal.
+// earlierDialect recognizes responses to an earlier request by their ID.
+type earlierDialect struct{ forward.NativeDialect }
+
+// Classify implements forward.Dialect.
+func (d earlierDialect) Classify(request *forward.Request, status int, header http.Header) forward.Classification {
+	if header.Get("Rosemarywick-Request-Id") == "earlier" {
+		return forward.Stale{}
+	}
+	return d.NativeDialect.Classify(request, status, header)
+}
+
+// Guards against a request that waits for bytes without an end, or that do not come, which are not part of its response: the body
+// of a response to an earlier request, and that of a refusal.
 func TestEndlessBodyOfOtherResponses(t *testing.T) {
-	is := is.New(t)
-	client, closed := endlessUpstream(t, "HTTP/1.1 503 Full\r\nNot-Run: true\r\n\r\n", strings.Repeat("a", 16<<10))
-	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
-	defer cancel()
-	_, rejected := client.Send(ctx, newRequest("r", http.MethodGet, 0)).(forward.Rejected)
-	is.True(rejected)
-	is.NoErr(ctx.Err())
-	<-closed
+	block := strings.Repeat("a", 16<<10)
+	refused := "HTTP/1.1 503 Full\r\nNot-Run: true\r\n"
+	earlier := "HTTP/1.1 200 OK\r\nRosemarywick-Request-Id: earlier\r\n"
+	for name, test := range map[string]struct {
+		start, block string
+		refused      bool
+	}{
+		"refusal":                    {refused + "\r\n", block, true},
+		"refusal, stalled":           {refused + "Content-Length: 9\r\n\r\n", "", true},
+		"refusal, stalled chunk":     {refused + "Transfer-Encoding: chunked\r\n\r\n", "", true},
+		"earlier response":           {earlier + "\r\n", block, false},
+		"earlier response in chunks": {earlier + "Transfer-Encoding: chunked\r\n\r\n", "4000\r\n" + block + "\r\n", false},
+		"earlier response, long":     {earlier + "Content-Length: 1000000000000\r\n\r\n", block, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			client, closed := endlessUpstream(t, test.start, test.block)
+			client.Dialect = earlierDialect{}
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			result := client.Send(ctx, newRequest("r", http.MethodGet, 0))
+			is.NoErr(ctx.Err()) // the bound was noticed, not the deadline
+			switch result.(type) {
+			case forward.Rejected:
+				is.True(test.refused)
+			case forward.Truncated: // the request was sent, and may have run
+				is.True(!test.refused)
+			default:
+				t.Fatalf("%T %+v", result, result)
+			}
+			<-closed
+		})
+	}
 }
--- a/internal/upstream/forward/exchange.go
+++ b/internal/upstream/forward/exchange.go
@@ -16,12 +16,15 @@
 	// inlineWriteLimit is the largest request in bytes that is written before the response is read. It fits into the socket
 	// buffers. The rest of a larger request is written concurrently, since an upstream may respond before it has read it.
 	inlineWriteLimit = 8 << 10
-	// maxStaleResponses limits the responses to earlier requests that are skipped on one connection.
+	// maxStaleResponses limits the responses to earlier requests that are skipped on one connection, and maxStaleBytes the body of
+	// one of them.
 	maxStaleResponses = 3
+	maxStaleBytes     = 1 << 20
 )
 
 var (
 	errTooManyStale    = errors.New("forward: too many responses to earlier requests")
+	errStaleTooLarge   = errors.New("forward: response to an earlier request is too large")
 	errInvalidResponse = errors.New("forward: invalid response")
 )
 
@@ -126,9 +129,13 @@
 		if _, stale := e.client.Dialect.Classify(e.request, response.StatusCode, response.Header).(Stale); !stale {
 			return response, nil
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStaleBytes))
+		if err != nil {
 			return nil, errors.Wrap(err, "forward: skip response to an earlier request")
 		}
+		if skipped == maxStaleBytes {
+			return nil, errors.Mark(errStaleTooLarge, errInvalidResponse)
+		}
 		e.connection.beginHead()
 	}
 	return nil, errors.Mark(errTooManyStale, errInvalidResponse)
@@ -193,14 +200,19 @@
 	io.Closer
 }
 
-// discardLimit is the largest body in bytes of a refused request that is read so that the connection can be reused.
-const discardLimit = 4 << 10
+const (
+	// discardLimit is the largest body in bytes of a refused request that is read so that the connection can be reused.
+	discardLimit = 4 << 10
+	// discardTimeout bounds how long such a body is awaited. The refusal is known, and its caller waits meanwhile.
+	discardTimeout = 100 * time.Millisecond
+)
 
 // discardBody ends the exchange without using the body, and keeps the connection if the body is short.
 func (e *exchange) discardBody(response *http.Response) {
-	rest := &responseBody{Reader: response.Body, exchange: e}
-	_, _ = io.CopyN(io.Discard, rest, discardLimit)
-	_ = rest.Close()
+	_ = e.connection.SetReadDeadline(time.Now().Add(discardTimeout)) // an error shows at the next read
+	_, err := io.CopyN(io.Discard, response.Body, discardLimit)
+	_ = e.connection.SetReadDeadline(time.Time{})
+	e.finish(errors.Is(err, io.EOF))
 }
 
 // finish ends the exchange and frees its slot. The connection is kept only if the response was complete, no further bytes
