router, admission: requests that would outlast a planned stop are refused before they are passed on

Reported by other operators: requests that came late in the grace of a planned stop were taken, passed on and cut off without an answer, also ones that may not be repeated.

Cause: the stop changed what is accepted, but neither the deadlines nor the queues of requests that had been.

Change: Router.EndBy is told when the stop ends.

--- a/internal/caller/front/handler.go
+++ b/internal/caller/front/handler.go
@@ -2,11 +2,11 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/gorilla/mux"
 
 	"rosemarywick.example/rosemarywick/internal/core/cause"
+	"rosemarywick.example/rosemarywick/internal/routing/admission"
 	"rosemarywick.example/rosemarywick/internal/routing/router"
 )
 
@@ -24,10 +24,6 @@
 	return routes
 }
 
-// stoppingRetryAfter is the retry delay for a caller whose request was rejected by a stopping daemon. It is short because
-// another daemon can serve the retry at once.
-const stoppingRetryAfter = 100 * time.Millisecond
-
 // readyPath is the readiness check for the platform's load balancer. It cannot collide with a service, as service names do not
 // begin with a hyphen.
 const readyPath = "/-/ready"
@@ -48,7 +44,7 @@
 	}
 	if !f.beginRequest() {
 		rw.Header().Set("Connection", "close")
-		dialect.WriteRejection(rw, router.Rejected{Outcome: cause.NotRun, Cause: cause.DaemonStopping, RetryAfter: stoppingRetryAfter})
+		dialect.WriteRejection(rw, router.Rejected{Outcome: cause.NotRun, Cause: cause.DaemonStopping, RetryAfter: admission.StoppingRetryAfter})
 		return
 	}
 	defer f.endRequest()
--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -114,7 +114,9 @@
 	// acceptFraction is the fraction of StopTimeout in which requests are still accepted, until the load balancer has noticed
 	// that the daemon is not ready.
 	acceptFraction = 0.45
-	// finishFraction is the fraction of StopTimeout after which the last requests have ended.
+	// endFraction is the fraction of StopTimeout after which requests that are left are ended, so that their callers get an answer.
+	// finishFraction is the fraction after which the connections of callers are closed.
+	endFraction    = 0.92
 	finishFraction = 0.95
 	// grantFraction is the normal duration of a grant as a fraction of MaxGrantDuration. A server that stops responding is
 	// replaced after that time, and a grant has to outlast the election of an assigner.
@@ -250,6 +252,7 @@
 	d.stopping = true
 	d.mu.Unlock()
 	d.front.DrainConnections()
+	d.router.EndBy(d.Timer.Now().Add(d.stopFraction(endFraction)))
 	d.Log.Info().Dur("accepting", d.stopFraction(acceptFraction)).Msg("daemon stopping; the balancer is told to use other daemons")
 	if err := timer.Wait(servingCtx, d.Timer, d.stopFraction(acceptFraction)); err != nil {
 		return err
--- a/internal/daemon/host/host.go
+++ b/internal/daemon/host/host.go
@@ -136,10 +136,16 @@
 	stages.run(stageRequests, d.requestPath.front.Run)
 }
 
+// endFraction is the fraction of the stop timeout after which requests that are left are ended.
+const endFraction = 0.95
+
 // stop waits until the load balancer has noticed that the daemon is not ready, and then stops the stages in their order.
 func (d *Daemon) stop(stages *taskStages) {
 	d.Log.Info().Dur("timeout", d.Settings.StopTimeout).Msg("daemon stopping")
 	d.operatorService.stopping.Store(true)
+	// Callers whose requests are left shortly before their connections are closed get an answer.
+	lastRequests := time.Duration(float64(d.Settings.StopTimeout) * endFraction)
+	d.requestPath.router.EndBy(d.Timer.Now().Add(d.Settings.BalancerGrace + lastRequests))
 	ctx, cancel := context.WithTimeout(context.Background(), d.Settings.StopTimeout)
 	defer cancel()
 	_ = timer.Wait(ctx, d.Timer, d.Settings.BalancerGrace)
--- a/internal/routing/admission/admission_test.go
+++ b/internal/routing/admission/admission_test.go
@@ -176,3 +176,50 @@
 	is.Equal(admission.MaxInFlight(limit, now), 0) // below one request in flight, the limit pauses the upstream
 	is.Equal(admission.MaxInFlight(limit, now.Add(time.Second)), 1)
 }
+
+// Guards against a request that is sent shortly before the daemon stops and cut off then, and against one that is refused although
+// it ends before, by its own deadline or by what requests take.
+func TestRefuseRequestsThatOutlastStop(t *testing.T) {
+	const serviceTime = 400 * time.Millisecond
+	for name, test := range map[string]struct {
+		left, deadline time.Duration
+		idempotent     bool
+		refused        bool
+	}{
+		"enough time":                {time.Second, 2 * time.Second, false, false},
+		"time for an idempotent one": {600 * time.Millisecond, 2 * time.Second, true, false},
+		"no time for another one":    {600 * time.Millisecond, 2 * time.Second, false, true},
+		"no time":                    {300 * time.Millisecond, 2 * time.Second, true, true},
+		"ends by its deadline":       {600 * time.Millisecond, 500 * time.Millisecond, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			controller, now := newController(1, 100), start
+			controller.Submit(now, newRequest("", time.Second))
+			controller.Release(now, "u", admission.Served{Latency: serviceTime})
+			controller.EndBy = now.Add(test.left)
+			request := newRequest("", test.deadline)
+			request.Idempotent = test.idempotent
+			decision, _ := controller.Submit(now, request)
+			refused, isRefused := decision.(admission.Refused)
+			is.Equal(isRefused, test.refused)
+			is.True(!isRefused || refused.Cause == cause.DaemonStopping)
+		})
+	}
+}
+
+// Guards against a queued request that is sent although the daemon stops before it can end.
+func TestRefuseQueuedRequestsThatOutlastStop(t *testing.T) {
+	is := is.New(t)
+	controller, now := newController(1, 100), start
+	controller.Submit(now, newRequest("", time.Minute))
+	queued := newRequest("", time.Minute)
+	decision, _ := controller.Submit(now, queued)
+	is.Equal(decision, admission.Decision(admission.Queued{}))
+	controller.EndBy = now.Add(time.Second)
+	dequeued := controller.Release(now.Add(900*time.Millisecond), "u", admission.Served{Latency: 900 * time.Millisecond})
+	is.Equal(len(dequeued), 1)
+	refused, ok := dequeued[0].Decision.(admission.Refused)
+	is.True(ok)
+	is.Equal(refused.Cause, cause.DaemonStopping)
+}
--- a/internal/routing/admission/controller.go
+++ b/internal/routing/admission/controller.go
@@ -60,6 +60,9 @@
 	NewLimit func(fleet.UpstreamID) Limit
 	// ChooseUpstream selects one of the upstreams that have capacity. It returns false if none can be used.
 	ChooseUpstream func(now time.Time, request *Request, hasCapacity func(fleet.UpstreamID) bool) (fleet.UpstreamID, bool)
+	// EndBy is when the daemon stops and every request must have ended, or zero. A request whose own deadline is later is refused
+	// unless it is expected to end by then.
+	EndBy time.Time
 	// TenantWeight returns the share of a tenant. Nil gives all tenants the same share.
 	TenantWeight func(fleet.TenantName) int
 
@@ -102,6 +105,9 @@
 
 // Submit admits, queues or refuses a request. To queue it, Submit may evict another request, which is returned as Dequeued.
 func (c *Controller) Submit(now time.Time, request *Request) (Decision, []Dequeued) {
+	if c.endsTooLate(now, request) {
+		return stoppingRefusal, nil
+	}
 	if c.queue.length == 0 {
 		if id, ok := c.reserveSlot(now, request); ok {
 			return Admitted{Upstream: id}, nil
@@ -172,6 +178,11 @@
 	var dequeued []Dequeued
 	for c.queue.length > 0 {
 		tenant := c.queue.next()
+		if c.endsTooLate(now, tenant.requests[0]) {
+			dequeued = append(dequeued, Dequeued{Request: tenant.requests[0], Decision: stoppingRefusal})
+			c.queue.removeAt(tenant, 0)
+			continue
+		}
 		index, late := c.nextRequest(now, tenant)
 		if late {
 			c.missRate += (1 - c.missRate) / missWeight
@@ -214,6 +225,28 @@
 	return 0, false
 }
 
+// StoppingRetryAfter is the delay after which the caller of a daemon that stops may try again. Another daemon can serve it at once.
+const StoppingRetryAfter = 100 * time.Millisecond
+
+// stoppingRefusal is the refusal of a request that would not end before the daemon stops.
+var stoppingRefusal = Refused{Cause: cause.DaemonStopping, RetryAfter: StoppingRetryAfter}
+
+// stopMargin is how many times the mean service time has to be left until EndBy for a request that must not be repeated, since its
+// caller could not learn its outcome if it took longer than others.
+const stopMargin = 2
+
+// endsTooLate reports whether a request that starts now is expected to be cut off at EndBy.
+func (c *Controller) endsTooLate(now time.Time, request *Request) bool {
+	if c.EndBy.IsZero() || request.Deadline.Before(c.EndBy) {
+		return false
+	}
+	needed := c.serviceTime
+	if !request.Idempotent {
+		needed *= stopMargin
+	}
+	return now.Add(needed).After(c.EndBy)
+}
+
 // missesDeadline reports whether a request that starts now is expected to end after its deadline.
 func (c *Controller) missesDeadline(now time.Time, request *Request) bool {
 	return now.Add(c.serviceTime).After(request.Deadline)
--- a/internal/routing/router/keyed_test.go
+++ b/internal/routing/router/keyed_test.go
@@ -115,3 +115,35 @@
 		})
 	}
 }
+
+// Guards against a request that still waits when the daemon closes its connection, and against one that came earlier than the stop
+// and outlasts it.
+func TestEndByAnswersWaitingRequests(t *testing.T) {
+	for name, before := range map[string]bool{"in flight": true, "later": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				service := document.Service{
+					Name: "s", Timeout: 10 * time.Second, QueueLimit: 9, Slots: 2, Guard: fleet.GuardHold,
+					Key: document.KeyNumericHeader{Name: "k"}, Upstreams: []document.Upstream{{ID: "a"}},
+				}
+				r := &Router{
+					Clock: timer.System{}, OwnershipMap: &movingOwner{}, // no owner
+					Config: configuration{&document.Document{Services: []document.Service{service}}},
+				}
+				started := time.Now()
+				if before {
+					time.AfterFunc(time.Second, func() { r.EndBy(started.Add(3 * time.Second)) })
+				} else {
+					r.EndBy(started.Add(3 * time.Second))
+				}
+				response, ok := r.Do(t.Context(), &Request{ID: "r", Service: "s", Method: http.MethodGet, Target: "/", Key: "7"}).(Rejected)
+				is.True(ok)
+				is.Equal(response.Outcome, cause.NotRun)
+				is.Equal(response.Cause, cause.DaemonStopping)
+				is.Equal(time.Since(started), 3*time.Second)
+				r.Close()
+			})
+		})
+	}
+}
--- a/internal/routing/router/pending.go
+++ b/internal/routing/router/pending.go
@@ -114,9 +114,12 @@
 // maxSends is the maximum number of sends of one request, including those to unreachable upstreams.
 const maxSends = 8
 
-// preferAttemptCause reports the cause of the last failed attempt instead of the deadline, if it was that attempt which
+// preferAttemptCause reports that the daemon stops if that ended the wait of the request. It reports the cause of the last failed attempt instead of the deadline, if it was that attempt which
 // left no time for another one.
 func (p *pendingRequest) preferAttemptCause(rejected rejection) rejection {
+	if p.router.lifetime().Err() != nil && len(p.record.Attempts) == 0 {
+		return rejection{outcome: cause.NotRun, cause: cause.DaemonStopping, retryAfter: admission.StoppingRetryAfter}
+	}
 	deadlineRelated := rejected.cause == cause.DeadlineUnmeetable || rejected.cause == cause.DeadlinePassed
 	if deadlineRelated && len(p.record.Attempts) > 0 {
 		rejected.cause = p.lastAttemptCause()
@@ -128,11 +131,16 @@
 func (p *pendingRequest) retryRequest() retry.Request {
 	return retry.Request{
 		Delivery: p.request.Delivery, Keyed: p.service.Keyed(),
-		CallerGone: p.callerCtx.Err() != nil, Expired: !p.router.Clock.Now().Before(p.deadline),
+		CallerGone: p.callerCtx.Err() != nil, Expired: p.expired(),
 		AttemptsExhausted: p.request.MaxAttempts > 0 && (p.reachedSends >= p.request.MaxAttempts || p.sends >= maxSends),
 	}
 }
 
+// expired reports whether the deadline of the request has passed, or the daemon stops now.
+func (p *pendingRequest) expired() bool {
+	return !p.router.Clock.Now().Before(p.deadline) || p.router.lifetime().Err() != nil
+}
+
 // acquire waits for a slot at an upstream that may serve the request.
 func (p *pendingRequest) acquire() (*acquiredSlot, *rejection) {
 	started := p.router.Clock.Now()
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -103,9 +103,44 @@
 	services map[fleet.ServiceName]*serviceState
 	document *document.Document
 
+	// endBy is guarded by mu: when every request must have ended, or zero.
+	endBy time.Time
+
+	endOnce sync.Once
+	// ended is a context that ends at endBy. endOnce creates it; see lifetime.
+	ended context.Context
+	end   context.CancelFunc
+
 	attempts attemptTracker
 }
 
+// EndBy makes every request end by a time, because the daemon stops then. Requests that are not expected to end by then are
+// refused before they are sent; one that is at an upstream at that time ends with an unknown outcome.
+func (r *Router) EndBy(at time.Time) {
+	ended := r.lifetime()
+	r.mu.Lock()
+	r.endBy = at
+	for _, service := range r.services {
+		service.setEndBy(at)
+	}
+	r.mu.Unlock()
+	timeout := r.Clock.After(at.Sub(r.Clock.Now()))
+	go func() {
+		defer timeout.Stop()
+		select {
+		case <-timeout.C:
+			r.end()
+		case <-ended.Done():
+		}
+	}()
+}
+
+// lifetime returns a context that ends with the time set by EndBy, or with Close.
+func (r *Router) lifetime() context.Context {
+	r.endOnce.Do(func() { r.ended, r.end = context.WithCancel(context.Background()) })
+	return r.ended
+}
+
 // Run cancels attempts that a newer ownership map has superseded, until ctx ends.
 func (r *Router) Run(ctx context.Context) error {
 	if r.OwnershipMap == nil {
@@ -139,10 +174,11 @@
 	if timeout <= 0 {
 		timeout = p.service.Timeout
 	}
-	p.deadline = now.Add(timeout)
+	p.deadline = r.capDeadline(now.Add(timeout))
 	var cancel context.CancelFunc
 	p.ctx, cancel = context.WithDeadline(ctx, p.deadline)
-	p.cancel = cancel
+	detach := context.AfterFunc(r.lifetime(), cancel)
+	p.cancel = func() { detach(); cancel() }
 	if p.service.Keyed() {
 		if request.Key == "" {
 			return p.reject(rejection{outcome: cause.NotRun, cause: cause.MissingKey})
@@ -159,6 +195,16 @@
 	return p.runAttempts()
 }
 
+// capDeadline returns the deadline, or the time set by EndBy if that is earlier.
+func (r *Router) capDeadline(deadline time.Time) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.endBy.IsZero() && r.endBy.Before(deadline) {
+		return r.endBy
+	}
+	return deadline
+}
+
 // hashKey returns the hash under which the ownership map knows a key. A numeric key is its own hash.
 func hashKey(source document.KeySource, key string) (fleet.KeyHash, error) {
 	if _, numeric := source.(document.KeyNumericHeader); !numeric {
@@ -183,8 +229,10 @@
 	}
 }
 
-// Close closes the idle connections to all upstreams.
+// Close closes the idle connections to all upstreams and ends the requests that are left.
 func (r *Router) Close() {
+	r.lifetime()
+	r.end()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, service := range r.services {
--- a/internal/routing/router/service.go
+++ b/internal/routing/router/service.go
@@ -115,10 +115,24 @@
 		controller.ChooseUpstream = queue.choose(chooseUpstream)
 		controller.TenantWeight = func(tenant fleet.TenantName) int { return max(1, weights[tenant]) }
 		controller.NewLimit = func(id fleet.UpstreamID) admission.Limit { return r.newLimit(declared, id) }
+		controller.EndBy = r.endBy
 	})
 	return queue
 }
 
+// setEndBy passes the time at which the daemon stops on to the queues of the service.
+func (s *serviceState) setEndBy(at time.Time) {
+	apply := func(controller *admission.Controller) { controller.EndBy = at }
+	if s.queue != nil {
+		s.queue.configure(apply)
+	}
+	for _, upstream := range s.upstreams {
+		if upstream.queue != nil {
+			upstream.queue.configure(apply)
+		}
+	}
+}
+
 func (r *Router) newBudget() *retry.Budget {
 	if r.NewBudget != nil {
 		return r.NewBudget()
