operator/cli: SIGHUP, SIGPIPE and a repeated SIGTERM end no daemon

Cause: SIGHUP has its default action unless watchSettings runs, which starts after the settings were read and ends with SIGTERM. A second SIGTERM ended a stopping daemon too, and SIGPIPE one that has lost the reader of its log.

Change: entry and serve take SIGHUP and SIGPIPE before anything else and for the whole life of the process. SIGTERM may be repeated; SIGINT after another signal still ends the process at once, for terminals.

TestSignalContext says that a second SIGTERM ends nothing, which it asked for before: its comment says why, and SIGINT is asked for instead.

--- a/internal/operator/cli/root.go
+++ b/internal/operator/cli/root.go
@@ -100,9 +100,10 @@
 	var path string
 	command := &cobra.Command{
 		Use:   "serve --settings FILE",
-		Short: "Run one daemon until SIGINT or SIGTERM; a second signal stops it at once",
+		Short: "Run one daemon until SIGINT or SIGTERM; a SIGINT after that stops it at once",
 		Args:  usageArgs(cobra.NoArgs),
 		RunE: func(command *cobra.Command, _ []string) error {
+			SurviveSignals()
 			if path == "" {
 				return usageErrorf("serve: the flag --settings is required")
 			}
@@ -124,6 +125,7 @@
 		Short: "Run one daemon on the platform, whose settings file is named by ROSEMARYWICK_SETTINGS",
 		Args:  usageArgs(cobra.NoArgs),
 		RunE: func(command *cobra.Command, _ []string) error {
+			SurviveSignals()
 			return r.Entry(command.Context(), level.value)
 		},
 	}
--- a/internal/operator/cli/root_test.go
+++ b/internal/operator/cli/root_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
@@ -90,7 +91,8 @@
 		`level=warn event="change refused" cause="row\\nhas another version" version=7\n$`).MatchString(line))
 }
 
-// Guards against a first signal that does not cancel the context, and a second one that does not terminate the process.
+// Guards against a first signal that does not cancel the context, against a repeated SIGTERM that ends a process which finishes its
+// work, and against a process that cannot be ended at a terminal.
 func TestSignalContext(t *testing.T) {
 	is := is.New(t)
 	exited := make(chan int, 1)
@@ -98,7 +100,12 @@
 	defer stop()
 	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGTERM))
 	<-ctx.Done()
-	is.Equal(len(exited), 0)
+	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	select {
+	case <-exited:
+		t.Fatal("a repeated SIGTERM ended the process")
+	case <-time.After(50 * time.Millisecond):
+	}
 	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGINT))
 	is.Equal(<-exited, int(cli.ExitFailure))
 	stop() // a CancelFunc may be called more than once
--- a/internal/operator/cli/signals.go
+++ b/internal/operator/cli/signals.go
@@ -7,8 +7,16 @@
 	"syscall"
 )
 
-// SignalContext returns a context that is canceled by the first SIGINT or SIGTERM. A second signal terminates the process at
-// once with ExitFailure. The returned function cancels the context and restores the default behavior of the signals.
+// SurviveSignals makes signals harmless, until the process ends, that would end a daemon by their default action: SIGHUP, which
+// tells it that its settings have changed, and SIGPIPE, when nobody reads its log. Commands for a terminal keep the default
+// action, since they are to end with the terminal.
+func SurviveSignals() {
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP, syscall.SIGPIPE)
+}
+
+// SignalContext returns a context that is canceled by the first SIGINT or SIGTERM. A later SIGINT terminates the process at once
+// with ExitFailure; a later SIGTERM changes nothing, since a supervisor may repeat it while the process finishes its work. The
+// returned function cancels the context and restores the default behavior of the signals.
 func SignalContext(parent context.Context) (context.Context, context.CancelFunc) {
 	return signalContext(parent, os.Exit)
 }
@@ -21,13 +29,14 @@
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	stopped, stop := context.WithCancel(context.Background())
 	go func() {
-		for count := 1; ; count++ {
+		for {
+			var received os.Signal
 			select {
-			case <-signals:
+			case received = <-signals:
 			case <-stopped.Done():
 				return
 			}
-			if count > 1 {
+			if ctx.Err() != nil && received == os.Interrupt {
 				exit(int(ExitFailure))
 				return
 			}
