caller/front: a lack of descriptors ends no daemon, and idle connections leave room for new ones

Cause: the listener of front wrapped the temporary error of accept, so that net/http took it for a permanent one. Idle connections of callers were bounded by their timeout only.

Change: callerListener goes on after a temporary error, and closes the connection that has been idle for longest. Callers may use 0.6 of the descriptors; at that number an idle connection is closed for each new one, and a new one is closed unread if all are in use.

--- a/internal/caller/front/conn.go
+++ b/internal/caller/front/conn.go
@@ -1,50 +1,27 @@
 package front
 
 import (
+	"container/list"
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
-// idleTimeoutListener applies the idle timeout of the current configuration to accepted connections. The
-// IdleTimeout of http.Server cannot change while the server runs, but the configuration can.
-type idleTimeoutListener struct {
-	net.Listener
-	config Configuration
-
-	once sync.Once
-	// closeErr is set by once.
-	closeErr error
-}
-
-// Close closes the listener once and returns the same error each time, as both Frontend and http.Server call it.
-func (l *idleTimeoutListener) Close() error {
-	l.once.Do(func() { l.closeErr = errors.Wrap(l.Listener.Close(), "front: close listener") })
-	return l.closeErr
-}
-
-// Accept waits for the next connection and returns it as a callerConn.
-func (l *idleTimeoutListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, errors.Wrap(err, "front: accept")
-	}
-	caller := &callerConn{Conn: conn, config: l.config, cancelRequests: func() {}}
-	caller.ahead = readAhead{conn: conn, gone: func() { caller.cancelRequests() }}
-	return caller, nil
-}
-
 // callerConn is a connection from a caller.
 type callerConn struct {
 	net.Conn
 	config Configuration
+	// listener has accepted the connection.
+	listener *callerListener
 	// idle is set while no request is being served on the connection.
 	idle atomic.Bool
+	// idlePosition and closed are guarded by the listener's mu. idlePosition is the place among the idle connections, or nil.
+	idlePosition *list.Element
+	closed       bool
 	// inUse is guarded by the Frontend's mu and set while the connection is new or carries a request.
 	inUse bool
 	// cancelRequests ends the contexts of the requests on the connection. requestContext sets it before the first read.
@@ -77,6 +54,7 @@
 // Close closes the connection and ends its requests.
 func (c *callerConn) Close() error {
 	err := c.Conn.Close()
+	c.listener.forget(c)
 	c.cancelRequests()
 	return errors.Wrap(err, "front: close connection")
 }
@@ -105,6 +83,7 @@
 		return
 	}
 	caller.idle.Store(state == http.StateIdle)
+	caller.listener.setIdle(caller, state == http.StateIdle)
 	inUse := state == http.StateNew || state == http.StateActive
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/caller/front/front.go
+++ b/internal/caller/front/front.go
@@ -52,6 +52,9 @@
 	// BodyLimit limits the size of a request body in bytes, for the default dialect. The body is kept in memory so that the
 	// request can be retried. Zero means 1 MiB.
 	BodyLimit int64
+	// MaxConnections limits the open connections of callers. Beyond it, the one that has been idle for longest is closed. Zero means
+	// that there is no limit.
+	MaxConnections int
 	// StopTimeout is how long Run waits for requests in flight and connections in use after ctx has ended. Zero means 30 s.
 	StopTimeout time.Duration
 	// Ready reports whether the platform's load balancer should route callers to this daemon. Nil means always.
@@ -97,14 +100,14 @@
 		ConnContext: requestContext,
 	}
 	failed := make(chan error, 1)
-	callerListener := &idleTimeoutListener{Listener: listener, config: f.Config}
-	go func() { failed <- server.Serve(callerListener) }()
+	callers := &callerListener{Listener: listener, config: f.Config, clock: f.Clock, log: f.Log, limit: f.MaxConnections}
+	go func() { failed <- server.Serve(callers) }()
 	select {
 	case err := <-failed:
 		return errors.Wrap(err, "front: serve")
 	case <-ctx.Done():
 	}
-	f.shutDown(callerListener)
+	f.shutDown(callers)
 	return errors.Wrap(server.Close(), "front: close server")
 }
 
--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -58,6 +58,8 @@
 	// RetryRatio and RetryBurst limit the retries of all daemons together, for each service: RetryRatio is the number
 	// of retries that each request adds to the budget, and RetryBurst the number of unused retries that are kept.
 	RetryRatio, RetryBurst float64
+	// MaxDescriptors is the number of files and connections that the process may have open, or zero if it is not limited.
+	MaxDescriptors int
 	// RateAllowance is what counts as obeying the limit that an upstream names.
 	RateAllowance ratelimit.Allowance
 }
@@ -111,6 +113,9 @@
 	maxBufferedBytes = 1 << 20
 	// outageGrace is the time after an outage of the store within which upstreams register again if their entries expired.
 	outageGrace = 2 * time.Second
+	// callerDescriptors is the fraction of the descriptors that connections of callers may use. The rest is for upstreams, other
+	// daemons, the store and the log.
+	callerDescriptors = 0.6
 	// acceptFraction is the fraction of StopTimeout in which requests are still accepted, until the load balancer has noticed
 	// that the daemon is not ready.
 	acceptFraction = 0.45
@@ -200,6 +205,7 @@
 	d.front = &front.Frontend{
 		Address: d.CallerAddress, Router: d.router, Config: d.configuration, Clock: d.Timer, Log: d.Log,
 		Dialect: d.CallerDialect(d.configuration), StopTimeout: d.stopFraction(finishFraction - acceptFraction), Listening: d.Listening,
+		MaxConnections: int(float64(d.Limits.MaxDescriptors) * callerDescriptors),
 	}
 }
 
