upstream/registry, rangegrants: an earlier start of an upstream never replaces a later one

Cause: the time of start in an entry was compared for equality only, so that the latest write won, not the latest start. The assigner took any other start for proof that the one in its table had ended.

Change: Incarnation.Precedes orders starts. The registry ignores an entry of an earlier start than it has seen of that upstream, also for a minute after it was deleted; an assigner that has just started ignores one that precedes the owner in its table. Also: a grant that was refused, or went to another server, extends no wait. It counted as applied, so that a server that refused connections was waited for a whole grant from the last attempt on, not from the last grant that it may have taken.

--- a/internal/core/fleet/identity.go
+++ b/internal/core/fleet/identity.go
@@ -3,7 +3,10 @@
 // printed.
 package fleet
 
-import "net/netip"
+import (
+	"net/netip"
+	"strconv"
+)
 
 // HostID identifies one host that runs a daemon. It is unique among the hosts that are alive at the same time.
 type HostID string
@@ -26,6 +29,14 @@
 // Incarnation identifies one run of a server process. It changes with every restart.
 type Incarnation string
 
+// Precedes reports whether an incarnation is certainly an earlier run of a server than another one. Incarnations that are decimal
+// numbers, such as times of start, are ordered by them; others have no order.
+func (i Incarnation) Precedes(other Incarnation) bool {
+	own, errOwn := strconv.ParseInt(string(i), 10, 64)
+	others, errOther := strconv.ParseInt(string(other), 10, 64)
+	return errOwn == nil && errOther == nil && own < others
+}
+
 // RequestID identifies one request of a caller in all records.
 type RequestID string
 
--- a/internal/upstream/rangegrants/cluster_test.go
+++ b/internal/upstream/rangegrants/cluster_test.go
@@ -79,6 +79,8 @@
 	crashed, unreachable, leaving bool
 	// closed refuses new connections while the process still runs and keeps its grants.
 	closed bool
+	// listed is the process that the registry lists for the server, if it is not the present one.
+	listed *ranges.Owner
 	// unregistered removes the server from the registry.
 	unregistered bool
 	// delayRate is the fraction of requests that are applied seconds after they arrived.
@@ -115,7 +117,7 @@
 
 // startServerAt starts a server at an address. The caller holds mu.
 func (c *cluster) startServerAt(id fleet.UpstreamID, address netip.AddrPort) *fakeServer {
-	incarnation := fleet.Incarnation(fmt.Sprint(time.Since(c.startedAt)))
+	incarnation := fleet.Incarnation(fmt.Sprint(time.Since(c.startedAt).Nanoseconds()))
 	server := &fakeServer{owner: ranges.Owner{ID: id, Incarnation: incarnation, Address: address}}
 	c.servers[id] = server
 	c.notifyChanged()
@@ -143,7 +145,11 @@
 	var result []rangegrants.Server
 	for _, server := range c.servers {
 		if !server.unregistered {
-			result = append(result, rangegrants.Server{Owner: server.owner, Slots: 6, Leaving: server.leaving})
+			owner := server.owner
+			if server.listed != nil {
+				owner = *server.listed
+			}
+			result = append(result, rangegrants.Server{Owner: owner, Slots: 6, Leaving: server.leaving})
 		}
 	}
 	return result
--- a/internal/upstream/rangegrants/rangegrants_test.go
+++ b/internal/upstream/rangegrants/rangegrants_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -174,6 +175,33 @@
 	})
 }
 
+// Guards against a key with two owners because the entry of an earlier start of a server is written late: the keys of the present process
+// would be given on while it holds them. The assigner may have seen the present entry, or may not.
+func TestLateEntryOfEarlierStart(t *testing.T) {
+	for name, newAssigner := range map[string]bool{"known": false, "new assigner": true} {
+		t.Run(name, func(t *testing.T) {
+			runWithSeeds(t, 4, func(c *cluster, first *daemon, seed uint64) {
+				second := c.startDaemon("b")
+				sleep(time.Duration(15000+37*seed) * time.Millisecond)
+				c.mu.Lock()
+				earlier := c.servers["s1"].owner
+				c.startServerAt("s1", netip.MustParseAddrPort("10.0.1.1:80"))
+				c.mu.Unlock()
+				sleep(grantDuration + 2*time.Second)
+				if newAssigner {
+					first.stop()
+				}
+				c.updateServer("s1", func(s *fakeServer) { s.listed = &earlier })
+				sleep(time.Second)
+				c.updateServer("s1", func(s *fakeServer) { s.listed = nil })
+				sleep(outageGrantDuration)
+				c.awaitAllOwned(time.Second, name)
+				c.stopAndCheck(first, second)
+			})
+		})
+	}
+}
+
 // closeServers makes servers refuse new connections.
 func (c *cluster) closeServers(ids ...fleet.UpstreamID) {
 	for _, id := range ids {
--- a/internal/upstream/rangegrants/server.go
+++ b/internal/upstream/rangegrants/server.go
@@ -101,13 +101,25 @@
 	})
 	// The server starts the grant before its response arrives, or before the connection ends if there is no response.
 	expiryUptime := max(before.expiryUptime, s.term.Uptime.Uptime()+maxGrantLifetime(duration))
-	if noResponse, ok := response.(NoResponse); ok && noResponse.NotSent {
+	if !mayHaveApplied(response) {
 		expiryUptime = before.expiryUptime
 	}
 	s.setExpiry(key, expiryUptime)
 	return s.handleResponse(ctx, assignment, sendTime, duration, response)
 }
 
+// mayHaveApplied reports whether the server may have applied a grant, by the response to it.
+func mayHaveApplied(response Response) bool {
+	switch response := response.(type) {
+	case Superseded, AddressTaken, Unavailable:
+		return false
+	case NoResponse:
+		return !response.NotSent
+	case Accepted:
+	}
+	return true
+}
+
 // prepareGrant decides whether a grant is sent now, and returns its state before that. If the grant is due, the latest expiry it
 // can have is recorded under the same lock as the table is checked: a plan that is made concurrently either sees that expiry or
 // prevents the grant.
--- a/internal/upstream/rangegrants/term.go
+++ b/internal/upstream/rangegrants/term.go
@@ -34,6 +34,8 @@
 	mu sync.Mutex
 	// table is guarded by mu: the table as last written.
 	table *ranges.Table
+	// lateEntries contains the entries of earlier starts that were logged. Only the goroutine that plans uses it.
+	lateEntries map[ranges.Owner]bool
 	// pending is guarded by mu: the table that is being written and whose outcome is not known yet, or nil.
 	pending *ranges.Table
 	// serverTasks is guarded by mu and contains a task for each owner so far.
@@ -54,6 +56,7 @@
 		replan: make(chan struct{}, 1), moveEnded: make(chan struct{}, 1),
 		serverTasks: make(map[ranges.Owner]*serverTask), releases: make(map[releaseKey]*releaseState),
 		down: make(map[ranges.Owner]bool), back: make(map[ranges.Owner]bool),
+		lateEntries: make(map[ranges.Owner]bool),
 	}
 }
 
@@ -247,7 +250,12 @@
 	var result []ranges.Server
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	owners := t.knownOwners()
 	for _, server := range t.Registry.Servers(t.Service) {
+		if later, ok := owners[server.ID]; ok && server.Incarnation.Precedes(later.Incarnation) {
+			t.logLateEntry(server.Owner, later)
+			server.Owner = later
+		}
 		if _, down := t.down[server.Owner]; down || server.Leaving {
 			continue
 		}
@@ -268,6 +276,25 @@
 	return result
 }
 
+// knownOwners returns the process of each server that the table names as an owner. A process that was granted keys is a later one
+// than that of an entry which was written late. The caller holds mu.
+func (t *term) knownOwners() map[fleet.UpstreamID]ranges.Owner {
+	result := make(map[fleet.UpstreamID]ranges.Owner)
+	for _, assignment := range t.table.Assignments {
+		result[assignment.Owner.ID] = assignment.Owner
+	}
+	return result
+}
+
+// logLateEntry logs once that an entry is of an earlier start of a server.
+func (t *term) logLateEntry(entry, later ranges.Owner) {
+	if !t.lateEntries[entry] {
+		t.lateEntries[entry] = true
+		t.Log.Warn().Str("server", string(entry.ID)).Str("run", string(entry.Incarnation)).Str("owner-run", string(later.Incarnation)).
+			Msg("entry of an earlier start of the server ignored: a later one owns keys")
+	}
+}
+
 const (
 	// limitUse is the part of a server's limit that is planned with, so that chance rarely exceeds the limit.
 	limitUse = 0.85
--- a/internal/upstream/registry/registry.go
+++ b/internal/upstream/registry/registry.go
@@ -58,6 +58,8 @@
 	mu sync.Mutex
 	// records is guarded by mu.
 	records map[fleet.UpstreamID]*record
+	// former is guarded by mu. It holds the latest start of the upstreams whose records were deleted within lateWriteTime.
+	former map[fleet.UpstreamID]formerStart
 	// changed is guarded by mu and closed at the next change.
 	changed chan struct{}
 	// recoveredAt is guarded by mu. It is the time at which the store was reached again after its last outage.
@@ -77,6 +79,15 @@
 	expires time.Time
 }
 
+// formerStart is the latest known start of an upstream whose record was deleted, and when it was.
+type formerStart struct {
+	incarnation fleet.Incarnation
+	deletedAt   time.Time
+}
+
+// lateWriteTime exceeds the time after which the store may still apply a write that its sender has given up.
+const lateWriteTime = time.Minute
+
 // NoteLeaving notes that LeavingSince has changed.
 func (r *Registry) NoteLeaving() {
 	r.mu.Lock()
@@ -126,6 +137,11 @@
 	if before != nil && before.Entry == entry && before.missingSince.IsZero() {
 		return false
 	}
+	if latest := r.latestStart(entry.ID); entry.Incarnation.Precedes(latest) {
+		r.Log.Warn().Str("upstream", string(entry.ID)).Str("service", string(entry.Service)).Str("run", string(entry.Incarnation)).
+			Str("latest-run", string(latest)).Msg("entry of an earlier start of the upstream ignored")
+		return false
+	}
 	if r.records == nil {
 		r.records = make(map[fleet.UpstreamID]*record)
 	}
@@ -142,6 +158,14 @@
 	return true
 }
 
+// latestStart returns the latest known start of an upstream, or "". The caller holds mu.
+func (r *Registry) latestStart(id fleet.UpstreamID) fleet.Incarnation {
+	if rec := r.records[id]; rec != nil {
+		return rec.Incarnation
+	}
+	return r.former[id].incarnation
+}
+
 // logChange logs that an entry was added or changed.
 func (r *Registry) logChange(entry Entry, before *record) {
 	event := r.Log.Info().Str("upstream", string(entry.ID)).Str("service", string(entry.Service)).
@@ -255,11 +279,20 @@
 		case !now.Before(rec.expires):
 			r.Log.Info().Str("upstream", string(id)).Dur("missing", now.Sub(rec.missingSince)).Msg("upstream is gone")
 			delete(r.records, id)
+			if r.former == nil {
+				r.former = make(map[fleet.UpstreamID]formerStart)
+			}
+			r.former[id] = formerStart{incarnation: rec.Incarnation, deletedAt: now}
 			deleted = true
 		default:
 			next = min(next, rec.expires.Sub(now))
 		}
 	}
+	for id, start := range r.former {
+		if now.Sub(start.deletedAt) > lateWriteTime {
+			delete(r.former, id)
+		}
+	}
 	if deleted {
 		r.notify()
 	}
--- a/internal/upstream/registry/registry_test.go
+++ b/internal/upstream/registry/registry_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
 
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/core/timer"
@@ -208,3 +209,51 @@
 		is.Equal(r.Upstreams()["s"][0].DrainDeadline, deadline)
 	})
 }
+
+// Guards against an upstream that is taken for an earlier start of itself, because the store applied a write of that start late or
+// came back from an older copy: whatever the order of the entries, the latest start that was seen counts.
+func TestEarlierStartNeverReturns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := &registry.Registry{Clock: timer.System{}, Log: zerolog.Nop(), DrainTimeout: drainTimeout}
+		latest := 0
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "removed") {
+				r.Remove("0")
+				continue
+			}
+			start := rapid.IntRange(1, 1200).Draw(t, "start") // numbers of different lengths
+			latest = max(latest, start)
+			entry := newEntry(0)
+			entry.Incarnation, entry.Slots = fleet.Incarnation(fmt.Sprint(start)), start
+			if rapid.Bool().Draw(t, "reset") {
+				r.Reset([]registry.Entry{entry})
+			} else {
+				r.Put(entry)
+			}
+			if got := r.Upstreams()["s"]; len(got) != 1 || got[0].Slots != latest {
+				t.Fatalf("start %d was seen, got %+v", latest, got)
+			}
+		}
+	})
+}
+
+// Guards against the entry of an earlier start that returns after the present one was removed and forgotten.
+func TestEarlierStartNeverReturnsAfterRemoval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := &registry.Registry{Clock: timer.System{}, Log: zerolog.Nop(), DrainTimeout: drainTimeout}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = r.Run(ctx) }()
+		earlier, present := newEntry(0), newEntry(0)
+		earlier.Incarnation, present.Incarnation = "9", "10"
+		r.Put(present)
+		r.Remove("0")
+		wait(5 * time.Second)
+		is.Equal(len(r.Upstreams()["s"]), 0)
+		r.Put(earlier)
+		is.Equal(len(r.Upstreams()["s"]), 0)
+		r.Put(present)
+		is.Equal(len(r.Upstreams()["s"]), 1)
+	})
+}
