platform, upstream/forward: a release goes out on a connection of its own

A second copy of a server's response to a grant had passed for the response to the release.

Cause: responses to orders name no order.

Change: forward.Request.NewConnection; releases set it. A 421 on a used connection is no response at all, since a connection does not change its process, so that a copy of one can't end grants either.

--- a/internal/upstream/forward/client.go
+++ b/internal/upstream/forward/client.go
@@ -54,6 +54,9 @@
 	Key       fleet.KeyHash
 	Partition fleet.PartitionID
 	Fence     fleet.Fence
+	// NewConnection asks for a connection that has carried no other request, so that no response to one can be taken for the
+	// response to this one.
+	NewConnection bool
 	// ConnectTime is set by Send to the time that it took to open a connection. It is zero if an idle one was reused.
 	ConnectTime time.Duration
 	// Reused is set by Send if the connection had carried other requests, so that a response may belong to one of them.
@@ -130,7 +133,7 @@
 	if ctx.Err() != nil {
 		return nil, context.Cause(ctx)
 	}
-	for {
+	for !request.NewConnection {
 		conn := c.popIdle()
 		if conn == nil {
 			break
