router: the rest of a broken response is fetched only if the request may be repeated

Cause: resume looked at the method, the status and the ETag, not at the route's delivery or its attempts.

Change: it asks retry.Decide, as runAttempts does, and counts as an attempt. These two are all that send requests to upstreams.

TestTruncatedDownloadIsNotRepeated failed before; TestTruncatedDownload (an idempotent route is continued) passes as before.

--- a/internal/caller/front/fixture_test.go
+++ b/internal/caller/front/fixture_test.go
@@ -72,7 +72,9 @@
 			config += fmt.Sprintf("[[services.upstreams]]\nid = %q\naddress = %q\nregion = \"r\"\ndomain = \"d%d\"\n",
 				worker.ID, worker.Address(), j%3)
 		}
-		for path, delivery := range map[string]string{"/read": "idempotent", "/push": "non-idempotent", "/pay": "at-most-once"} {
+		for path, delivery := range map[string]string{
+			"/read": "idempotent", "/push": "non-idempotent", "/pay": "at-most-once", "/download/order/{size}": "non-idempotent",
+		} {
 			config += fmt.Sprintf("[[services.routes]]\nmethod = \"*\"\npath = %q\ndelivery = %q\n", path, delivery)
 		}
 	}
--- a/internal/caller/front/path_test.go
+++ b/internal/caller/front/path_test.go
@@ -166,6 +166,26 @@
 	}
 }
 
+// Guards against a request that runs again to fetch the rest of a broken response although it must not be repeated: its route decides,
+// not its method.
+func TestTruncatedDownloadIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	fixture := newFixture(t, 3, 1, func(w *standin.Worker) {
+		w.InjectFault = func(r *http.Request) standin.Fault {
+			if strings.HasPrefix(r.URL.Path, "/download") && r.Header.Get("Range") == "" {
+				return standin.FaultTruncate
+			}
+			return standin.FaultNone
+		}
+	})
+	for range 40 { // fills the budget of repetitions
+		fixture.call(0, http.MethodGet, "/tasks/read", "before")
+	}
+	got := fixture.call(0, http.MethodGet, "/tasks/download/order/300000", "download")
+	is.True(got.err != nil) // the caller's connection was aborted
+	is.Equal(fixture.ran("download").Started, 1)
+}
+
 // Guards against a graceful stop that interrupts a request or leaves callers without a response.
 func TestGracefulStop(t *testing.T) {
 	is := is.New(t)
--- a/internal/routing/router/response.go
+++ b/internal/routing/router/response.go
@@ -10,6 +10,7 @@
 
 	"rosemarywick.example/rosemarywick/internal/core/cause"
 	"rosemarywick.example/rosemarywick/internal/routing/admission"
+	"rosemarywick.example/rosemarywick/internal/routing/retry"
 	"rosemarywick.example/rosemarywick/internal/upstream/forward"
 )
 
@@ -169,11 +170,12 @@
 	return written, ErrIncomplete
 }
 
-// fetchRest requests the bytes from an offset on from another upstream. It returns nil if that fails or if the other
-// upstream has different content.
+// fetchRest requests the bytes from an offset on from another upstream. It returns nil if the request must not be sent again, if that
+// fails, or if the other upstream has different content.
 func (r *UpstreamResponse) fetchRest(from int64, tag string, total int64) *forward.Responded {
 	p := r.pending
-	if p.ctx.Err() != nil || !p.service.budget.Take() {
+	broken := forward.Truncated{Err: ErrIncomplete}
+	if _, resend := retry.Decide(p.retryRequest(), broken, p.service.budget).(retry.Resend); !resend || p.ctx.Err() != nil {
 		return nil
 	}
 	slot, rejected := p.acquire()
@@ -195,6 +197,9 @@
 	p.request = &ranged
 	result := p.send(slot)
 	p.request = original
+	if retry.MayHaveReached(result) {
+		p.reachedSends++
+	}
 	p.avoidUpstream = slot.upstream.ID
 	rest, ok := result.(forward.Responded)
 	if ok && (rest.Status != http.StatusPartialContent || rest.Header.Get("ETag") != tag ||
