--- a/internal/caller/front/connections.go
+++ b/internal/caller/front/connections.go
@@ -43,8 +43,9 @@
 	return l.closeErr
 }
 
-// Accept waits for the next connection and returns it as a callerConn. A lack of resources ends no server: the connection that has been
-// idle for longest is closed, and accepting goes on after a pause. If all connections are in use at the limit, a new one is closed.
+// Accept waits for the next connection and returns it as a callerConn. A lack of resources ends no server: the connection that
+// has been idle for longest is closed, and accepting goes on after a pause. If all connections are in use at the limit, a new
+// one is closed.
 func (l *callerListener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
--- a/internal/caller/front/handler.go
+++ b/internal/caller/front/handler.go
@@ -44,7 +44,9 @@
 	}
 	if !f.beginRequest() {
 		rw.Header().Set("Connection", "close")
-		dialect.WriteRejection(rw, router.Rejected{Outcome: cause.NotRun, Cause: cause.DaemonStopping, RetryAfter: admission.StoppingRetryAfter})
+		dialect.WriteRejection(rw, router.Rejected{
+			Outcome: cause.NotRun, Cause: cause.DaemonStopping, RetryAfter: admission.StoppingRetryAfter,
+		})
 		return
 	}
 	defer f.endRequest()
--- a/internal/operator/cli/root_test.go
+++ b/internal/operator/cli/root_test.go
@@ -101,11 +101,8 @@
 	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGTERM))
 	<-ctx.Done()
 	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGTERM))
-	select {
-	case <-exited:
-		t.Fatal("a repeated SIGTERM ended the process")
-	case <-time.After(50 * time.Millisecond):
-	}
+	is.NoErr(timer.Wait(t.Context(), timer.System{}, 50*time.Millisecond))
+	is.Equal(len(exited), 0)
 	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGINT))
 	is.Equal(<-exited, int(cli.ExitFailure))
 	stop() // a CancelFunc may be called more than once
--- a/internal/routing/admission/controller.go
+++ b/internal/routing/admission/controller.go
@@ -225,14 +225,14 @@
 	return 0, false
 }
 
-// StoppingRetryAfter is the delay after which the caller of a daemon that stops may try again. Another daemon can serve it at once.
+// StoppingRetryAfter is the delay after which the caller of a daemon that stops may try again. Another daemon can serve it.
 const StoppingRetryAfter = 100 * time.Millisecond
 
 // stoppingRefusal is the refusal of a request that would not end before the daemon stops.
 var stoppingRefusal = Refused{Cause: cause.DaemonStopping, RetryAfter: StoppingRetryAfter}
 
-// stopMargin is how many times the mean service time has to be left until EndBy for a request that must not be repeated, since its
-// caller could not learn its outcome if it took longer than others.
+// stopMargin is how many times the mean service time has to be left until EndBy for a request that must not be repeated, since
+// its caller could not learn its outcome if it took longer than others.
 const stopMargin = 2
 
 // endsTooLate reports whether a request that starts now is expected to be cut off at EndBy.
--- a/internal/routing/router/keyed_test.go
+++ b/internal/routing/router/keyed_test.go
@@ -90,7 +90,10 @@
 					Key: document.KeyNumericHeader{Name: "k"}, Upstreams: []document.Upstream{{ID: "a"}},
 				}
 				owner := &freedOwner{at: time.Now().Add(test.freeIn), changed: make(chan struct{})}
-				time.AfterFunc(test.freeIn, func() { close(owner.changed) })
+				go func() {
+					_ = timer.Wait(t.Context(), timer.System{}, test.freeIn)
+					close(owner.changed)
+				}()
 				var record cause.Record
 				r := &Router{
 					Clock: timer.System{}, OwnershipMap: owner,
@@ -132,10 +135,14 @@
 					Config: configuration{&document.Document{Services: []document.Service{service}}},
 				}
 				started := time.Now()
+				stopping := func() { r.EndBy(started.Add(3 * time.Second)) }
 				if before {
-					time.AfterFunc(time.Second, func() { r.EndBy(started.Add(3 * time.Second)) })
+					go func() {
+						_ = timer.Wait(t.Context(), timer.System{}, time.Second)
+						stopping()
+					}()
 				} else {
-					r.EndBy(started.Add(3 * time.Second))
+					stopping()
 				}
 				response, ok := r.Do(t.Context(), &Request{ID: "r", Service: "s", Method: http.MethodGet, Target: "/", Key: "7"}).(Rejected)
 				is.True(ok)
--- a/internal/routing/router/pending.go
+++ b/internal/routing/router/pending.go
@@ -114,8 +114,8 @@
 // maxSends is the maximum number of sends of one request, including those to unreachable upstreams.
 const maxSends = 8
 
-// preferAttemptCause reports that the daemon stops if that ended the wait of the request. It reports the cause of the last failed attempt instead of the deadline, if it was that attempt which
-// left no time for another one.
+// preferAttemptCause reports that the daemon stops if that ended the wait of a request that was not sent. It reports the cause of
+// the last failed attempt instead of the deadline, if it was that attempt which left no time for another one.
 func (p *pendingRequest) preferAttemptCause(rejected rejection) rejection {
 	if p.router.lifetime().Err() != nil && len(p.record.Attempts) == 0 {
 		return rejection{outcome: cause.NotRun, cause: cause.DaemonStopping, retryAfter: admission.StoppingRetryAfter}
--- a/internal/routing/router/response.go
+++ b/internal/routing/router/response.go
@@ -170,8 +170,8 @@
 	return written, ErrIncomplete
 }
 
-// fetchRest requests the bytes from an offset on from another upstream. It returns nil if the request must not be sent again, if that
-// fails, or if the other upstream has different content.
+// fetchRest requests the bytes from an offset on from another upstream. It returns nil if the request must not be sent again, if
+// that fails, or if the other upstream has different content.
 func (r *UpstreamResponse) fetchRest(from int64, tag string, total int64) *forward.Responded {
 	p := r.pending
 	broken := forward.Truncated{Err: ErrIncomplete}
--- a/internal/upstream/rangegrants/term.go
+++ b/internal/upstream/rangegrants/term.go
@@ -60,8 +60,8 @@
 	}
 }
 
-// inheritedExpiry returns the uptime at which every grant that earlier assigners sent has expired. One that was lost may have sent
-// grants until its lease expired, which was before now.
+// inheritedExpiry returns the uptime at which every grant that earlier assigners sent has expired. One that was lost may have
+// sent grants until its lease expired, which was before now.
 func (a *Assigner) inheritedExpiry(acquired *heldLease) time.Duration {
 	now := a.Uptime.Uptime()
 	expiry := now + requestTimeout + maxGrantLifetime(a.OutageGrantDuration)
@@ -71,8 +71,8 @@
 	return expiry
 }
 
-// allGrantsExpireAt returns the time of the store's clock at which every grant that this assigner or earlier ones sent has expired.
-// It is called when no more grants are sent.
+// allGrantsExpireAt returns the time of the store's clock at which every grant that this assigner or earlier ones sent has
+// expired. It is called when no more grants are sent.
 func (t *term) allGrantsExpireAt() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -310,9 +310,9 @@
 	maxSpeedFactor = 2
 )
 
-// grantsExpireAt returns the time of the store's clock at which every grant to a server has expired. Later assigners read it in the
-// table, as the bound for a former owner. A server that is down is sent no more grants, so that those sent bound the time; any
-// other one may be sent grants until the table is written.
+// grantsExpireAt returns the time of the store's clock at which every grant to a server has expired. Later assigners read it in
+// the table, as the bound for a former owner. A server that is down is sent no more grants, so that those sent bound the time;
+// any other one may be sent grants until the table is written.
 func (t *term) grantsExpireAt(owner ranges.Owner) time.Duration {
 	now := t.Uptime.Uptime()
 	expiry := now + requestTimeout + maxGrantLifetime(t.OutageGrantDuration)
