--- a/internal/upstream/rangegrants/assigner.go
+++ b/internal/upstream/rangegrants/assigner.go
@@ -206,11 +206,6 @@
 	RangesTable = "ranges"
 )
 
-// maxGrantLifetime returns the longest time for which a server may consider a grant of the duration valid.
-func maxGrantLifetime(duration time.Duration) time.Duration {
-	return time.Duration(float64(duration)/(1-maxClockDrift)) + time.Millisecond
-}
-
 // Run takes part in the election until ctx ends, and runs each term that it wins. When ctx ends during a term, Run releases the
 // lease.
 func (a *Assigner) Run(ctx context.Context) error {
--- a/internal/upstream/rangegrants/server.go
+++ b/internal/upstream/rangegrants/server.go
@@ -299,21 +299,3 @@
 	}
 	return grantState{}
 }
-
-// grantExpiryUptime returns the uptime at which all grants of any key of the range to a server have expired. It includes grants
-// that were sent to another process with the same ID and address, since the present process may have accepted them. The caller
-// holds mu.
-func (t *term) grantExpiryUptime(owner ranges.Owner, keys fleet.KeyRange) time.Duration {
-	expiryUptime := t.inheritedExpiry
-	for _, task := range t.serverTasks {
-		if task.owner.ID != owner.ID || task.owner.Address != owner.Address {
-			continue
-		}
-		for key, state := range task.grants {
-			if key.keys.Overlaps(keys) {
-				expiryUptime = max(expiryUptime, state.expiryUptime)
-			}
-		}
-	}
-	return expiryUptime
-}
--- a/internal/upstream/rangegrants/term.go
+++ b/internal/upstream/rangegrants/term.go
@@ -9,7 +9,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/core/timer"
 	"rosemarywick.example/rosemarywick/internal/ownership/ranges"
 	"rosemarywick.example/rosemarywick/internal/platform/table"
@@ -60,32 +59,6 @@
 	}
 }
 
-// inheritedExpiry returns the uptime at which every grant that earlier assigners sent has expired. One that was lost may have
-// sent grants until its lease expired, which was before now.
-func (a *Assigner) inheritedExpiry(acquired *heldLease) time.Duration {
-	now := a.Uptime.Uptime()
-	expiry := now + requestTimeout + maxGrantLifetime(a.OutageGrantDuration)
-	if acquired.grantsExpireAt > 0 {
-		expiry = min(expiry, now+acquired.grantsExpireAt-a.Store.Reading().Earliest(now))
-	}
-	return expiry
-}
-
-// allGrantsExpireAt returns the time of the store's clock at which every grant that this assigner or earlier ones sent has
-// expired. It is called when no more grants are sent.
-func (t *term) allGrantsExpireAt() time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	expiry := t.inheritedExpiry
-	for _, task := range t.serverTasks {
-		for _, state := range task.grants {
-			expiry = max(expiry, state.expiryUptime)
-		}
-	}
-	now := t.Uptime.Uptime()
-	return t.Store.Reading().Latest(now) + expiry - now
-}
-
 // writeTable replaces the stored table. Until the outcome is known, no range is renewed that the new table assigns to another
 // server. It returns false if another daemon wrote the table or the term ended.
 func (t *term) writeTable(ctx context.Context, next *ranges.Table) bool {
@@ -214,116 +187,12 @@
 	return true
 }
 
-// readmitServers makes the servers available again that have responded to a probe.
-func (t *term) readmitServers() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for owner := range t.back {
-		delete(t.down, owner)
-	}
-	clear(t.back)
-}
-
-// isDown reports whether a server has failed and has not responded to a probe since.
-func (t *term) isDown(owner ranges.Owner) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	_, down := t.down[owner]
-	return down
-}
-
 // daemonsChanged reports whether the number of daemons is to be written. The limits that daemons share are divided by it, so a
 // higher one is written at once. A lower one is written only if it is significantly lower, since each write is read by all.
 func daemonsChanged(written, counted int) bool {
 	return counted > written || counted > 0 && float64(counted) < 0.9*float64(written)
 }
 
-// availableServers returns the servers to which ranges can be assigned. The capacity of a server is its number of slots, scaled
-// by its speed relative to the mean of all servers.
-func (t *term) availableServers(stats map[fleet.UpstreamID]ServerStats) []ranges.Server {
-	meanSeconds, measured := 0.0, 0
-	for _, server := range stats {
-		meanSeconds += server.MeanDuration.Seconds()
-		measured++
-	}
-	meanSeconds /= float64(max(1, measured))
-	var result []ranges.Server
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	owners := t.knownOwners()
-	for _, server := range t.Registry.Servers(t.Service) {
-		if later, ok := owners[server.ID]; ok && server.Incarnation.Precedes(later.Incarnation) {
-			t.logLateEntry(server.Owner, later)
-			server.Owner = later
-		}
-		if _, down := t.down[server.Owner]; down || server.Leaving {
-			continue
-		}
-		slots := float64(max(1, server.Slots))
-		capacity := slots
-		if duration := stats[server.ID].MeanDuration; duration > 0 {
-			capacity *= min(max(meanSeconds/duration.Seconds(), minSpeedFactor), maxSpeedFactor)
-		}
-		next := ranges.Server{Owner: server.Owner, Capacity: capacity, Utilization: stats[server.ID].Concurrency / slots}
-		if limit := stats[server.ID].RateLimit; limit != nil && meanSeconds > 0 {
-			// A slot of mean speed takes 1/meanSeconds requests a second.
-			next.Limited = true
-			next.Capacity = max(min(capacity, *limit*limitUse*meanSeconds), minLimitedCapacity)
-			next.Utilization = max(next.Utilization, stats[server.ID].Rate/max(*limit, minRateLimit))
-		}
-		result = append(result, next)
-	}
-	return result
-}
-
-// knownOwners returns the process of each server that the table names as an owner. A process that was granted keys is a later one
-// than that of an entry which was written late. The caller holds mu.
-func (t *term) knownOwners() map[fleet.UpstreamID]ranges.Owner {
-	result := make(map[fleet.UpstreamID]ranges.Owner)
-	for _, assignment := range t.table.Assignments {
-		result[assignment.Owner.ID] = assignment.Owner
-	}
-	return result
-}
-
-// logLateEntry logs once that an entry is of an earlier start of a server.
-func (t *term) logLateEntry(entry, later ranges.Owner) {
-	if !t.lateEntries[entry] {
-		t.lateEntries[entry] = true
-		t.Log.Warn().Str("server", string(entry.ID)).Str("run", string(entry.Incarnation)).Str("owner-run", string(later.Incarnation)).
-			Msg("entry of an earlier start of the server ignored: a later one owns keys")
-	}
-}
-
-const (
-	// limitUse is the part of a server's limit that is planned with, so that chance rarely exceeds the limit.
-	limitUse = 0.85
-	// minLimitedCapacity, in slots, and minRateLimit, in requests a second, keep ratios to the load of a server that takes
-	// next to nothing finite.
-	minLimitedCapacity = 0.05
-	minRateLimit       = 0.1
-)
-
-// minSpeedFactor and maxSpeedFactor bound the effect of a server's speed on its capacity.
-const (
-	minSpeedFactor = 0.4
-	maxSpeedFactor = 2
-)
-
-// grantsExpireAt returns the time of the store's clock at which every grant to a server has expired. Later assigners read it in
-// the table, as the bound for a former owner. A server that is down is sent no more grants, so that those sent bound the time;
-// any other one may be sent grants until the table is written.
-func (t *term) grantsExpireAt(owner ranges.Owner) time.Duration {
-	now := t.Uptime.Uptime()
-	expiry := now + requestTimeout + maxGrantLifetime(t.OutageGrantDuration)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if _, down := t.down[owner]; down {
-		expiry = min(expiry, max(now, t.grantExpiryUptime(owner, fleet.KeyRange{Last: fleet.MaxNumericKey})))
-	}
-	return t.Store.Reading().Latest(now) + expiry - now
-}
-
 // logOwnerChanges logs each range to which the next table assigns another owner.
 func (t *term) logOwnerChanges(next *ranges.Table) {
 	t.mu.Lock()
