router: a request whose deadline is the stop of the daemon is refused with that cause

The request remembers that its deadline is that of the stop. Only the cause and the Retry-After of such a refusal change.

--- a/internal/routing/router/pending.go
+++ b/internal/routing/router/pending.go
@@ -25,8 +25,10 @@
 	cancel         context.CancelFunc
 	started        time.Time
 	deadline       time.Time
-	key            fleet.KeyHash
-	record         cause.Record
+	// endsWithStop is set if the deadline is that of the daemon's stop.
+	endsWithStop bool
+	key          fleet.KeyHash
+	record       cause.Record
 	// claimed is set if this request holds the claim on its idempotency key.
 	claimed bool
 	// mayHaveRun is set if an attempt ended without a response but may have taken effect.
@@ -117,7 +119,8 @@
 // preferAttemptCause reports that the daemon stops if that ended the wait of a request that was not sent. It reports the cause of
 // the last failed attempt instead of the deadline, if it was that attempt which left no time for another one.
 func (p *pendingRequest) preferAttemptCause(rejected rejection) rejection {
-	if p.router.lifetime().Err() != nil && len(p.record.Attempts) == 0 {
+	stopped := p.router.lifetime().Err() != nil || p.endsWithStop && !p.router.Clock.Now().Before(p.deadline)
+	if stopped && len(p.record.Attempts) == 0 {
 		return rejection{outcome: cause.NotRun, cause: cause.DaemonStopping, retryAfter: admission.StoppingRetryAfter}
 	}
 	deadlineRelated := rejected.cause == cause.DeadlineUnmeetable || rejected.cause == cause.DeadlinePassed
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -174,7 +174,7 @@
 	if timeout <= 0 {
 		timeout = p.service.Timeout
 	}
-	p.deadline = r.capDeadline(now.Add(timeout))
+	p.deadline, p.endsWithStop = r.capDeadline(now.Add(timeout))
 	var cancel context.CancelFunc
 	p.ctx, cancel = context.WithDeadline(ctx, p.deadline)
 	detach := context.AfterFunc(r.lifetime(), cancel)
@@ -195,14 +195,14 @@
 	return p.runAttempts()
 }
 
-// capDeadline returns the deadline, or the time set by EndBy if that is earlier.
-func (r *Router) capDeadline(deadline time.Time) time.Time {
+// capDeadline returns the deadline, or the time set by EndBy if that is earlier, and whether it is.
+func (r *Router) capDeadline(deadline time.Time) (capped time.Time, endsWithStop bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.endBy.IsZero() && r.endBy.Before(deadline) {
-		return r.endBy
+		return r.endBy, true
 	}
-	return deadline
+	return deadline, false
 }
 
 // hashKey returns the hash under which the ownership map knows a key. A numeric key is its own hash.
