upstream/rangegrants: a new assigner gives every range a new fence

A new assigner renewed the grants of the one before with their fences. It has no connection that shows whether a server has started again meanwhile, so a later start of a server could be granted keys with the fence of its earlier one. The claim writes the table anyway; it now issues a new fence for all ranges, unless servers that the table does not name may own keys.

--- a/internal/ownership/ranges/table.go
+++ b/internal/ownership/ranges/table.go
@@ -111,6 +111,18 @@
 	return next
 }
 
+// Refence returns a copy in which every assignment has a new fence, under the same owner.
+func (t *Table) Refence() *Table {
+	next := t.Clone()
+	if len(next.Assignments) > 0 {
+		next.Fence++
+	}
+	for i := range next.Assignments {
+		next.Assignments[i].Fence = next.Fence
+	}
+	return next
+}
+
 // Clone returns a deep copy.
 func (t *Table) Clone() *Table {
 	result := *t
--- a/internal/upstream/rangegrants/claim.go
+++ b/internal/upstream/rangegrants/claim.go
@@ -11,7 +11,8 @@
 )
 
 // claimTable reads the table and writes it back under a new term number, so that a write of the previous assigner that is still
-// in flight fails. It returns false if the lease was lost meanwhile.
+// in flight fails. All ranges get new fences: this daemon has no connection that shows whether a server has started again since it
+// accepted the last ones. It returns false if the lease was lost meanwhile.
 func (t *term) claimTable(ctx context.Context) bool {
 	for t.leaseValid() && ctx.Err() == nil {
 		current, version, err := t.readTable(ctx)
@@ -20,6 +21,10 @@
 		}
 		if err == nil {
 			next := t.recoverTable(current)
+			// While servers that the table does not name may own keys, those that accept its fences are known to be the right ones.
+			if next.UnsureUntil <= t.Store.Reading().Earliest(t.Uptime.Uptime()) {
+				next = next.Refence()
+			}
 			next.Term++
 			t.table, t.tableVersion = current, version
 			if t.writeTable(ctx, next) {
--- a/internal/upstream/rangegrants/rangegrants_test.go
+++ b/internal/upstream/rangegrants/rangegrants_test.go
@@ -203,24 +203,32 @@
 }
 
 // Guards against a server that is granted keys with the fence of its earlier start: it starts again under its ID and address, and the
-// registry does not show it, because it cannot reach the store.
+// registry does not show it, because it cannot reach the store. The assigner may change meanwhile.
 func TestServerRestartsUnseen(t *testing.T) {
-	runWithSeeds(t, 4, func(c *cluster, first *daemon, seed uint64) {
-		sleep(time.Duration(15000+37*seed) * time.Millisecond)
-		c.mu.Lock()
-		earlier := c.servers["s1"].owner
-		c.servers["s1"].crashed = true
-		c.mu.Unlock()
-		sleep(time.Duration(seed%3) * 50 * time.Millisecond)
-		c.startServer("s1")
-		c.updateServer("s1", func(s *fakeServer) { s.listed = &earlier })
-		sleep(3 * time.Second)
-		c.awaitAllOwned(time.Second, "while the entry is the earlier one")
-		c.updateServer("s1", func(s *fakeServer) { s.listed = nil })
-		sleep(3 * time.Second)
-		c.awaitAllOwned(time.Second, "after the server registered")
-		c.stopAndCheck(first)
-	})
+	for name, newAssigner := range map[string]bool{"same assigner": false, "new assigner": true} {
+		t.Run(name, func(t *testing.T) {
+			runWithSeeds(t, 4, func(c *cluster, first *daemon, seed uint64) {
+				second := c.startDaemon("b")
+				sleep(time.Duration(15000+37*seed) * time.Millisecond)
+				c.mu.Lock()
+				earlier := c.servers["s1"].owner
+				c.servers["s1"].crashed = true
+				c.mu.Unlock()
+				if newAssigner {
+					first.stop()
+				}
+				sleep(time.Duration(seed%3) * 50 * time.Millisecond)
+				c.startServer("s1")
+				c.updateServer("s1", func(s *fakeServer) { s.listed = &earlier })
+				sleep(5 * time.Second)
+				c.awaitAllOwned(time.Second, "while the entry is the earlier one")
+				c.updateServer("s1", func(s *fakeServer) { s.listed = nil })
+				sleep(3 * time.Second)
+				c.awaitAllOwned(time.Second, "after the server registered")
+				c.stopAndCheck(first, second)
+			})
+		})
+	}
 }
 
 // closeServers makes servers refuse new connections.
