notices, registry, platform: cold time of upstreams

Cause: upstreams that have started recently are slow and fail under the usual rate, and no daemon knows of it. An entry is adopted once, by the store's number of its write, so that a copy changes nothing; an entry after a response may only shorten the time. A process without a report, one that was unreachable, and one passed to AssumeCold count as cold until a newer report. Tested: go test of the packages notices, registry, records and platform builds; nothing uses the times yet.

--- a/internal/core/cause/outcome.go
+++ b/internal/core/cause/outcome.go
@@ -47,6 +47,8 @@
 	UpstreamRefused Cause = "upstream-refused"
 	// UpstreamLimit means that the upstream limits the requests that it takes from all daemons, and that the limit is used up.
 	UpstreamLimit Cause = "upstream-limit"
+	// UpstreamCold means that the upstream has started recently and takes few requests, and that their number is used up.
+	UpstreamCold Cause = "upstream-cold"
 	// UpstreamPaused means that the upstream has asked this daemon to send nothing for some time.
 	UpstreamPaused Cause = "upstream-paused"
 	// UpstreamFailed means that the upstream ran the request and responded with an error of its own.
--- a/internal/core/document/document.go
+++ b/internal/core/document/document.go
@@ -51,8 +51,12 @@
 	QueueLimit int
 	// MaxOwnerWait is the longest time that a request waits for an owner of its key. Zero lets it wait until its deadline.
 	MaxOwnerWait time.Duration
-	Upstreams    []Upstream
-	Routes       []Route
+	// ColdStart is how long an upstream is cold (slow) after a start, and ColdRate the number of requests a second that it takes
+	// from all daemons together while it is. Zero means that it takes as many as ever.
+	ColdStart time.Duration
+	ColdRate  float64
+	Upstreams []Upstream
+	Routes    []Route
 }
 
 // Keyed reports whether the servers of the service own keys.
--- a/internal/core/fleet/assignment.go
+++ b/internal/core/fleet/assignment.go
@@ -9,6 +9,8 @@
 	Key KeyHash
 	// Owner is empty while the partition has no owner.
 	Owner UpstreamID
+	// Incarnation identifies the process of the owner. It is empty if it is not known.
+	Incarnation Incarnation
 	// Standby is the server that takes over the partition if the owner is lost.
 	Standby UpstreamID
 	// Fence orders the assignments of a partition. A reader never replaces an assignment by one with a lower fence.
--- a/internal/observe/records/meaning.go
+++ b/internal/observe/records/meaning.go
@@ -17,6 +17,7 @@
 	cause.DeadlinePassed:      "the deadline passed before the answer was complete",
 	cause.TenantShare:         "the tenant had used up its share of a contended upstream",
 	cause.UpstreamLimit:       "the upstream limits the requests that it takes, and the limit was used up",
+	cause.UpstreamCold:        "the upstream has started recently and takes few requests, and their number was used up",
 	cause.UpstreamPaused:      "the upstream has asked this daemon to send nothing for some time",
 	cause.UpstreamRefused:     "the upstream stated that it did not run the request",
 	cause.UpstreamUnreachable: "no connection to the upstream could be made",
--- a/internal/upstream/forward/result.go
+++ b/internal/upstream/forward/result.go
@@ -58,7 +58,7 @@
 }
 
 // Notice is what an upstream states about itself in a response, whatever the response says about the request. It is one of
-// RateLimit, Leaving, Pause and Malformed.
+// RateLimit, Leaving, Pause, Cold and Malformed.
 type Notice interface {
 	notice()
 }
@@ -72,12 +72,16 @@
 // Pause means that the upstream refused the request and wants nothing more from this daemon for a time.
 type Pause struct{ Duration time.Duration }
 
+// Cold means that the upstream has started recently and is slow for a time, which is zero for one that is not.
+type Cold struct{ For time.Duration }
+
 // Malformed is a statement that can't be understood and is ignored.
 type Malformed struct{ Header, Value string }
 
 func (RateLimit) notice() {}
 func (Leaving) notice()   {}
 func (Pause) notice()     {}
+func (Cold) notice()      {}
 func (Malformed) notice() {}
 
 func (Responded) result()  {}
--- a/internal/upstream/notices/book.go
+++ b/internal/upstream/notices/book.go
@@ -42,6 +42,8 @@
 	// nothing.
 	// It is zero if the notices were not made in a response to this daemon, but in an entry or to a peer.
 	SentAt time.Time
+	// Revision orders the entries of one process if the notices were made in an entry. It is zero if they were not.
+	Revision uint64
 	// Complete is set if the response was received whole, so that what it does not state is withdrawn.
 	Complete bool
 	Notices  []forward.Notice
@@ -57,6 +59,9 @@
 	mu sync.Mutex
 	// entries is guarded by mu. It holds only upstreams with a notice in force.
 	entries map[Source]entry
+	// cold is guarded by mu. It holds each process whose cold time was reported or assumed.
+	cold    map[Source]coldState
+	coldLog coldLog
 	// malformed is guarded by mu and counts the statements that could not be understood.
 	malformed int
 }
@@ -97,6 +102,8 @@
 			}
 		case forward.Pause:
 			current.pausedUntil = b.pause(exchange.Source, current.pausedUntil, notice)
+		case forward.Cold:
+			b.recordCold(exchange, notice)
 		case forward.Malformed:
 			b.countMalformed(exchange.Source, notice)
 		}
@@ -116,6 +123,7 @@
 		b.log(exchange.Source).Msg("upstream no longer limits the requests that it takes")
 	}
 	b.store(exchange.Source, current)
+	b.noteAnswer(exchange)
 	b.mu.Unlock()
 	if leaves && b.OnLeaving != nil {
 		b.OnLeaving()
@@ -238,6 +246,7 @@
 		}
 		b.store(source, current)
 	}
+	b.retainCold(now, present)
 }
 
 // Limited returns the number of upstreams that limit the requests that they take.
--- a/internal/upstream/registry/registry.go
+++ b/internal/upstream/registry/registry.go
@@ -28,6 +28,9 @@
 	Draining bool
 	// Incarnation identifies one start of the upstream.
 	Incarnation fleet.Incarnation
+	// ColdFor is how long the upstream stays cold, at the time of writing. Revision orders the entries of one start.
+	ColdFor  time.Duration
+	Revision uint64
 }
 
 const (
@@ -54,6 +57,8 @@
 	LeavingSince func(fleet.UpstreamID, fleet.Incarnation) time.Time
 	// NoteDraining, if set, is called with each upstream whose entry says that it leaves.
 	NoteDraining func(fleet.UpstreamID, fleet.Incarnation)
+	// NoteCold, if set, is called with each entry that is not of an earlier start, before Upstreams returns it.
+	NoteCold func(Entry)
 
 	mu sync.Mutex
 	// records is guarded by mu.
@@ -124,6 +129,7 @@
 
 // Put adds or replaces an entry.
 func (r *Registry) Put(entry Entry) {
+	r.noteCold(entry)
 	if r.put(entry) && entry.Draining && r.NoteDraining != nil {
 		r.NoteDraining(entry.ID, entry.Incarnation)
 	}
@@ -134,7 +140,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	before := r.records[entry.ID]
-	if before != nil && before.Entry == entry && before.missingSince.IsZero() {
+	if before != nil && before.sameRegistration(entry) && before.missingSince.IsZero() {
 		return false
 	}
 	if latest := r.latestStart(entry.ID); entry.Incarnation.Precedes(latest) {
