ranges, rangegrants: limited servers get no more than their limit

Cause: a limited server got its share of the total load, which exceeds its limit while the other servers are overloaded; a server with a limit and without requests lowered the mean duration from which capacities are computed. Change: the target load of a limited server is capped by its rate (Server.MaxRate), and only servers with a measured duration count in the mean. A range without an owner is still given away when no server has room. Tested: go test ./internal/ownership/ranges ./internal/upstream/rangegrants.

--- a/internal/ownership/ranges/orphans.go
+++ b/internal/ownership/ranges/orphans.go
@@ -49,7 +49,7 @@
 	var result []Assignment
 	for rest := orphan.Range; ; {
 		server := p.leastLoaded()
-		headroom := max(p.targetLoad(server)-p.serverLoads[server.ID], p.targetLoad(server)*minHeadroomFraction)
+		headroom := max(p.targetLoad(server)-p.serverLoads[server.ID], p.shareOf(server)*minHeadroomFraction)
 		piece, last := rest, true
 		if p.Load.RangeSum(rest) > headroom*maxOrphanOvershoot {
 			if split, ok := p.Load.SplitPoint(rest, headroom); ok {
--- a/internal/ownership/ranges/plan.go
+++ b/internal/ownership/ranges/plan.go
@@ -19,6 +19,8 @@
 	// Limited is set if the server has named a limit to the requests that it takes, which Capacity and Utilization are
 	// derived from. Requests beyond it are refused, so that keys move earlier than from other servers.
 	Limited bool
+	// MaxRate is the number of requests a second that a limited server is planned to get at most. Zero means that it is not known.
+	MaxRate float64
 }
 
 const (
@@ -152,8 +154,11 @@
 	return nil
 }
 
-// targetLoad returns the share of the total load that is proportional to the server's capacity.
-func (p *Planner) targetLoad(server *Server) float64 {
+// targetLoad returns the share of the total load that is proportional to the server's capacity, or what a limited server takes.
+func (p *Planner) targetLoad(server *Server) float64 { return server.capLoad(p.shareOf(server)) }
+
+// shareOf returns the share of the total load that is proportional to the server's capacity.
+func (p *Planner) shareOf(server *Server) float64 {
 	return p.totalLoad * server.Capacity / p.totalCapacity
 }
 
--- a/internal/upstream/rangegrants/available.go
+++ b/internal/upstream/rangegrants/available.go
@@ -10,8 +10,10 @@
 func (t *term) availableServers(stats map[fleet.UpstreamID]ServerStats) []ranges.Server {
 	meanSeconds, measured := 0.0, 0
 	for _, server := range stats {
-		meanSeconds += server.MeanDuration.Seconds()
-		measured++
+		if server.MeanDuration > 0 { // a cold server without requests has only a limit
+			meanSeconds += server.MeanDuration.Seconds()
+			measured++
+		}
 	}
 	meanSeconds /= float64(max(1, measured))
 	var result []ranges.Server
@@ -37,6 +39,7 @@
 			next.Limited = true
 			next.Capacity = max(min(capacity, *limit*limitUse*meanSeconds), minLimitedCapacity)
 			next.Utilization = max(next.Utilization, stats[server.ID].Rate/max(*limit, minRateLimit))
+			next.MaxRate = max(*limit, minRateLimit) * limitUse
 		}
 		result = append(result, next)
 	}
