router, relay, ratelimit: limit of cold upstreams

Cause: upstreams that have just started fail when all daemons together send them the usual number of requests. Change: ratelimit.Limit names a rate with its allowance and reason; each reason has a schedule, and a request that is admitted for one counts towards the other. The rate for cold upstreams leaves room for two keepers and for requests that arrive closer together than they were sent. Reserve messages say that the upstream is cold (a new field), and a relay that does not keep the limit by its own list says so instead of deciding. Requests for services without keys prefer upstreams that are not cold. Unreachable upstreams are tried with health probes. The assigner learns the rates of cold servers. Refusals have the cause upstream-cold; there are a gauge of cold upstreams and a counter of denied reservations. Tested: go test ./internal/routing/... ./internal/peer/relay ./internal/daemon/entry ./internal/upstream/notices.

--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -60,8 +60,9 @@
 	RetryRatio, RetryBurst float64
 	// MaxDescriptors is the number of files and connections that the process may have open, or zero if it is not limited.
 	MaxDescriptors int
-	// RateAllowance is what counts as obeying the limit that an upstream names.
-	RateAllowance ratelimit.Allowance
+	// RateAllowance is what counts as obeying the limit that an upstream names, and ColdAllowance the limit of a cold upstream. The
+	// zero ColdAllowance means that cold upstreams are not limited.
+	RateAllowance, ColdAllowance ratelimit.Allowance
 }
 
 // Daemon is one router process. The exported fields are set before Run.
@@ -97,6 +98,7 @@
 	loadTracker   *loadTracker
 	node          *relay.Node
 	notices       *notices.Book
+	limits        *upstreamLimits
 	router        *router.Router
 	front         *front.Frontend
 	observer      *observer
@@ -152,6 +154,7 @@
 	group.Go(func() error { return d.configuration.follow(servingCtx) })
 	d.router.OnStaleMap = d.refreshTables
 	group.Go(func() error { return d.router.Run(servingCtx) })
+	group.Go(func() error { return d.router.RunTrials(servingCtx) })
 	group.Go(func() error { return d.loadTracker.run(servingCtx) })
 	group.Go(func() error {
 		defer stopServing()
@@ -180,6 +183,9 @@
 			})
 		},
 	}
+	if d.Limits.ColdAllowance != (ratelimit.Allowance{}) {
+		d.registry.NoteCold = d.noteCold
+	}
 	d.notices.OnLeaving = d.registry.NoteLeaving
 	d.configuration = &configuration{
 		log: d.Log, decode: d.DecodeConfiguration, rowName: d.Tables.ConfigurationRow, registry: d.registry,
@@ -188,19 +194,22 @@
 		clock: d.Timer, log: d.Log,
 		storeTime: func() time.Duration { return d.Store.Reading().Latest(d.Timer.Uptime()) },
 	}
-	d.loadTracker = &loadTracker{host: d.Host.ID, clock: d.Timer, log: d.Log, notices: d.notices, allowance: d.Limits.RateAllowance}
+	d.loadTracker = &loadTracker{
+		host: d.Host.ID, clock: d.Timer, log: d.Log, notices: d.notices, allowance: d.Limits.RateAllowance, coldRates: d.coldRates,
+	}
 	d.node = d.newNode()
 	d.loadTracker.peers = d.node
+	d.limits = &upstreamLimits{
+		keeper: d.node, daemonCount: d.knownDaemons, clock: d.Timer, own: ratelimit.Limiter{Staggered: true},
+	}
 	d.observer = newObserver(d)
 	d.connectMetrics()
 	d.router = &router.Router{
 		Host: d.Host, Clock: d.Timer, Config: d.configuration, OwnershipMap: d.ownershipMap, LoadObserver: d.loadTracker,
 		Recorder: d.observer, HostCount: d.daemonCount, Dialect: d.UpstreamDialect, BufferLimit: maxBufferedBytes,
 		NewBudget: d.newBudget, Notices: d.notices,
-		RateLimits: &upstreamLimits{
-			keeper: d.node, allowance: d.Limits.RateAllowance, daemonCount: d.daemonCount, clock: d.Timer,
-			own: ratelimit.Limiter{Staggered: true},
-		},
+		RateLimits: d.limits, StatedAllowance: d.Limits.RateAllowance, ColdAllowance: d.Limits.ColdAllowance,
+		Probe: d.probe,
 	}
 	d.front = &front.Frontend{
 		Address: d.CallerAddress, Router: d.router, Config: d.configuration, Clock: d.Timer, Log: d.Log,
@@ -209,10 +218,11 @@
 	}
 }
 
-// RecordNotices adopts what a server stated about itself in a response to the assigner. It is called while the daemon runs.
-func (d *Daemon) RecordNotices(server ranges.Owner, stated []forward.Notice) {
+// RecordNotices adopts what a server stated about itself in a response to an order or a probe that was sent at a time. It is
+// called while the daemon runs.
+func (d *Daemon) RecordNotices(server ranges.Owner, sentAt time.Time, stated []forward.Notice) {
 	d.notices.Record(notices.Exchange{
-		Source: notices.Source{ID: server.ID, Incarnation: server.Incarnation}, SentAt: d.Timer.Now(), Notices: stated,
+		Source: notices.Source{ID: server.ID, Incarnation: server.Incarnation}, SentAt: sentAt, Notices: stated,
 	})
 }
 
@@ -223,7 +233,13 @@
 
 // daemonCount returns the highest number of daemons named in any range table, and at least one.
 func (d *Daemon) daemonCount() int {
-	count := 1
+	count, _ := d.knownDaemons()
+	return max(1, count)
+}
+
+// knownDaemons does what daemonCount does, but returns false if no range table names a number.
+func (d *Daemon) knownDaemons() (int, bool) {
+	count := 0
 	if current := d.configuration.Current(); current != nil {
 		for i := range current.Services {
 			if rangeTable := d.ownershipMap.table(current.Services[i].Name); rangeTable != nil {
@@ -231,7 +247,7 @@
 			}
 		}
 	}
-	return count
+	return count, count > 0
 }
 
 // newBudget returns the retry budget of a service on this daemon, which is its share of the fleet's budget.
--- a/internal/daemon/entry/limits_test.go
+++ b/internal/daemon/entry/limits_test.go
@@ -17,7 +17,7 @@
 // silentKeeper can't be asked.
 type silentKeeper struct{}
 
-func (silentKeeper) Reserve(context.Context, fleet.UpstreamID, float64, time.Duration) (ratelimit.Decision, error) {
+func (silentKeeper) Reserve(context.Context, fleet.UpstreamID, ratelimit.Rate, time.Duration) (ratelimit.Decision, error) {
 	return nil, errors.New("no response")
 }
 
@@ -26,10 +26,10 @@
 func TestDeniedShareIsShort(t *testing.T) {
 	is := is.New(t)
 	limits := &upstreamLimits{
-		keeper: silentKeeper{}, daemonCount: func() int { return 295 }, clock: timer.System{}, own: ratelimit.Limiter{Staggered: true},
+		keeper: silentKeeper{}, daemonCount: func() (int, bool) { return 295, true }, clock: timer.System{}, own: ratelimit.Limiter{Staggered: true},
 	}
 	for range 10 {
-		if denied, ok := limits.Reserve(t.Context(), "u", 2, 0).(ratelimit.Denied); ok {
+		if denied, ok := limits.Reserve(t.Context(), "u", ratelimit.Limit{PerSecond: 2}, 0).(ratelimit.Denied); ok {
 			is.True(denied.RetryAfter <= relay.ReservePause)
 		}
 	}
--- a/internal/daemon/entry/loads.go
+++ b/internal/daemon/entry/loads.go
@@ -130,6 +130,8 @@
 	notices *notices.Book
 	// allowance is what the deployment accepts as obeying a limit.
 	allowance ratelimit.Allowance
+	// coldRates returns the rates, in requests a second, of the cold servers of a service. Nil means that none is limited for that.
+	coldRates func(fleet.ServiceName) map[fleet.UpstreamID]float64
 	// onCollected is called with the load of a service each time the reports have been summed.
 	onCollected func(fleet.ServiceName, *ranges.Load)
 
@@ -184,18 +186,6 @@
 	counted.Servers[server].Limited++
 }
 
-// addLimits adds the limits of the servers that a report counts.
-func (l *loadTracker) addLimits(report *loadReport) {
-	for _, service := range report.Services {
-		for id, server := range service.Servers {
-			if limit, limited := l.notices.LatestRateLimit(id); limited {
-				rate := l.allowance.Rate(limit)
-				server.addLimit(0, &rate)
-			}
-		}
-	}
-}
-
 // run sends reports until ctx ends.
 func (l *loadTracker) run(ctx context.Context) error {
 	tick := l.clock.Every(reportInterval)
@@ -308,6 +298,7 @@
 			MeanDuration: entry.meanDuration, Concurrency: entry.concurrency, Rate: entry.rate, RateLimit: entry.limit,
 		}
 	}
+	l.addColdLimits(service, result.Stats)
 	return result
 }
 
--- a/internal/daemon/entry/metrics.go
+++ b/internal/daemon/entry/metrics.go
@@ -4,6 +4,7 @@
 	"rosemarywick.example/rosemarywick/internal/core/document"
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/ownership/ranges"
+	"rosemarywick.example/rosemarywick/internal/routing/ratelimit"
 )
 
 // keysPerPartition is the number of adjacent keys that the metrics count as one partition. Ranges are split and merged, so
@@ -21,6 +22,12 @@
 	if d.notices != nil {
 		d.observer.metrics.ExposeNotices(d.notices)
 	}
+	if d.limits != nil {
+		d.observer.metrics.ExposeDenials(map[string]func() int{
+			string(ratelimit.Stated): func() int { return d.limits.Denied(ratelimit.Stated) },
+			string(ratelimit.Cold):   func() int { return d.limits.Denied(ratelimit.Cold) },
+		})
+	}
 }
 
 // observeOwners updates churn and time without an owner from a new range table.
--- a/internal/daemon/entry/ownership.go
+++ b/internal/daemon/entry/ownership.go
@@ -58,9 +58,10 @@
 	freeIn, sinceAdopted := o.freeIn(entry), o.clock.Now().Sub(latest.adoptedAt)
 	return fleet.Assignment{
 		Partition: fleet.PartitionID(entry.Range.First), Owner: entry.Owner.ID,
-		Fence:  fleet.Fence{Counter: uint64(entry.Fence)},
-		Moving: len(entry.FormerOwners) > 0 && (sinceAdopted < maxMoveDuration || freeIn > -maxMoveDuration),
-		FreeIn: max(0, freeIn),
+		Incarnation: entry.Owner.Incarnation,
+		Fence:       fleet.Fence{Counter: uint64(entry.Fence)},
+		Moving:      len(entry.FormerOwners) > 0 && (sinceAdopted < maxMoveDuration || freeIn > -maxMoveDuration),
+		FreeIn:      max(0, freeIn),
 	}, true
 }
 
--- a/internal/peer/relay/reserve.go
+++ b/internal/peer/relay/reserve.go
@@ -31,16 +31,16 @@
 	mu sync.Mutex
 	// sequence is guarded by mu and identifies the latest request.
 	sequence uint64
-	// waiting is guarded by mu.
+	// waiting is guarded by mu. A nil decision means that the relay does not keep the limit as far as it knows.
 	waiting map[uint64]chan ratelimit.Decision
 	// silentUntil is guarded by mu: until when a relay is not asked, by the identifier of its process.
 	silentUntil map[string]time.Time
 }
 
-// Reserve admits a request to an upstream that takes rate requests a second from all daemons, if it can be sent within maxWait.
+// Reserve admits a request to an upstream that takes requests at a rate from all daemons, if it can be sent within maxWait.
 // One relay decides for all daemons, each for its part of the upstreams. An error means that it can't be asked.
 func (n *Node) Reserve(
-	ctx context.Context, upstream fleet.UpstreamID, rate float64, maxWait time.Duration,
+	ctx context.Context, upstream fleet.UpstreamID, rate ratelimit.Rate, maxWait time.Duration,
 ) (ratelimit.Decision, error) {
 	keeper, ok := n.members.keeper(upstream)
 	if !ok || !n.connected() {
@@ -55,7 +55,10 @@
 		return nil, errNoKeeper
 	}
 	defer n.reservations.end(sequence)
-	request := &wire.Reserve{Sequence: sequence, Upstream: string(upstream), Rate: rate, MaxWaitUs: uint64(maxWait.Microseconds())}
+	request := &wire.Reserve{
+		Sequence: sequence, Upstream: string(upstream), Rate: rate.PerSecond, MaxWaitUs: uint64(maxWait.Microseconds()),
+		Cold: rate.Reason == ratelimit.Cold,
+	}
 	timeout := n.Clock.After(reserveTimeout)
 	defer timeout.Stop()
 	sendCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
@@ -66,6 +69,9 @@
 	}
 	select {
 	case decision := <-response:
+		if decision == nil {
+			return nil, errNoKeeper
+		}
 		return decision, nil
 	case <-timeout.C:
 		n.Log.Info().Str("relay", string(keeper.Host)).Str("upstream", string(upstream)).
@@ -130,6 +136,10 @@
 	if response == nil {
 		return
 	}
+	if message.GetNotKeeper() {
+		response <- nil
+		return
+	}
 	wait := time.Duration(min(message.GetWaitUs(), uint64(maxReserveWait.Microseconds()))) * time.Microsecond
 	if message.GetGranted() {
 		response <- ratelimit.Granted{Wait: wait}
@@ -138,7 +148,8 @@
 	response <- ratelimit.Denied{RetryAfter: wait}
 }
 
-// handleReserve decides for a peer whether a request is admitted. A rate that is no number is not regarded.
+// handleReserve decides for a peer whether a request is admitted. A rate that is no number is not regarded. For a cold upstream
+// only the relay decides that keeps the limit by its own list, so that few have a schedule while the daemons' lists differ.
 func (n *Node) handleReserve(ctx context.Context, from fleet.HostID, message *wire.Reserve) {
 	rate := message.GetRate()
 	if math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 || message.GetUpstream() == "" {
@@ -146,8 +157,10 @@
 		return
 	}
 	maxWait := time.Duration(min(message.GetMaxWaitUs(), uint64(maxReserveWait.Microseconds()))) * time.Microsecond
-	reserved := &wire.Reserved{Sequence: message.GetSequence()}
-	switch decision := n.Limiter.Reserve(n.Clock.Now(), fleet.UpstreamID(message.GetUpstream()), rate, maxWait).(type) {
+	reserved, upstream := &wire.Reserved{Sequence: message.GetSequence()}, fleet.UpstreamID(message.GetUpstream())
+	switch decision := n.decideReserve(upstream, rateOf(message), maxWait).(type) {
+	case nil:
+		reserved.NotKeeper = true
 	case ratelimit.Granted:
 		reserved.Granted, reserved.WaitUs = true, uint64(decision.Wait.Microseconds())
 	case ratelimit.Denied:
@@ -158,6 +171,24 @@
 	}
 }
 
+// decideReserve decides about a request, or returns nil if another relay keeps the limit of a cold upstream.
+func (n *Node) decideReserve(upstream fleet.UpstreamID, rate ratelimit.Rate, maxWait time.Duration) ratelimit.Decision {
+	if rate.Reason == ratelimit.Cold {
+		if keeper, ok := n.members.keeper(upstream); !ok || !n.isOwn(keeper) {
+			return nil
+		}
+	}
+	return n.Limiter.Reserve(n.Clock.Now(), upstream, rate, maxWait)
+}
+
+// rateOf returns the rate that a request for admission names.
+func rateOf(message *wire.Reserve) ratelimit.Rate {
+	if message.GetCold() {
+		return ratelimit.Rate{Reason: ratelimit.Cold, PerSecond: message.GetRate()}
+	}
+	return ratelimit.Rate{Reason: ratelimit.Stated, PerSecond: message.GetRate()}
+}
+
 // keeper returns the relay that keeps the limit of an upstream, or false if there is none. Daemons with the same list name the
 // same relay, and few upstreams change theirs when a relay is replaced.
 func (m *members) keeper(upstream fleet.UpstreamID) (member, bool) {
--- a/internal/peer/relay/reserve_test.go
+++ b/internal/peer/relay/reserve_test.go
@@ -53,7 +53,7 @@
 
 func (d *demand) send(from *daemon, own *ratelimit.Limiter, daemons int) {
 	const maxWait = 300 * time.Millisecond
-	rate := allowance.Rate(d.limit)
+	rate := ratelimit.Limit{Reason: ratelimit.Stated, PerSecond: d.limit, Allowance: allowance}.Rate()
 	decision, err := from.Reserve(context.Background(), d.upstream, rate, maxWait)
 	if err != nil {
 		decision = own.Reserve(time.Now(), d.upstream, ratelimit.Share(rate, daemons), maxWait)
--- a/internal/routing/balance/pick.go
+++ b/internal/routing/balance/pick.go
@@ -20,6 +20,8 @@
 	Bulk bool
 	// HasCapacity reports whether an upstream can take a request. Nil means that all of them can.
 	HasCapacity func(fleet.UpstreamID) bool
+	// IsCold reports whether an upstream has started recently, so that it is slow and takes few requests. Nil means that none has.
+	IsCold func(fleet.UpstreamID) bool
 }
 
 // Pick returns the better of two upstreams that are chosen at random by weight ("power of two choices"). It returns false
@@ -37,6 +39,20 @@
 	if criteria.Bulk {
 		candidates = p.inLocalDomain(candidates)
 	}
+	averages := p.averages(now)
+	warm, cold := criteria.splitCold(candidates)
+	first := p.pickBetter(now, warm, averages)
+	if len(cold) > 0 {
+		first = preferWarm(now, first, p.pickBetter(now, cold, averages), averages)
+	}
+	return first.ID, true
+}
+
+// pickBetter returns the better of two candidates that are chosen at random by weight, or nil if there are none.
+func (p *Pool) pickBetter(now time.Time, candidates []*upstreamEstimate, averages poolAverages) *upstreamEstimate {
+	if len(candidates) == 0 {
+		return nil
+	}
 	first := p.pickWeighted(now, candidates)
 	second := p.pickWeighted(now, candidates)
 	for range 2 { // a comparison needs two different upstreams
@@ -44,17 +60,16 @@
 			second = p.pickWeighted(now, candidates)
 		}
 	}
-	averages := p.averages(now)
 	if second.score(now, averages) < first.score(now, averages) {
 		first = second
 	}
-	return first.ID, true
+	return first
 }
 
 // dueTrial returns a suspected upstream whose next trial is due, if the request may be used for that. It schedules the
 // trial after this one.
 func (p *Pool) dueTrial(now time.Time, criteria Criteria) *upstreamEstimate {
-	if !criteria.Idempotent {
+	if !criteria.Idempotent || p.probed {
 		return nil
 	}
 	for _, upstream := range p.upstreams {
--- a/internal/routing/balance/pool.go
+++ b/internal/routing/balance/pool.go
@@ -110,6 +110,8 @@
 	upstreams []*upstreamEstimate
 	// byID is guarded by mu and holds the same estimates.
 	byID map[fleet.UpstreamID]*upstreamEstimate
+	// probed is guarded by mu and set if suspected upstreams are tried by DueTrials instead of with requests.
+	probed bool
 }
 
 // upstreamEstimate is what the pool has observed about one upstream.
--- a/internal/routing/ratelimit/allowance.go
+++ b/internal/routing/ratelimit/allowance.go
@@ -19,7 +19,10 @@
 const shareUse = 0.5
 
 // Share returns the part of a rate that one of several daemons may use for itself.
-func Share(rate float64, daemons int) float64 { return shareUse * rate / float64(max(1, daemons)) }
+func Share(rate Rate, daemons int) Rate {
+	rate.PerSecond = shareUse * rate.PerSecond / float64(max(1, daemons))
+	return rate
+}
 
 // Rate returns the rate at which requests may be admitted to an upstream that takes limit requests a second.
 func (a Allowance) Rate(limit float64) float64 {
--- a/internal/routing/ratelimit/limiter.go
+++ b/internal/routing/ratelimit/limiter.go
@@ -28,6 +28,13 @@
 	// burstTime is the time for which an unused rate is kept, beyond one request. It absorbs chance: requests at a rate below the
 	// limit rarely wait, and any span gets at most the limit of that span and of burstTime, and one request.
 	burstTime = 400 * time.Millisecond
+	// coldBurstTime is that time for a cold upstream, whose limit holds within spans of a second instead of several.
+	coldBurstTime = 100 * time.Millisecond
+	// maxCharge bounds how far the requests that were admitted for one reason delay those for another one, whose rate may be much
+	// lower.
+	maxCharge = time.Second
+	// noRateRetry is the time after which a request to an upstream that takes none at all may return.
+	noRateRetry = time.Second
 	// startDelay is the time for which an upstream that was not known gets nothing. What it got until now, from daemons that did not
 	// know of its limit or by another limiter, counts towards the same span.
 	startDelay = 500 * time.Millisecond
@@ -51,12 +58,18 @@
 
 	mu sync.Mutex
 	// schedules is guarded by mu.
-	schedules map[fleet.UpstreamID]*schedule
+	schedules map[scheduleKey]*schedule
 	// cleanedAt is guarded by mu: when idle schedules were last removed.
 	cleanedAt time.Time
 }
 
-// schedule is the state of one upstream.
+// scheduleKey names a schedule. Limits of different reasons differ in rate and burst, so that each has its own.
+type scheduleKey struct {
+	upstream fleet.UpstreamID
+	reason   Reason
+}
+
+// schedule is the state of one limit of an upstream.
 type schedule struct {
 	// next is the time at which the next request would be due if requests were sent at even intervals.
 	next time.Time
@@ -66,60 +79,79 @@
 	usedAt time.Time
 }
 
-// Reserve admits a request to an upstream that takes rate requests a second, if it can be sent within maxWait. An upstream that
-// is not known gets nothing for startDelay, or for a random time if the limiter is staggered.
-func (l *Limiter) Reserve(now time.Time, upstream fleet.UpstreamID, rate float64, maxWait time.Duration) Decision {
-	if !l.Staggered {
-		rate = max(rate, minRate)
+// Reserve admits a request to an upstream that takes requests at a rate, if it can be sent within maxWait. An upstream that is
+// not known gets nothing for startDelay, or for a random time if the limiter is staggered. A request that is admitted for one
+// reason counts towards the schedules of the others.
+func (l *Limiter) Reserve(now time.Time, upstream fleet.UpstreamID, rate Rate, maxWait time.Duration) Decision {
+	perSecond, burst := rate.PerSecond, rate.Reason.burst()
+	if rate.Reason == Cold && perSecond <= 0 {
+		return Denied{RetryAfter: noRateRetry} // the cold time ends without a request
+	}
+	if rate.Reason != Cold && !l.Staggered {
+		perSecond = max(perSecond, minRate)
 	}
-	interval := max(minInterval, time.Duration(min(float64(time.Second)/rate, float64(maxInterval))))
+	interval := max(minInterval, time.Duration(min(float64(time.Second)/perSecond, float64(maxInterval))))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.removeIdle(now)
-	current := l.schedules[upstream]
+	key := scheduleKey{upstream, rate.Reason}
+	current := l.schedules[key]
 	if current == nil {
 		delay := startDelay
 		if l.Staggered {
 			delay = rand.N(interval)
 		}
-		current = &schedule{next: now.Add(burstTime + delay), interval: interval, usedAt: now}
-		l.schedules[upstream] = current
+		current = &schedule{next: now.Add(burst + delay), interval: interval, usedAt: now}
+		l.schedules[key] = current
 	}
 	if ahead := current.next.Sub(now); ahead > 0 && interval < current.interval { // the rate has risen
 		current.next = now.Add(time.Duration(float64(ahead) * float64(interval) / float64(current.interval)))
 	}
-	if now.Sub(current.usedAt) > maxBurstAge {
-		current.next = maxTime(current.next, now.Add(burstTime))
+	if now.Sub(current.usedAt) > maxBurstAge && current.next.Before(now.Add(burst)) {
+		current.next = now.Add(burst)
+		if l.Staggered && rate.Reason == Cold {
+			// The shares of many daemons may be due since an earlier time at which the upstream was cold.
+			current.next = current.next.Add(rand.N(interval))
+		}
 	}
 	current.interval, current.usedAt = interval, now
-	wait := max(0, current.next.Sub(now)-burstTime)
+	wait := max(0, current.next.Sub(now)-burst)
 	if wait > maxWait {
 		return Denied{RetryAfter: wait}
 	}
-	if current.next.Before(now) {
-		current.next = now
-	}
-	current.next = current.next.Add(interval)
+	current.next = maxTime(current.next, now).Add(interval)
+	l.chargeOthers(now, key)
 	return Granted{Wait: wait}
 }
 
+// chargeOthers counts an admitted request towards the other schedules of its upstream. The caller holds mu.
+func (l *Limiter) chargeOthers(now time.Time, admitted scheduleKey) {
+	for _, reason := range reasons {
+		other := l.schedules[scheduleKey{admitted.upstream, reason}]
+		if reason == admitted.reason || other == nil || other.next.Sub(now) > maxCharge {
+			continue
+		}
+		other.next = maxTime(other.next, now).Add(min(other.interval, maxCharge))
+	}
+}
+
 // removeIdle removes the schedules without recent requests. The caller holds mu.
 func (l *Limiter) removeIdle(now time.Time) {
 	if l.schedules == nil {
-		l.schedules = make(map[fleet.UpstreamID]*schedule)
+		l.schedules = make(map[scheduleKey]*schedule)
 	}
 	if now.Sub(l.cleanedAt) < idleTime {
 		return
 	}
 	l.cleanedAt = now
-	for upstream, current := range l.schedules {
+	for key, current := range l.schedules {
 		if now.Sub(current.next) > idleTime {
-			delete(l.schedules, upstream)
+			delete(l.schedules, key)
 		}
 	}
 }
 
-// Size returns the number of upstreams with a schedule.
+// Size returns the number of schedules.
 func (l *Limiter) Size() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/routing/ratelimit/limiter_test.go
+++ b/internal/routing/ratelimit/limiter_test.go
@@ -27,7 +27,7 @@
 		for range 400 {
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "step")) * time.Millisecond)
 			maxWait := time.Duration(rapid.IntRange(0, 800).Draw(t, "wait")) * time.Millisecond
-			if granted, ok := limiter.Reserve(now, "u", rate, maxWait).(ratelimit.Granted); ok {
+			if granted, ok := limiter.Reserve(now, "u", ratelimit.Rate{Reason: ratelimit.Stated, PerSecond: rate}, maxWait).(ratelimit.Granted); ok {
 				if granted.Wait > maxWait {
 					t.Fatalf("waits for %v of %v", granted.Wait, maxWait)
 				}
@@ -52,11 +52,11 @@
 func TestRateBelowLimitIsGranted(t *testing.T) {
 	is := is.New(t)
 	limiter, now := &ratelimit.Limiter{}, time.Unix(1000, 0)
-	limiter.Reserve(now, "u", 8, 0)
+	limiter.Reserve(now, "u", ratelimit.Rate{PerSecond: 8}, 0)
 	now = now.Add(time.Second) // an upstream that is not known yet gets nothing at first
 	for range 100 {
 		now = now.Add(125 * time.Millisecond)
-		_, granted := limiter.Reserve(now, "u", 8, 200*time.Millisecond).(ratelimit.Granted)
+		_, granted := limiter.Reserve(now, "u", ratelimit.Rate{PerSecond: 8}, 200*time.Millisecond).(ratelimit.Granted)
 		is.True(granted)
 	}
 }
@@ -67,7 +67,7 @@
 	limiter, now, count := &ratelimit.Limiter{}, time.Unix(1000, 0), 0
 	for range 200 {
 		now = now.Add(100 * time.Millisecond)
-		if _, ok := limiter.Reserve(now, "u", 0, 0).(ratelimit.Granted); ok {
+		if _, ok := limiter.Reserve(now, "u", ratelimit.Rate{}, 0).(ratelimit.Granted); ok {
 			count++
 		}
 	}
@@ -80,7 +80,7 @@
 	limiter, now := &ratelimit.Limiter{}, time.Unix(1000, 0)
 	for i := range 1000 {
 		now = now.Add(10 * time.Second)
-		limiter.Reserve(now, fleet.UpstreamID(rune('a'+i)), 1, 0)
+		limiter.Reserve(now, fleet.UpstreamID(rune('a'+i)), ratelimit.Rate{PerSecond: 1}, 0)
 	}
 	is.True(limiter.Size() <= 15)
 }
@@ -91,8 +91,9 @@
 	for _, limit := range []float64{0, 1e-300, 1e9, 1e300, math.MaxFloat64} {
 		for _, staggered := range []bool{false, true} {
 			limiter := &ratelimit.Limiter{Staggered: staggered}
-			limiter.Reserve(time.Unix(1000, 0), "u", allowance.Rate(limit), 0)
-			limiter.Reserve(time.Unix(1001, 0), "u", ratelimit.Share(allowance.Rate(limit), 295), time.Second)
+			rate := ratelimit.Limit{PerSecond: limit, Allowance: allowance}.Rate()
+			limiter.Reserve(time.Unix(1000, 0), "u", rate, 0)
+			limiter.Reserve(time.Unix(1001, 0), "u", ratelimit.Share(rate, 295), time.Second)
 		}
 	}
 }
--- a/internal/routing/router/breaker.go
+++ b/internal/routing/router/breaker.go
@@ -16,6 +16,8 @@
 	servers map[fleet.UpstreamID]time.Time
 	// partitions is guarded by mu and holds the assignments that their owners denied.
 	partitions map[fleet.PartitionID]deniedAssignment
+	// probed is guarded by mu and set if unreachable servers are tried with health probes, so that no request is let through.
+	probed bool
 	// waiting is guarded by mu and counts the requests that wait for a change of the map.
 	waiting int
 }
@@ -41,6 +43,20 @@
 	b.servers[id] = now.Add(trialInterval)
 }
 
+// markReachable records that a server has answered a probe.
+func (b *ownerBreaker) markReachable(id fleet.UpstreamID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.servers, id)
+}
+
+// setProbed sets whether unreachable servers are tried with health probes instead of requests.
+func (b *ownerBreaker) setProbed(probed bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.probed = probed
+}
+
 // markDenied records that a server denied an assignment.
 func (b *ownerBreaker) markDenied(now time.Time, assignment fleet.Assignment) {
 	b.mu.Lock()
@@ -65,6 +81,9 @@
 	if unreachable && now.Before(until) {
 		return until.Sub(now)
 	}
+	if unreachable && b.probed {
+		return trialInterval
+	}
 	denied, isDenied := b.partitions[assignment.Partition]
 	isDenied = isDenied && !denied.fence.Less(assignment.Fence)
 	if isDenied && now.Before(denied.nextTrial) {
--- a/internal/routing/router/pending.go
+++ b/internal/routing/router/pending.go
@@ -47,8 +47,10 @@
 	queue      *admissionQueue
 	assignment fleet.Assignment
 	// waited is set if the request waited because of the upstream's own limit after it had the slot.
-	waited    bool
-	startedAt time.Time
+	waited bool
+	// limitCause is the cause of a refusal because of the upstream's limit.
+	limitCause cause.Cause
+	startedAt  time.Time
 }
 
 // claimIdempotencyKey claims the idempotency key of a request that must run at most once.
@@ -279,6 +281,9 @@
 		}
 	}
 	p.service.pool.RequestEnded(now, slot.upstream.ID, observation)
+	if _, unreachable := observation.(balance.Unreachable); unreachable {
+		p.noteUnreachable(slot, result)
+	}
 	slot.queue.release(slot.upstream.ID, feedback)
 }
 
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -15,6 +15,7 @@
 	"rosemarywick.example/rosemarywick/internal/routing/admission"
 	"rosemarywick.example/rosemarywick/internal/routing/balance"
 	"rosemarywick.example/rosemarywick/internal/routing/idempotency"
+	"rosemarywick.example/rosemarywick/internal/routing/ratelimit"
 	"rosemarywick.example/rosemarywick/internal/routing/retry"
 	"rosemarywick.example/rosemarywick/internal/upstream/forward"
 	"rosemarywick.example/rosemarywick/internal/upstream/notices"
@@ -85,6 +86,12 @@
 	// may be nil; limits are not regarded then.
 	Notices    *notices.Book
 	RateLimits RateLimits
+	// StatedAllowance is what counts as obeying a limit that an upstream names, and ColdAllowance the limit of a cold one. The zero
+	// ColdAllowance means that cold upstreams are not limited.
+	StatedAllowance, ColdAllowance ratelimit.Allowance
+	// Probe asks an upstream for its health. It is used instead of a request to try an unreachable upstream that may be cold. Nil
+	// means that requests are used.
+	Probe func(ctx context.Context, upstream document.Upstream) bool
 	// Dialect translates requests and responses to the headers that the upstreams use. Nil selects the headers of this
 	// product.
 	Dialect forward.Dialect
@@ -112,6 +119,10 @@
 	end   context.CancelFunc
 
 	attempts attemptTracker
+
+	// trialSignal wakes RunTrials. trialOnce creates it; see trialWake.
+	trialOnce   sync.Once
+	trialSignal chan struct{}
 }
 
 // EndBy makes every request end by a time, because the daemon stops then. Requests that are not expected to end by then are
--- a/internal/routing/router/service.go
+++ b/internal/routing/router/service.go
@@ -22,6 +22,8 @@
 	queue *admissionQueue
 	// notices holds what the upstreams state about themselves. It may be nil.
 	notices *notices.Book
+	// coldLimited is set if cold upstreams of the service get a limited number of requests.
+	coldLimited bool
 	*runtimeState
 }
 
@@ -49,6 +51,7 @@
 func (r *Router) buildService(previous *serviceState, declared *document.Service, current *document.Document) *serviceState {
 	next := &serviceState{
 		Service: declared, version: current.Version, upstreams: make(map[fleet.UpstreamID]*upstreamState), notices: r.Notices,
+		coldLimited: r.limitsCold(declared),
 	}
 	if previous != nil && previous.Keyed() == declared.Keyed() {
 		next.runtimeState, next.queue = previous.runtimeState, previous.queue
@@ -66,6 +69,8 @@
 		})
 		next.upstreams[upstream.ID] = r.buildUpstream(previous, declared, upstream, weights)
 	}
+	next.pool.SetProbed(next.coldLimited && r.Probe != nil)
+	next.breaker.setProbed(next.coldLimited && r.Probe != nil)
 	next.pool.SetCandidates(r.Clock.Now(), candidates)
 	if !declared.Keyed() {
 		next.queue = r.configureQueue(next.queue, declared, weights, len(declared.Upstreams), next.pickUpstream)
@@ -174,5 +179,7 @@
 	now time.Time, req *admission.Request, hasCapacity func(fleet.UpstreamID) bool,
 ) (fleet.UpstreamID, bool) {
 	usable := func(id fleet.UpstreamID) bool { return s.pauseLeft(now, id) <= 0 && hasCapacity(id) }
-	return s.pool.Pick(now, balance.Criteria{Avoid: req.Avoid, Idempotent: req.Idempotent, Bulk: req.Bulk, HasCapacity: usable})
+	return s.pool.Pick(now, balance.Criteria{
+		Avoid: req.Avoid, Idempotent: req.Idempotent, Bulk: req.Bulk, HasCapacity: usable, IsCold: s.coldTest(now),
+	})
 }
--- a/internal/routing/router/upstream_limit.go
+++ b/internal/routing/router/upstream_limit.go
@@ -14,9 +14,9 @@
 
 // RateLimits admits requests to upstreams that limit the requests that they take from all daemons together.
 type RateLimits interface {
-	// Reserve admits a request to an upstream that takes limit requests a second, if it can be sent within maxWait. It may ask
+	// Reserve admits a request to an upstream that takes a limited number of requests, if it can be sent within maxWait. It may ask
 	// another daemon.
-	Reserve(ctx context.Context, upstream fleet.UpstreamID, limit float64, maxWait time.Duration) ratelimit.Decision
+	Reserve(ctx context.Context, upstream fleet.UpstreamID, limit ratelimit.Limit, maxWait time.Duration) ratelimit.Decision
 }
 
 // maxLimitWait is the longest time that a request waits because of an upstream's limit, as a fraction of the time that is left
@@ -50,17 +50,18 @@
 	}
 }
 
-// awaitLimit waits until the upstream of a slot takes the request, if it limits the requests that it takes. It returns false,
+// awaitLimit waits until the upstream of a slot takes the request, if the requests that it takes are limited. It returns false,
 // with the time after which it may take one, if the request has to go elsewhere.
 func (p *pendingRequest) awaitLimit(slot *acquiredSlot) (time.Duration, bool) {
 	if p.router.Notices == nil || p.router.RateLimits == nil {
 		return 0, true
 	}
-	limit, limited := p.router.Notices.RateLimit(slot.upstream.noticeSource())
+	started := p.router.Clock.Now()
+	limit, limited := p.limitOf(slot, started)
 	if !limited {
 		return 0, true
 	}
-	started := p.router.Clock.Now()
+	slot.limitCause = causeOfLimit(limit)
 	defer func() { p.record.QueueTime += p.router.Clock.Now().Sub(started) }()
 	slot.waited = true
 	switch decision := p.router.RateLimits.Reserve(p.ctx, slot.upstream.ID, limit, p.limitWait(started)).(type) {
@@ -108,10 +109,10 @@
 		if p.router.LoadObserver != nil {
 			p.router.LoadObserver.Limited(p.service.Name, slot.upstream.ID, p.key)
 		}
-		return &rejection{outcome: cause.NotRun, cause: cause.UpstreamLimit, retryAfter: retryAfter}
+		return &rejection{outcome: cause.NotRun, cause: slot.limitCause, retryAfter: retryAfter}
 	}
 	if p.service.allLimited(now) {
-		return &rejection{outcome: cause.NotRun, cause: cause.UpstreamLimit, retryAfter: retryAfter}
+		return &rejection{outcome: cause.NotRun, cause: slot.limitCause, retryAfter: retryAfter}
 	}
 	return nil
 }
--- a/internal/routing/router/upstream_limit_test.go
+++ b/internal/routing/router/upstream_limit_test.go
@@ -29,7 +29,7 @@
 // reserveFunc decides about each request.
 type reserveFunc func(maxWait time.Duration) ratelimit.Decision
 
-func (f reserveFunc) Reserve(_ context.Context, _ fleet.UpstreamID, _ float64, maxWait time.Duration) ratelimit.Decision {
+func (f reserveFunc) Reserve(_ context.Context, _ fleet.UpstreamID, _ ratelimit.Limit, maxWait time.Duration) ratelimit.Decision {
 	return f(maxWait)
 }
 
