ratelimit, notices: property test of the limit of cold upstreams

Cause: the limit must hold over all daemons within any second, also while keepers change and daemons lose contact. Change: the rate for cold upstreams also leaves room for the shares of daemons that can ask no keeper. A property test plays fleets of 1 to 90 daemons with up to four keepers, lists that are late by up to 1.5 s, and lost contacts. Tested: go test ./internal/routing/ratelimit -run TestColdLimitHolds -rapid.checks=20000 passes; with the rate of stated limits the test fails at once (17 requests, 16.4 allowed). go test ./internal/upstream/notices.

--- a/internal/routing/ratelimit/limit.go
+++ b/internal/routing/ratelimit/limit.go
@@ -61,9 +61,9 @@
 )
 
 // strictRate returns a rate for a limit that must hold in every window, because an upstream that gets more fails. maxKeepers
-// limiters at this rate, each with its burst and one request, stay within the allowance, although requests may arrive closer
-// together than they were sent.
+// limiters at this rate, each with its burst and one request, and the shares of all daemons that cannot ask any of them, stay
+// within the allowance, although requests may arrive closer together than they were sent.
 func (a Allowance) strictRate(limit float64) float64 {
 	budget := a.Factor*limit*a.Window.Seconds() + a.Extra
-	return max(0, budget/maxKeepers-1) / (a.Window + coldBurstTime + arrivalSpread).Seconds()
+	return max(0, budget-maxKeepers) / (maxKeepers*(a.Window+coldBurstTime+arrivalSpread).Seconds() + shareUse*a.Window.Seconds())
 }
