--- a/internal/peer/relay/reserve_test.go
+++ b/internal/peer/relay/reserve_test.go
@@ -25,6 +25,8 @@
 	network  *network
 	upstream fleet.UpstreamID
 	limit    float64
+	// cold is set if the upstream is limited because it is cold.
+	cold bool
 	// perSecond is the number of requests a second of all daemons together.
 	perSecond float64
 
@@ -54,6 +56,9 @@
 func (d *demand) send(from *daemon, own *ratelimit.Limiter, daemons int) {
 	const maxWait = 300 * time.Millisecond
 	rate := ratelimit.Limit{Reason: ratelimit.Stated, PerSecond: d.limit, Allowance: allowance}.Rate()
+	if d.cold {
+		rate = ratelimit.Limit{Reason: ratelimit.Cold, PerSecond: d.limit, Allowance: coldAllowance}.Rate()
+	}
 	decision, err := from.Reserve(context.Background(), d.upstream, rate, maxWait)
 	if err != nil {
 		decision = own.Reserve(time.Now(), d.upstream, ratelimit.Share(rate, daemons), maxWait)
@@ -75,10 +80,14 @@
 func (d *demand) busiest() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	window := allowance.Window
+	if d.cold {
+		window = coldAllowance.Window
+	}
 	slices.SortFunc(d.sent, time.Time.Compare)
 	most, first := 0, 0
 	for last := range d.sent {
-		for d.sent[last].Sub(d.sent[first]) >= allowance.Window {
+		for d.sent[last].Sub(d.sent[first]) >= window {
 			first++
 		}
 		most = max(most, last-first+1)
