--- a/internal/ownership/ranges/load.go
+++ b/internal/ownership/ranges/load.go
@@ -33,6 +33,8 @@
 	counts [bucketCount]float64
 	// decayedAt is the time to which counts have been decayed.
 	decayedAt time.Time
+	// firstAt is the time of the first report.
+	firstAt time.Time
 	// prefixSums[i] is the load of all buckets before i. BuildPrefixSums recomputes it unless built is set, which means that no
 	// report was added since.
 	prefixSums [bucketCount + 1]float64
@@ -42,6 +44,9 @@
 // AddReport adds the counts that one daemon reported. Out-of-range buckets and invalid counts are ignored.
 func (l *Load) AddReport(now time.Time, report BucketCounts) {
 	l.decay(now)
+	if l.firstAt.IsZero() {
+		l.firstAt = now
+	}
 	l.built = false
 	for bucket, count := range report {
 		if bucket >= 0 && bucket < bucketCount && count > 0 && !math.IsInf(count, 0) {
--- a/internal/ownership/ranges/plan.go
+++ b/internal/ownership/ranges/plan.go
@@ -155,7 +155,7 @@
 }
 
 // targetLoad returns the share of the total load that is proportional to the server's capacity, or what a limited server takes.
-func (p *Planner) targetLoad(server *Server) float64 { return server.capLoad(p.shareOf(server)) }
+func (p *Planner) targetLoad(server *Server) float64 { return p.capLoad(server, p.shareOf(server)) }
 
 // shareOf returns the share of the total load that is proportional to the server's capacity.
 func (p *Planner) shareOf(server *Server) float64 {
--- a/internal/routing/balance/pick.go
+++ b/internal/routing/balance/pick.go
@@ -36,11 +36,11 @@
 	if len(candidates) == 0 {
 		return "", false
 	}
-	if criteria.Bulk {
-		candidates = p.inLocalDomain(candidates)
-	}
 	averages := p.averages(now)
 	warm, cold := criteria.splitCold(candidates)
+	if criteria.Bulk {
+		warm, cold = p.inLocalDomain(warm), p.inLocalDomain(cold)
+	}
 	first := p.pickBetter(now, warm, averages)
 	if len(cold) > 0 {
 		first = preferWarm(now, first, p.pickBetter(now, cold, averages), averages)
--- a/internal/upstream/notices/cold.go
+++ b/internal/upstream/notices/cold.go
@@ -85,8 +85,8 @@
 	b.storeCold(source, state)
 }
 
-// NoteUnreachable notes that a process could not be reached, or broke a connection off. It counts as cold, for a duration from its
-// next answer, since another process may answer under its address.
+// NoteUnreachable notes that a process could not be reached, or broke a connection off. It counts as cold, for a duration from
+// its next answer, since another process may answer under its address.
 func (b *Book) NoteUnreachable(source Source, duration time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
