router: release servers that are held back although nothing probes them

Cause: a server whose entry came back, or that answered an older request, was no longer probed but still held back by the breaker. Change: RunTrials forgets the unreachable servers that the pool does not suspect. Tested: go test ./internal/routing/router ./internal/routing/balance -count=3.

--- a/internal/routing/balance/cold.go
+++ b/internal/routing/balance/cold.go
@@ -65,6 +65,14 @@
 	return due
 }
 
+// IsSuspect reports whether an upstream counts as unreachable or frozen until it answers.
+func (p *Pool) IsSuspect(id fleet.UpstreamID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	estimate := p.byID[id]
+	return estimate != nil && estimate.suspect
+}
+
 // Answered records that an upstream has answered a trial.
 func (p *Pool) Answered(now time.Time, id fleet.UpstreamID) {
 	p.mu.Lock()
--- a/internal/routing/router/breaker.go
+++ b/internal/routing/router/breaker.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -50,6 +51,13 @@
 	delete(b.servers, id)
 }
 
+// retainUnreachable forgets the unreachable servers but those for which keep returns true.
+func (b *ownerBreaker) retainUnreachable(keep func(fleet.UpstreamID) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	maps.DeleteFunc(b.servers, func(id fleet.UpstreamID, _ time.Time) bool { return !keep(id) })
+}
+
 // setProbed sets whether unreachable servers are tried with health probes instead of requests.
 func (b *ownerBreaker) setProbed(probed bool) {
 	b.mu.Lock()
--- a/internal/routing/router/cold_test.go
+++ b/internal/routing/router/cold_test.go
@@ -126,6 +126,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
+				wait := func(span time.Duration) { is.NoErr(timer.Wait(t.Context(), timer.System{}, span)) }
 				r := coldRouter(keyed, nil)
 				var probes atomic.Int32
 				var alive atomic.Bool
@@ -139,15 +140,18 @@
 				request := &Request{ID: "r", Service: "s", Method: http.MethodGet, Target: "/", Key: "7", MaxAttempts: 1}
 				r.Do(t.Context(), request)
 				source := notices.Source{ID: "a", Incarnation: "1"}
-				time.Sleep(5 * time.Second)
+				wait(5 * time.Second)
 				is.True(probes.Load() >= 3)
 				is.True(time.Now().Before(r.Notices.ColdUntil(source)))
 				alive.Store(true)
-				time.Sleep(3 * time.Second) // at most two seconds until the next probe
+				wait(3 * time.Second) // at most two seconds until the next probe
 				stopped := probes.Load()
-				time.Sleep(4 * time.Second)
+				wait(4 * time.Second)
 				is.Equal(probes.Load(), stopped) // an upstream that has answered is not probed
 				is.True(!time.Now().Before(r.Notices.ColdUntil(source)))
+				r.services["s"].breaker.markUnreachable(time.Now(), "b") // not known to the pool, so that it is not probed
+				wait(time.Second)
+				is.Equal(r.services["s"].breaker.delay(time.Now(), fleet.Assignment{Owner: "b"}), time.Duration(0))
 				cancel()
 				is.NoErr(<-done)
 			})
--- a/internal/routing/router/trials.go
+++ b/internal/routing/router/trials.go
@@ -35,6 +35,8 @@
 			return nil
 		}
 		for _, service := range r.coldLimitedServices() {
+			// A server that is no longer probed, because it has answered otherwise or started again, must not be held back.
+			service.breaker.retainUnreachable(service.pool.IsSuspect)
 			for _, id := range service.pool.DueTrials(r.Clock.Now()) {
 				if upstream := service.upstreams[id]; upstream != nil {
 					trials.Go(func() { r.tryUpstream(ctx, service, upstream.Upstream) })
