ratelimit: the model of cold upstreams has daemons that learn late

Change: some daemons of the property test send their usual requests for up to 0.3 s before they know that the upstream is cold. The trials task does not wake in deployments without limits for cold upstreams. Tested: go test ./internal/routing/ratelimit -run TestCold -rapid.checks=20000 passes.

--- a/internal/routing/ratelimit/limit_test.go
+++ b/internal/routing/ratelimit/limit_test.go
@@ -27,14 +27,25 @@
 	changedAt         time.Time
 	listDelay         time.Duration
 	daemons           []*coldDaemon
-	arrivals          []time.Time
+	// perSecond is the number of requests a second that all daemons have for the upstream.
+	perSecond float64
+	arrivals  []time.Time
 }
 
+const (
+	// entryDelay is the time within which all daemons learn that the upstream is cold, and usualRate the number of requests a second
+	// that they send it until then.
+	entryDelay = 300 * time.Millisecond
+	usualRate  = 10
+)
+
 // coldDaemon is one daemon.
 type coldDaemon struct {
 	share ratelimit.Limiter
 	// lag is how long the daemon takes to learn of a changed list, as a part of listDelay.
 	lag float64
+	// knowsAt is when the daemon learns that the upstream is cold.
+	knowsAt time.Time
 	// lostUntil is until when the daemon cannot ask any keeper.
 	lostUntil time.Time
 }
@@ -49,6 +60,12 @@
 
 // request lets a daemon ask for admission, and notes when the request arrives.
 func (f *coldFleet) request(from *coldDaemon, maxWait time.Duration) {
+	if f.now.Before(from.knowsAt) {
+		if f.random.Float64() < usualRate/f.perSecond {
+			f.arrivals = append(f.arrivals, f.now)
+		}
+		return
+	}
 	rate := coldLimit.Rate()
 	var decision ratelimit.Decision
 	keeper := f.named(from.lag)
@@ -69,6 +86,7 @@
 // for a second about every loseEvery.
 func (f *coldFleet) run(span time.Duration, perDaemon float64, changeEvery, loseEvery time.Duration) {
 	const step = 5 * time.Millisecond
+	f.perSecond = perDaemon * float64(len(f.daemons))
 	for end := f.now.Add(span); f.now.Before(end); f.now = f.now.Add(step) {
 		if f.random.Float64() < step.Seconds()/changeEvery.Seconds() && f.now.Sub(f.changedAt) > f.listDelay {
 			f.previous, f.changedAt = f.current, f.now
@@ -104,13 +122,17 @@
 		f.keepers = append(f.keepers, &ratelimit.Limiter{})
 	}
 	for range daemons {
-		f.daemons = append(f.daemons, &coldDaemon{share: ratelimit.Limiter{Staggered: true}, lag: f.random.Float64()})
+		f.daemons = append(f.daemons, &coldDaemon{
+			share: ratelimit.Limiter{Staggered: true}, lag: f.random.Float64(),
+			knowsAt: f.now.Add(time.Duration(f.random.Int64N(int64(entryDelay)))),
+		})
 	}
 	return f
 }
 
-// Guards against more requests to a cold upstream within any second than it survives, over all daemons: while keepers change and
-// daemons know different ones, while daemons lose contact, and when requests arrive closer together than they were sent.
+// Guards against more requests to a cold upstream within any second than it survives, over all daemons: while some do not know
+// yet that it is cold, while keepers change and daemons know different ones, while daemons lose contact, and when requests arrive
+// closer together than they were sent.
 func TestColdLimitHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		daemons := rapid.IntRange(1, 90).Draw(t, "daemons")
--- a/internal/routing/router/trials.go
+++ b/internal/routing/router/trials.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rosemarywick.example/rosemarywick/internal/core/document"
+	"rosemarywick.example/rosemarywick/internal/routing/ratelimit"
 	"rosemarywick.example/rosemarywick/internal/upstream/notices"
 )
 
@@ -19,7 +20,7 @@
 // RunTrials tries the unreachable upstreams of services whose cold upstreams are limited with health probes, until ctx ends. A
 // request of a caller would reach an upstream that has just started, of which this daemon does not know yet that it is cold.
 func (r *Router) RunTrials(ctx context.Context) error {
-	if r.Probe == nil {
+	if r.Probe == nil || r.ColdAllowance == (ratelimit.Allowance{}) {
 		<-ctx.Done()
 		return nil
 	}
