upstream/registry, core: drain deadlines for the upstreams of an evacuated domain

The pool, the assigner and the look-up of owners already treat an upstream with a drain deadline as leaving. Evacuated tells them from leaving ones.

Tested with go test ./internal/upstream/registry ./internal/observe/records ./internal/core/....

--- a/internal/core/cause/outcome.go
+++ b/internal/core/cause/outcome.go
@@ -65,6 +65,8 @@
 	ResponseTruncated Cause = "answer-cut"
 	// UpstreamDraining means that the upstream is shutting down.
 	UpstreamDraining Cause = "upstream-draining"
+	// DomainEvacuated means that the operators have evacuated the failure domain of the upstreams that could serve the request.
+	DomainEvacuated Cause = "domain-evacuated"
 	// NoUpstream means that no upstream of the service could take the request.
 	NoUpstream Cause = "no-upstream"
 	// RetryBudget means that the request could have been sent again, but the retry budget was used up.
--- a/internal/core/document/document.go
+++ b/internal/core/document/document.go
@@ -70,6 +70,8 @@
 	// DrainDeadline is the time from which a server that is shutting down gets no new work, even if its keys have not been
 	// moved. It is zero for an upstream that is not shutting down.
 	DrainDeadline time.Time
+	// Evacuated is set if the operators have evacuated the failure domain of the upstream. DrainDeadline is set then, too.
+	Evacuated bool
 	// Incarnation identifies one run of the upstream's process. It is empty if it is not known.
 	Incarnation fleet.Incarnation
 	// Slots is the number of requests that this upstream runs concurrently. Zero selects the value of the service.
--- a/internal/observe/records/meaning.go
+++ b/internal/observe/records/meaning.go
@@ -23,6 +23,7 @@
 	cause.UpstreamReset:       "the connection was lost after the request may have reached the upstream",
 	cause.ResponseTruncated:   "the answer ended before it was complete",
 	cause.UpstreamDraining:    "the upstream was leaving and took no new work",
+	cause.DomainEvacuated:     "the operators had evacuated the failure domain of the upstreams that could have served it",
 	cause.NoUpstream:          "no upstream of the service could take the request",
 	cause.RetryBudget:         "the request could have been sent again, but the retry budget was used up",
 	cause.DuplicateRequest:    "a request with the same idempotency key had been accepted before",
--- a/internal/observe/records/records_test.go
+++ b/internal/observe/records/records_test.go
@@ -339,7 +339,7 @@
 	for _, value := range []cause.Cause{
 		cause.OK, cause.NoSuchService, cause.MissingKey, cause.BadRequest, cause.NoOwner, cause.NotOwner, cause.Moving,
 		cause.MapUnconfirmed, cause.QueueFull, cause.DeadlineUnmeetable, cause.DeadlinePassed, cause.TenantShare,
-		cause.UpstreamRefused, cause.UpstreamUnreachable, cause.UpstreamReset, cause.ResponseTruncated, cause.UpstreamDraining,
+		cause.UpstreamRefused, cause.UpstreamUnreachable, cause.UpstreamReset, cause.ResponseTruncated, cause.UpstreamDraining, cause.DomainEvacuated,
 		cause.NoUpstream, cause.RetryBudget, cause.DuplicateRequest, cause.ClaimUnavailable, cause.CallerGone,
 		cause.DaemonStopping, cause.SlowUpstream, cause.ResumedElsewhere,
 	} {
--- a/internal/upstream/registry/registry.go
+++ b/internal/upstream/registry/registry.go
@@ -54,6 +54,10 @@
 	LeavingSince func(fleet.UpstreamID, fleet.Incarnation) time.Time
 	// NoteDraining, if set, is called with each upstream whose entry says that it leaves.
 	NoteDraining func(fleet.UpstreamID, fleet.Incarnation)
+	// EvacuatedSince returns when the evacuation of a failure domain began, or zero if it is not evacuated. Nil means that none is.
+	// EvacuationTimeout is the time from the order to evacuate a domain after which no upstream there may get requests.
+	EvacuatedSince    func(fleet.FailureDomain) time.Time
+	EvacuationTimeout time.Duration
 
 	mu sync.Mutex
 	// records is guarded by mu.
@@ -334,6 +338,7 @@
 		if leavingSince := r.leavingSince(rec); !leavingSince.IsZero() {
 			upstream.DrainDeadline = leavingSince.Add(time.Duration(float64(r.DrainTimeout) * drainUseFraction))
 		}
+		r.applyEvacuation(&upstream)
 		result[rec.Service] = append(result[rec.Service], upstream)
 	}
 	for _, upstreams := range result {
