routing/router: no new request for upstreams of an evacuated domain

A request keeps the service state from its start, so that one that waits would be sent by a configuration from before the evacuation. The look-up of owners and the last check before a request is sent now regard the present state. Requests that no upstream may serve are refused at once with the cause domain-evacuated; those that already wait are refused at the adoption, or for owners at the drain deadline (FollowEvacuations).

Tested with go test -race ./internal/routing/router; golangci-lint without findings.

--- /dev/null
+++ b/internal/routing/router/evacuation.go
@@ -0,0 +1,116 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"rosemarywick.example/rosemarywick/internal/core/cause"
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/routing/admission"
+)
+
+const (
+	// evacuationRetryAfter is the time after which a caller may repeat a request that was refused because of an evacuation. The
+	// assigner plans at least this often, so that the key may have another owner by then.
+	evacuationRetryAfter = 500 * time.Millisecond
+	// maxEvacuationSleep is how long FollowEvacuations sleeps if nothing changes and no drain deadline is near.
+	maxEvacuationSleep = time.Minute
+)
+
+// withheld reports whether an upstream gets no new request because its failure domain is evacuated. Owners of keys are used until
+// their drain deadline.
+func (s *serviceState) withheld(now time.Time, id fleet.UpstreamID) bool {
+	upstream := s.upstreams[id]
+	return upstream != nil && upstream.Evacuated && (!s.Keyed() || !now.Before(upstream.DrainDeadline))
+}
+
+// emptied reports whether an evacuation leaves no upstream that could serve a request: all are withheld or leave, and one at least
+// is withheld.
+func (s *serviceState) emptied(now time.Time) bool {
+	found := false
+	for id, upstream := range s.upstreams {
+		switch {
+		case s.withheld(now, id):
+			found = true
+		case s.Keyed() || !upstream.Drained && upstream.DrainDeadline.IsZero():
+			return false
+		}
+	}
+	return found
+}
+
+// present returns the state of the service under the configuration in force. The state with which a request began may be older than
+// an evacuation.
+func (p *pendingRequest) present() *serviceState {
+	if current := p.router.currentService(p.service.Name); current != nil {
+		return current
+	}
+	return p.service
+}
+
+// ownerEvacuated reports whether a key is not served because of an evacuation: that of its owner's domain, or of all upstreams of
+// the service if the owner is lost.
+func (p *pendingRequest) ownerEvacuated(now time.Time, owner fleet.UpstreamID) bool {
+	service := p.present()
+	if service.upstreams[owner] == nil {
+		return service.emptied(now)
+	}
+	return service.withheld(now, owner)
+}
+
+// isWithheld reports whether the upstream of a slot must not get the request any more.
+func (p *pendingRequest) isWithheld(slot *acquiredSlot) bool {
+	return p.present().withheld(p.router.Clock.Now(), slot.upstream.ID)
+}
+
+// refuseEvacuated rejects a request to a service without keys whose upstreams are all evacuated, and returns nil otherwise.
+func (p *pendingRequest) refuseEvacuated() *rejection {
+	if !p.present().emptied(p.router.Clock.Now()) {
+		return nil
+	}
+	return &rejection{outcome: cause.NotRun, cause: cause.DomainEvacuated, retryAfter: evacuationRetryAfter}
+}
+
+// FollowEvacuations makes requests that wait for an upstream of an evacuated domain decide anew when it must not be used any more,
+// until ctx ends. changed returns a channel that is closed at the next change of the configuration.
+func (r *Router) FollowEvacuations(ctx context.Context, changed func() <-chan struct{}) error {
+	for {
+		next := changed()
+		wake := r.Clock.After(r.endEvacuatedWaits())
+		select {
+		case <-next:
+		case <-wake.C:
+		case <-ctx.Done():
+			wake.Stop()
+			return nil
+		}
+		wake.Stop()
+	}
+}
+
+// endEvacuatedWaits ends the waits for upstreams that are withheld. It returns the time until the next drain deadline, and at most
+// maxEvacuationSleep.
+func (r *Router) endEvacuatedWaits() time.Duration {
+	r.currentService("") // puts the configuration in force into effect for the requests that wait already
+	r.mu.Lock()
+	services := r.services
+	r.mu.Unlock()
+	now, next := r.Clock.Now(), maxEvacuationSleep
+	for _, service := range services {
+		if !service.Keyed() {
+			if service.emptied(now) {
+				service.queue.refuseWaiting(admission.Refused{Cause: cause.DomainEvacuated, RetryAfter: evacuationRetryAfter})
+			}
+			continue
+		}
+		for id, upstream := range service.upstreams {
+			switch {
+			case service.withheld(now, id):
+				r.attempts.cancelWaitingAt(id)
+			case upstream.Evacuated:
+				next = min(next, upstream.DrainDeadline.Sub(now))
+			}
+		}
+	}
+	return next
+}
--- a/internal/routing/router/keyed.go
+++ b/internal/routing/router/keyed.go
@@ -44,8 +44,11 @@
 }
 
 // isSuperseded reports whether the key of a request has been moved, or its upstream may no longer be used, while the
-// request waited because of the upstream's limit.
+// request waited because of the upstream's limit, or whether the upstream's domain has been evacuated.
 func (p *pendingRequest) isSuperseded(slot *acquiredSlot) bool {
+	if p.isWithheld(slot) {
+		return true
+	}
 	if !slot.waited {
 		return false
 	}
@@ -96,12 +99,15 @@
 }
 
 // hopelessWait returns after which time the caller may try again, if it is known that the request cannot be served in time: its
-// owner has asked for a longer pause, or the grants of an owner that cannot be reached end too late. Otherwise it returns zero.
+// owner has asked for a longer pause or is evacuated, or the grants of an owner that cannot be reached end too late. Otherwise it
+// returns zero.
 func (p *pendingRequest) hopelessWait(assignment fleet.Assignment, pause time.Duration, reason cause.Cause) time.Duration {
 	now := p.router.Clock.Now()
 	switch {
 	case reason == cause.UpstreamPaused && pause > p.limitWait(now):
 		return pause
+	case reason == cause.DomainEvacuated:
+		return evacuationRetryAfter
 	case reason == cause.NoOwner && assignment.FreeIn >= p.deadline.Sub(now):
 		return assignment.FreeIn
 	}
@@ -125,10 +131,13 @@
 	if reason != cause.OK {
 		return assignment, trialInterval, reason
 	}
+	now := p.router.Clock.Now()
+	if p.ownerEvacuated(now, assignment.Owner) {
+		return assignment, p.service.Timeout, cause.DomainEvacuated
+	}
 	if !ok || assignment.Owner == "" || assignment.Moving || p.service.upstreams[assignment.Owner] == nil {
 		return assignment, p.service.Timeout, cause.NoOwner
 	}
-	now := p.router.Clock.Now()
 	if drainDeadline := p.service.upstreams[assignment.Owner].DrainDeadline; !drainDeadline.IsZero() && !now.Before(drainDeadline) {
 		return assignment, p.service.Timeout, cause.UpstreamDraining
 	}
--- a/internal/routing/router/pending.go
+++ b/internal/routing/router/pending.go
@@ -170,6 +170,9 @@
 // anew.
 func (p *pendingRequest) admitToAny() (fleet.UpstreamID, *rejection) {
 	for {
+		if rejected := p.refuseEvacuated(); rejected != nil {
+			return "", rejected
+		}
 		if rejected := p.awaitPauses(); rejected != nil {
 			return "", rejected
 		}
--- a/internal/routing/router/response.go
+++ b/internal/routing/router/response.go
@@ -186,6 +186,10 @@
 		p.refuseForLimit(slot, retryAfter)
 		return nil
 	}
+	if p.isWithheld(slot) {
+		slot.queue.release(slot.upstream.ID, abandoned)
+		return nil
+	}
 	original := p.request
 	ranged := *original
 	ranged.Header = original.Header.Clone()
