ownership/ranges, upstream/rangegrants: ranges of leaving servers move in steps

Servers that still serve until a drain deadline now keep their ranges until a step moves them: each step moves an equal part of the load, so many that the last one leaves 1 s for release and grant. Pieces go to the servers with the lowest load relative to their targets, and not to those whose measured utilization is high. A server that leaves gets no new grant or fence. Servers that are lost, and those without a deadline, are handled as before.

--- a/internal/ownership/ranges/consolidate.go
+++ b/internal/ownership/ranges/consolidate.go
@@ -12,7 +12,7 @@
 	}
 	var candidates []int
 	for i := range p.table.Assignments {
-		if len(p.table.Assignments[i].FormerOwners) == 0 {
+		if len(p.table.Assignments[i].FormerOwners) == 0 && !p.stays(p.table.Assignments[i]) {
 			candidates = append(candidates, i)
 		}
 	}
--- a/internal/ownership/ranges/orphans.go
+++ b/internal/ownership/ranges/orphans.go
@@ -32,7 +32,7 @@
 	var next []Assignment
 	changed := false
 	for _, assignment := range p.table.Assignments {
-		if p.findServer(assignment.Owner.ID) != nil {
+		if p.findServer(assignment.Owner.ID) != nil || p.stays(assignment) {
 			next = append(next, assignment)
 			continue
 		}
@@ -48,7 +48,7 @@
 	formerOwners := p.formerOwners(orphan)
 	var result []Assignment
 	for rest := orphan.Range; ; {
-		server := p.leastLoaded()
+		server := p.receiver()
 		headroom := max(p.targetLoad(server)-p.serverLoads[server.ID], p.targetLoad(server)*minHeadroomFraction)
 		piece, last := rest, true
 		if p.Load.RangeSum(rest) > headroom*maxOrphanOvershoot {
--- a/internal/ownership/ranges/plan.go
+++ b/internal/ownership/ranges/plan.go
@@ -73,6 +73,8 @@
 	Refused func(Assignment) bool
 	// Rebalance allows ranges to move from overloaded servers to others.
 	Rebalance bool
+	// Leaving holds the servers that are not in Servers because they leave but still serve. Nil means that there are none.
+	Leaving *Leaving
 
 	table *Table
 	// fence is the fence of all assignments that this plan changes.
@@ -94,6 +96,7 @@
 	}
 	p.Load.BuildPrefixSums()
 	p.sumServerLoads()
+	p.selectLeaving()
 	fenced := p.refenceOwners()
 	fenced = p.reassignOrphans() || fenced
 	if p.Rebalance && p.Load.Samples() >= minSamplesPerServer*float64(len(p.Servers)) {
@@ -313,7 +316,7 @@
 	for _, assignment := range p.table.Assignments {
 		last := len(merged) - 1
 		if last >= 0 && merged[last].Owner.SameProcess(assignment.Owner) && assignment.Owner.ID != "" &&
-			len(merged[last].FormerOwners) == 0 && len(assignment.FormerOwners) == 0 {
+			len(merged[last].FormerOwners) == 0 && len(assignment.FormerOwners) == 0 && !p.stays(assignment) {
 			merged[last].Range.Last = assignment.Range.Last
 			merged[last].Fence = p.fence
 			continue
--- a/internal/routing/router/evacuation.go
+++ b/internal/routing/router/evacuation.go
@@ -24,8 +24,8 @@
 	return upstream != nil && upstream.Evacuated && (!s.Keyed() || !now.Before(upstream.DrainDeadline))
 }
 
-// emptied reports whether an evacuation leaves no upstream that could serve a request: all are withheld or leave, and one at least
-// is withheld.
+// emptied reports whether an evacuation leaves no upstream that could serve a request: all are withheld or leave, and at least
+// one is withheld.
 func (s *serviceState) emptied(now time.Time) bool {
 	found := false
 	for id, upstream := range s.upstreams {
@@ -39,8 +39,8 @@
 	return found
 }
 
-// present returns the state of the service under the configuration in force. The state with which a request began may be older than
-// an evacuation.
+// present returns the state of the service under the configuration in force. The state with which a request began may be older
+// than an evacuation.
 func (p *pendingRequest) present() *serviceState {
 	if current := p.router.currentService(p.service.Name); current != nil {
 		return current
@@ -71,8 +71,8 @@
 	return &rejection{outcome: cause.NotRun, cause: cause.DomainEvacuated, retryAfter: evacuationRetryAfter}
 }
 
-// FollowEvacuations makes requests that wait for an upstream of an evacuated domain decide anew when it must not be used any more,
-// until ctx ends. changed returns a channel that is closed at the next change of the configuration.
+// FollowEvacuations makes requests that wait for an upstream of an evacuated domain decide anew when it must not be used any
+// more, until ctx ends. changed returns a channel that is closed at the next change of the configuration.
 func (r *Router) FollowEvacuations(ctx context.Context, changed func() <-chan struct{}) error {
 	for {
 		next := changed()
@@ -88,8 +88,8 @@
 	}
 }
 
-// endEvacuatedWaits ends the waits for upstreams that are withheld. It returns the time until the next drain deadline, and at most
-// maxEvacuationSleep.
+// endEvacuatedWaits ends the waits for upstreams that are withheld. It returns the time until the next drain deadline, but at
+// most maxEvacuationSleep.
 func (r *Router) endEvacuatedWaits() time.Duration {
 	r.currentService("") // puts the configuration in force into effect for the requests that wait already
 	r.mu.Lock()
--- a/internal/upstream/rangegrants/assigner.go
+++ b/internal/upstream/rangegrants/assigner.go
@@ -76,8 +76,10 @@
 	ranges.Owner
 	// Slots is the number of requests that the server runs concurrently.
 	Slots int
-	// Leaving is set when the server is shutting down.
+	// Leaving is set when the server is shutting down or is evacuated.
 	Leaving bool
+	// DrainDeadline is the time until which a leaving server gets requests, or zero if its ranges are to move at once.
+	DrainDeadline time.Time
 }
 
 // Registry lists the servers of a service.
--- a/internal/upstream/rangegrants/cluster_test.go
+++ b/internal/upstream/rangegrants/cluster_test.go
@@ -77,6 +77,8 @@
 	owner ranges.Owner
 	// crashed refuses connections, and unreachable lets requests time out.
 	crashed, unreachable, leaving bool
+	// drainDeadline is until when a leaving server gets requests, or zero.
+	drainDeadline time.Time
 	// closed refuses new connections while the process still runs and keeps its grants.
 	closed bool
 	// listed is the process that the registry lists for the server, if it is not the present one.
@@ -149,7 +151,7 @@
 			if server.listed != nil {
 				owner = *server.listed
 			}
-			result = append(result, rangegrants.Server{Owner: owner, Slots: 6, Leaving: server.leaving})
+			result = append(result, rangegrants.Server{Owner: owner, Slots: 6, Leaving: server.leaving, DrainDeadline: server.drainDeadline})
 		}
 	}
 	return result
--- a/internal/upstream/rangegrants/term.go
+++ b/internal/upstream/rangegrants/term.go
@@ -26,9 +26,9 @@
 	replan, moveEnded chan struct{}
 	// tasks counts the goroutines of servers, releases and probes.
 	tasks sync.WaitGroup
-	// tableVersion and lastMove, an uptime, are used only by the goroutine that plans.
-	tableVersion table.Version
-	lastMove     time.Duration
+	// tableVersion, lastMove and lastLeavingStep, which are uptimes, are used only by the goroutine that plans.
+	tableVersion              table.Version
+	lastMove, lastLeavingStep time.Duration
 
 	mu sync.Mutex
 	// table is guarded by mu: the table as last written.
@@ -168,7 +168,7 @@
 	planner := &ranges.Planner{
 		Servers: t.availableServers(load.Stats), Load: load.Load, Rebalance: rebalance, Now: t.Store.Reading().Earliest(now),
 		GrantsExpireAt: t.grantsExpireAt, Released: t.released, Ended: t.processEnded, Granted: t.granted, Refused: t.refused,
-		Unreachable: t.isDown,
+		Unreachable: t.isDown, Leaving: t.leavingServers(),
 	}
 	next, changed := planner.Next(t.table)
 	if daemonsChanged(next.Daemons, load.Daemons) {
@@ -176,6 +176,7 @@
 	}
 	if changed {
 		t.logOwnerChanges(next)
+		t.logLeavingStep(planner.Leaving, now)
 		if next.Fence != t.table.Fence {
 			t.lastMove = now
 		}
@@ -261,16 +262,17 @@
 	return result
 }
 
-// mayGrant reports whether an assignment may be granted now: the server is not down, the table still contains the assignment, all
-// former owners are done, and the pending table, which may be in force already, does not assign any of its keys to another
-// server. The caller holds mu.
+// mayGrant reports whether an assignment may be granted now: the server is not down, the table still contains the assignment,
+// all former owners are done, the pending table, which may be in force already, does not assign any of its keys to another
+// server, and it is no new grant to a server that leaves. The caller holds mu.
 func (t *term) mayGrant(owner ranges.Owner, assignment ranges.Assignment) bool {
 	if _, down := t.down[owner]; down {
 		return false
 	}
 	current := t.table.Locate(assignment.Range.First)
 	return current != nil && current.Range == assignment.Range && current.Fence == assignment.Fence &&
-		current.Owner.SameProcess(owner) && t.formerOwnersDone(*current) && t.keptByPendingTable(*current)
+		current.Owner.SameProcess(owner) && t.formerOwnersDone(*current) && t.keptByPendingTable(*current) &&
+		t.mayBeFirstGrant(*current)
 }
 
 // formerOwnersDone reports whether no former owner of an assignment owns any of its keys. The caller holds mu.
--- a/internal/upstream/registry/evacuation.go
+++ b/internal/upstream/registry/evacuation.go
@@ -6,8 +6,8 @@
 	"rosemarywick.example/rosemarywick/internal/core/document"
 )
 
-// evacuationUseFraction is the fraction of EvacuationTimeout for which owners in an evacuated domain may still be used, so that keys
-// move in several steps. The other half is for a late adoption of the evacuation and for requests on their way.
+// evacuationUseFraction is the fraction of EvacuationTimeout for which owners in an evacuated domain may still be used, so that
+// keys move in several steps. The other half is for a late adoption of the evacuation and for requests on their way.
 const evacuationUseFraction = 0.5
 
 // NoteEvacuation notes that EvacuatedSince has changed.
@@ -17,7 +17,8 @@
 	r.notify()
 }
 
-// applyEvacuation makes an upstream of an evacuated domain one that leaves. An upstream that leaves earlier anyway keeps its deadline.
+// applyEvacuation makes an upstream of an evacuated domain one that leaves. An upstream that leaves earlier anyway keeps its
+// deadline.
 func (r *Registry) applyEvacuation(upstream *document.Upstream) {
 	if r.EvacuatedSince == nil {
 		return
