--- a/internal/upstream/registry/registry.go
+++ b/internal/upstream/registry/registry.go
@@ -59,6 +59,10 @@
 	NoteDraining func(fleet.UpstreamID, fleet.Incarnation)
 	// NoteCold, if set, is called with each entry that is not of an earlier start, before Upstreams returns it.
 	NoteCold func(Entry)
+	// EvacuatedSince returns when the evacuation of a failure domain began, or zero if it is not evacuated. Nil means that none is.
+	// EvacuationTimeout is the time from the order to evacuate a domain after which no upstream there may get requests.
+	EvacuatedSince    func(fleet.FailureDomain) time.Time
+	EvacuationTimeout time.Duration
 
 	mu sync.Mutex
 	// records is guarded by mu.
@@ -340,6 +344,7 @@
 		if leavingSince := r.leavingSince(rec); !leavingSince.IsZero() {
 			upstream.DrainDeadline = leavingSince.Add(time.Duration(float64(r.DrainTimeout) * drainUseFraction))
 		}
+		r.applyEvacuation(&upstream)
 		result[rec.Service] = append(result[rec.Service], upstream)
 	}
 	for _, upstreams := range result {
