ranges: divide a hot range in one plan, by the trend of its load

The owner of a hot range stayed overloaded for over three seconds: the load of a key was a few requests with a half-life of one second, so that the noise margin hid the heat, and a plan moved single pieces off the ends of a range to servers with little spare.

The history has a half-life of 6 s now. A block of 32 keys whose recent count differs clearly from its history takes on the recent one; counts of single keys are corrected by those of their neighbours. Overload follows from measured utilization with its rise and from the load of keys that became hot. A plan moves the densest pieces to the servers with the most spare capacity, and lists its moves with their reasons.

--- a/internal/ownership/ranges/consolidate.go
+++ b/internal/ownership/ranges/consolidate.go
@@ -2,7 +2,14 @@
 
 import "slices"
 
-// consolidate gives ranges with little load to the owner of the next or the previous range, so that the pieces into which a range
+const (
+	// A plan joins up to one range for joinsDivisor servers, and minJoins at least. The pieces of a hot range are joined again over
+	// some seconds, since requests for a range wait while it moves.
+	joinsDivisor = 16
+	minJoins     = 4
+)
+
+// consolidate gives ranges with few keys to the owner of the next or the previous range, so that the pieces into which a range
 // was divided while it was hot do not accumulate. It does so only while there are more than two ranges for each server, and only
 // if that owner does not become overloaded.
 func (p *Planner) consolidate() bool {
@@ -17,14 +24,11 @@
 		}
 	}
 	slices.SortFunc(candidates, func(a, b int) int {
-		if p.Load.RangeSum(p.table.Assignments[a].Range) < p.Load.RangeSum(p.table.Assignments[b].Range) {
-			return -1
-		}
-		return 1
+		return p.table.Assignments[a].Range.Size() - p.table.Assignments[b].Range.Size()
 	})
 	moved := 0
 	for _, index := range candidates {
-		if moved == min(excess, p.maxMoves()) {
+		if moved == min(excess, max(minJoins, len(p.Servers)/joinsDivisor)) {
 			break
 		}
 		if p.joinNeighbour(index) {
@@ -46,9 +50,10 @@
 		neighbour := p.table.Assignments[next]
 		server := p.findServer(neighbour.Owner.ID)
 		if server == nil || len(neighbour.FormerOwners) > 0 || neighbour.Owner.SameProcess(assignment.Owner) ||
-			p.serverLoads[server.ID]+load > p.targetLoad(server) {
+			p.serverLoads[server.ID]+load > p.targetLoad(server)*p.fillRatio() {
 			continue
 		}
+		p.noteMove(assignment.Range, assignment.Owner.ID, server, ReasonJoin, false)
 		p.serverLoads[assignment.Owner.ID] -= load
 		p.serverLoads[server.ID] += load
 		assignment.FormerOwners = p.formerOwners(*assignment)
--- a/internal/ownership/ranges/load.go
+++ b/internal/ownership/ranges/load.go
@@ -12,9 +12,12 @@
 	// them can be more than one server runs, so a range must be divisible between any two keys.
 	keysPerBucket = 1
 	bucketCount   = (int(fleet.MaxNumericKey) + 1) / keysPerBucket
-	// loadHalfLife is the half-life of the exponential decay of a counter. A change of the hot keys shows within a second, and
-	// 200 requests a second still give each of 14 servers about 20 samples.
-	loadHalfLife = time.Second
+	// loadHalfLife is the half-life of the exponential decay of a counter. With 950 requests a second for 137 servers, each of them
+	// has about 60 samples, so that chance makes the largest of the loads less than 1.5 times the mean. Changes within it are
+	// found by blocks of keys; see adoptChanges.
+	loadHalfLife = 6 * time.Second
+	// recentHalfLife is the half-life of the counters by which a change of the load is found. It is that of one collection.
+	recentHalfLife = 500 * time.Millisecond
 	// uniformFraction is the fraction of the load that is assumed to be spread evenly over all keys, so that ranges are
 	// divided sensibly where no key was requested recently.
 	uniformFraction = 0.1
@@ -30,7 +33,14 @@
 
 // Load is the decayed request count of each bucket of keys, summed over all daemons. The zero value holds no load.
 type Load struct {
-	counts [bucketCount]float64
+	counts [bucketCount]float32
+	// recent is decayed with recentHalfLife. latest is the last report, and latestTotal its sum.
+	recent      [blockCount]float64
+	latest      BucketCounts
+	latestTotal float64
+	blocks      [blockCount]blockState
+	// samples is the sum of counts without the changes of adoptChanges, and variance the sum of the squares of its weights.
+	samples, variance float64
 	// decayedAt is the time to which counts have been decayed.
 	decayedAt time.Time
 	// prefixSums[i] is the load of all buckets before i. BuildPrefixSums recomputes it unless built is set, which means that no
@@ -39,15 +49,23 @@
 	built      bool
 }
 
-// AddReport adds the counts that one daemon reported. Out-of-range buckets and invalid counts are ignored.
+// AddReport adds the counts that the daemons reported since the last collection. Out-of-range buckets and invalid counts are
+// ignored.
 func (l *Load) AddReport(now time.Time, report BucketCounts) {
 	l.decay(now)
 	l.built = false
+	l.latest, l.latestTotal = make(BucketCounts, len(report)), 0
 	for bucket, count := range report {
 		if bucket >= 0 && bucket < bucketCount && count > 0 && !math.IsInf(count, 0) {
-			l.counts[bucket] += count
+			l.counts[bucket] += float32(count)
+			l.recent[bucket/bucketsPerBlock] += count
+			l.latest[bucket] = count
+			l.latestTotal += count
 		}
 	}
+	l.samples += l.latestTotal
+	l.variance += l.latestTotal
+	l.adoptChanges()
 }
 
 // decay applies the exponential decay since the last call.
@@ -59,7 +77,14 @@
 	}
 	factor := math.Exp2(-elapsed.Seconds() / loadHalfLife.Seconds())
 	for i := range l.counts {
-		l.counts[i] *= factor
+		l.counts[i] *= float32(factor)
+	}
+	l.samples *= factor
+	l.variance *= factor * factor
+	recentFactor := math.Exp2(-elapsed.Seconds() / recentHalfLife.Seconds())
+	for i := range l.blocks {
+		l.recent[i] *= recentFactor
+		l.blocks[i].decay(factor)
 	}
 	l.decayedAt = now
 }
@@ -68,11 +93,20 @@
 func (l *Load) Samples() float64 {
 	sum := 0.0
 	for _, count := range l.counts {
-		sum += count
+		sum += float64(count)
 	}
 	return sum
 }
 
+// VariancePerRequest returns the variance of a count, divided by its mean. It is 1 for a single report and falls to 1/2 as
+// reports decay.
+func (l *Load) VariancePerRequest() float64 {
+	if l.samples <= 0 {
+		return 1
+	}
+	return l.variance / l.samples
+}
+
 // BuildPrefixSums must be called after the last AddReport and before RangeSum or SplitPoint.
 func (l *Load) BuildPrefixSums() {
 	if l.built {
@@ -81,8 +115,14 @@
 	l.built = true
 	total := l.Samples()
 	uniform := max(total*uniformFraction, 1) / float64(bucketCount)
-	for i, count := range l.counts {
-		l.prefixSums[i+1] = l.prefixSums[i] + count*(1-uniformFraction) + uniform
+	l.prefixSums[0] = 0
+	for block := 0; block < blockCount; {
+		last := l.lastOfRun(block)
+		estimate := l.estimateKeys(block, last)
+		for i := block * bucketsPerBlock; i < (last+1)*bucketsPerBlock; i++ {
+			l.prefixSums[i+1] = l.prefixSums[i] + estimate.of(float64(l.counts[i]))*(1-uniformFraction) + uniform
+		}
+		block = last + 1
 	}
 }
 
@@ -115,3 +155,22 @@
 	}
 	return fleet.NumericKey(best), found
 }
+
+// densestPiece returns the fewest adjacent keys of r whose load is at least amount, less pieceTolerance. It returns false if
+// there are none.
+func (l *Load) densestPiece(r fleet.KeyRange, amount float64) (fleet.KeyRange, bool) {
+	best, found := fleet.KeyRange{}, false
+	first := int(r.First)
+	for end := int(r.First) + 1; end <= int(r.Last)+1; end++ {
+		for l.loadBelow(end)-l.loadBelow(first+1) >= amount*(1-pieceTolerance) && first+1 < end {
+			first++
+		}
+		if l.loadBelow(end)-l.loadBelow(first) < amount*(1-pieceTolerance) {
+			continue
+		}
+		if !found || end-first < best.Size() {
+			best, found = fleet.KeyRange{First: fleet.NumericKey(first), Last: fleet.NumericKey(end - 1)}, true
+		}
+	}
+	return best, found
+}
--- a/internal/ownership/ranges/orphans.go
+++ b/internal/ownership/ranges/orphans.go
@@ -56,6 +56,9 @@
 				piece.Last, last = split, false
 			}
 		}
+		if orphan.Owner.ID != "" {
+			p.noteMove(piece, orphan.Owner.ID, server, ReasonOrphan, piece != orphan.Range)
+		}
 		p.serverLoads[server.ID] += p.Load.RangeSum(piece)
 		result = append(result, Assignment{Range: piece, Owner: server.Owner, Fence: p.fence, FormerOwners: formerOwners})
 		if last {
--- a/internal/ownership/ranges/plan.go
+++ b/internal/ownership/ranges/plan.go
@@ -16,6 +16,8 @@
 	// Utilization is the number of requests at the server divided by the number that it runs concurrently. It exceeds 1
 	// when requests queue there, and is zero when it is unknown.
 	Utilization float64
+	// Rise is by how much Utilization has risen since the previous collection.
+	Rise float64
 	// Limited is set if the server has named a limit to the requests that it takes, which Capacity and Utilization are
 	// derived from. Requests beyond it are refused, so that keys move earlier than from other servers.
 	Limited bool
@@ -28,25 +30,13 @@
 	// minHeadroomFraction is the smallest headroom, as a fraction of its target load, that a server is taken to have when
 	// an orphaned range is split. It keeps ranges from being split into tiny pieces.
 	minHeadroomFraction = 0.25
-	// Keys move from servers above overloadRatio to servers below receiverRatio. Both are relative to the target load.
-	overloadRatio = 1.3
-	receiverRatio = 0.9
-	// minOverloadUtilization is the utilization below which requests rarely queue at a server, so that moving keys away
-	// would gain nothing.
-	minOverloadUtilization = 0.6
-	// minLimitedUtilization is such a bound for a server with a limit of its own: requests are refused from 1 on.
-	minLimitedUtilization = 0.8
-	// limitedNoiseFraction is the part of the noise margin that applies to such a server. Waiting for certainty costs refusals.
-	limitedNoiseFraction = 0.5
 	// extraDeviations is added to the number of standard deviations by which counts differ by chance; a larger difference
 	// counts as real. With a lower value, keys of small services move without need.
 	extraDeviations = 0.2
 	// underloadRatio is the load, relative to its target, below which a server gets keys at once.
 	underloadRatio = 0.3
-	// minRebalanceMoves is the number of moves from overloaded servers that any plan may make, and maxFillMoves bounds those to
-	// underloaded ones.
-	minRebalanceMoves = 8
-	maxFillMoves      = 8
+	// maxFillMoves bounds the moves of one plan to underloaded servers.
+	maxFillMoves = 8
 	// minSamplesPerServer is the number of requests per server below which the load is not used for balancing. It is low
 	// because daemons of large fleets report only a sample of their requests; noiseMargin allows for the variance.
 	minSamplesPerServer = 3
@@ -73,6 +63,8 @@
 	Refused func(Assignment) bool
 	// Rebalance allows ranges to move from overloaded servers to others.
 	Rebalance bool
+	// Moves is set by Next: the ranges that change owner.
+	Moves []Move
 
 	table *Table
 	// fence is the fence of all assignments that this plan changes.
@@ -80,6 +72,8 @@
 	serverLoads   map[fleet.UpstreamID]float64
 	totalLoad     float64
 	totalCapacity float64
+	// meanUtilization is the mean of the servers' utilization by capacity.
+	meanUtilization float64
 }
 
 // Next returns the table that should replace the given one, and whether it differs.
@@ -129,10 +123,13 @@
 // sumServerLoads computes the load of each server and the totals.
 func (p *Planner) sumServerLoads() {
 	p.serverLoads, p.totalLoad, p.totalCapacity = make(map[fleet.UpstreamID]float64), 0, 0
+	p.meanUtilization = 0
 	for _, server := range p.Servers {
 		p.serverLoads[server.ID] = 0
 		p.totalCapacity += server.Capacity
+		p.meanUtilization += server.Capacity * min(server.Utilization, maxCountedUtilization)
 	}
+	p.meanUtilization /= p.totalCapacity
 	for _, assignment := range p.table.Assignments {
 		load := p.Load.RangeSum(assignment.Range)
 		p.totalLoad += load
@@ -184,54 +181,13 @@
 	return best
 }
 
-// rebalance moves keys from the most loaded servers to the least loaded ones. It skips servers whose load is concentrated on
-// a few keys that cannot be split.
-func (p *Planner) rebalance() bool {
-	changed, skipped := false, make(map[fleet.UpstreamID]bool)
-	for moves := 0; moves < p.maxMoves() && len(p.table.Assignments) < p.maxAssignments(); {
-		from, to := p.mostLoaded(skipped), p.leastLoaded()
-		if from == nil || p.loadRatio(from) < overloadRatio || p.loadRatio(to) > receiverRatio {
-			break
-		}
-		if !p.overloaded(from) {
-			skipped[from.ID] = true
-			continue
-		}
-		amount := min(p.serverLoads[from.ID]-p.targetLoad(from), p.targetLoad(to)-p.serverLoads[to.ID])
-		if p.moveLoad(from, to, amount) {
-			changed = true
-			moves++
-		} else {
-			skipped[from.ID] = true
-		}
-	}
-	return changed
-}
-
-// maxMoves bounds the moves of one plan from overloaded servers.
-func (p *Planner) maxMoves() int { return max(minRebalanceMoves, len(p.Servers)/2) }
-
-// maxAssignments is the number of assignments from which on no range is divided to balance the load, since a table has to fit
-// into one row of the store and each range is renewed by itself.
-func (p *Planner) maxAssignments() int { return 3*len(p.Servers) + 256 }
-
-// overloaded reports whether the load of a server is significantly above its target and its utilization is high.
-func (p *Planner) overloaded(server *Server) bool {
-	target := p.targetLoad(server)
-	if server.Limited {
-		return server.Utilization > minLimitedUtilization &&
-			p.serverLoads[server.ID] > max(target*overloadRatio, target+p.noiseMargin(target)*limitedNoiseFraction)
-	}
-	return server.Utilization > minOverloadUtilization &&
-		p.serverLoads[server.ID] > max(target*overloadRatio, target+p.noiseMargin(target))
-}
-
 // noiseMargin returns by how much the load of any one server is likely to differ from its target by chance. The largest of n
 // counts lies about sqrt(2 ln n) standard deviations above the mean. The second term corrects for the skew of the Poisson
 // distribution, which matters for small counts.
 func (p *Planner) noiseMargin(target float64) float64 {
 	deviations := extraDeviations + math.Sqrt(2*math.Log(float64(len(p.Servers))))
-	return deviations*math.Sqrt(target) + deviations*deviations/6
+	perRequest := p.Load.VariancePerRequest()
+	return deviations*math.Sqrt(target*perRequest) + deviations*deviations/6*perRequest
 }
 
 // underloaded reports whether a server has little load and either owns no keys or is significantly below its target.
@@ -256,7 +212,7 @@
 			break
 		}
 		amount := min(p.serverLoads[from.ID]/2, p.targetLoad(to)-p.serverLoads[to.ID])
-		if p.moveLoad(from, to, amount) {
+		if p.moveLoad(from, to, amount, ReasonFill) {
 			changed = true
 			moves++
 		} else {
@@ -266,47 +222,6 @@
 	return changed
 }
 
-// moveLoad moves keys from one server to another: the prefix or suffix of one of its ranges whose load is closest to amount.
-// It returns false if the load of none is close enough.
-func (p *Planner) moveLoad(from, to *Server, amount float64) bool {
-	best, bestPiece, bestRest := -1, fleet.KeyRange{}, fleet.KeyRange{}
-	minDistance := amount / 2 // a piece that is further off would only reverse the imbalance
-	consider := func(index int, piece, rest fleet.KeyRange) {
-		if distance := p.Load.RangeSum(piece) - amount; distance < minDistance && -distance < minDistance {
-			best, bestPiece, bestRest, minDistance = index, piece, rest, max(distance, -distance)
-		}
-	}
-	for i, assignment := range p.table.Assignments {
-		if assignment.Owner.ID != from.ID || len(assignment.FormerOwners) > 0 {
-			continue
-		}
-		if split, ok := p.Load.SplitPoint(assignment.Range, amount); ok {
-			consider(i, fleet.KeyRange{First: assignment.Range.First, Last: split},
-				fleet.KeyRange{First: split + 1, Last: assignment.Range.Last})
-		}
-		if split, ok := p.Load.SplitPoint(assignment.Range, p.Load.RangeSum(assignment.Range)-amount); ok {
-			consider(i, fleet.KeyRange{First: split + 1, Last: assignment.Range.Last},
-				fleet.KeyRange{First: assignment.Range.First, Last: split})
-		}
-	}
-	if best < 0 {
-		return false
-	}
-	old := p.table.Assignments[best]
-	moved := Assignment{Range: bestPiece, Owner: to.Owner, Fence: p.fence, FormerOwners: p.formerOwners(old)}
-	kept := old
-	kept.Range = bestRest
-	pieces := []Assignment{moved, kept}
-	if bestRest.First < bestPiece.First {
-		pieces = []Assignment{kept, moved}
-	}
-	p.table.Assignments = slices.Replace(p.table.Assignments, best, best+1, pieces...)
-	load := p.Load.RangeSum(bestPiece)
-	p.serverLoads[from.ID] -= load
-	p.serverLoads[to.ID] += load
-	return true
-}
-
 // mergeNeighbours merges adjacent ranges of the same owner, so that the table stays small.
 func (p *Planner) mergeNeighbours() bool {
 	merged := p.table.Assignments[:0:0]
