rangegrants, entry: demand by arrival, pace without queues, rejections of full owners

Keys were counted when their request was served, so that a full owner, which refuses most requests, showed a tenth of its demand, and that late. The pace of a server included the time that requests queue there and followed slow moments of its host.

Keyed requests are now counted when they arrive. Reports have the number that owners refused as full, and the assigner takes such an owner for full whatever else is measured. Capacity is slots times the pace measured over 12 s; the rise of the utilization between two collections is planned with. Each plan that moves keys is logged with its reason, load and utilization. Reports are sent every 0.2 s and collected every 0.4 s.

The tests of the reports call Arrived for each request, since Served no longer counts the key; what they check is unchanged. go test -race ./internal/daemon/entry; go test ./internal/upstream/rangegrants ./internal/ownership/ranges ./internal/routing/router

--- a/internal/daemon/entry/loads.go
+++ b/internal/daemon/entry/loads.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	// reportInterval is the time between two load reports of a daemon.
-	reportInterval = 300 * time.Millisecond
+	// reportInterval is the time between two load reports of a daemon. With the interval of the assigner's collections, a hot range
+	// is seen after 0.3 s on average, which leaves 1.2 s for moving its keys.
+	reportInterval = 200 * time.Millisecond
 	// countLifetime is how long the number of daemons at a relay counts after its last response, and loadLifetime how long the
 	// measurements of a server count after the last report.
 	countLifetime = 5 * time.Second
@@ -38,7 +39,8 @@
 	Leaving []notices.Source `json:"leaving,omitempty"`
 }
 
-// serviceReport counts the keyed requests of one service that were forwarded, by buckets of the key space and by server.
+// serviceReport counts the keyed requests of one service, by buckets of the key space when they arrive and by server when they
+// end.
 type serviceReport struct {
 	Counts  ranges.BucketCounts                `json:"counts"`
 	Servers map[fleet.UpstreamID]*serverReport `json:"servers"`
@@ -52,6 +54,8 @@
 	// that are admitted under it, or nil if the server has none.
 	Limited int      `json:"limited,omitempty"`
 	Limit   *float64 `json:"limit,omitempty"`
+	// Rejected is the number of requests that the server refused because it was full.
+	Rejected int `json:"rejected,omitempty"`
 }
 
 // serviceOf returns the counts of a service.
@@ -101,8 +105,9 @@
 			}
 		}
 		for id, server := range measured.Servers {
-			if server != nil && server.Requests >= 0 && server.Total >= 0 && server.Limited >= 0 {
+			if server != nil && server.Requests >= 0 && server.Total >= 0 && server.Limited >= 0 && server.Rejected >= 0 {
 				sum.count(id, server.Requests, server.Total)
+				sum.Servers[id].Rejected += server.Rejected
 				sum.Servers[id].addLimit(server.Limited, server.Limit)
 			}
 		}
@@ -154,36 +159,38 @@
 	receivedAt time.Time
 }
 
-// serverLoad holds moving averages for one server: the duration of its requests, the number of requests in flight there, and the
-// requests a second for it, those that were not sent because of its limit included.
-type serverLoad struct {
-	meanDuration time.Duration
-	concurrency  float64
-	rate         float64
-	// limit is the number of requests a second that the server takes, or nil if it has named none.
-	limit     *float64
-	updatedAt time.Time
+// Arrived counts a keyed request for the load of its key.
+func (l *loadTracker) Arrived(service fleet.ServiceName, key fleet.KeyHash) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts.serviceOf(service).Counts.Add(fleet.NumericKey(key))
 }
 
 // Served counts a keyed request that a server has answered.
-func (l *loadTracker) Served(service fleet.ServiceName, server fleet.UpstreamID, key fleet.KeyHash, duration time.Duration) {
+func (l *loadTracker) Served(service fleet.ServiceName, server fleet.UpstreamID, _ fleet.KeyHash, duration time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	counted := l.counts.serviceOf(service)
-	counted.Counts.Add(fleet.NumericKey(key))
-	counted.count(server, 1, duration)
+	l.counts.serviceOf(service).count(server, 1, duration)
 }
 
 // Limited counts a keyed request that was not sent, because its server limits the requests that it takes.
-func (l *loadTracker) Limited(service fleet.ServiceName, server fleet.UpstreamID, key fleet.KeyHash) {
+func (l *loadTracker) Limited(service fleet.ServiceName, server fleet.UpstreamID, _ fleet.KeyHash) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	counted := l.counts.serviceOf(service)
-	counted.Counts.Add(fleet.NumericKey(key))
 	counted.count(server, 0, 0)
 	counted.Servers[server].Limited++
 }
 
+// Rejected counts a keyed request that its server refused because it was full.
+func (l *loadTracker) Rejected(service fleet.ServiceName, server fleet.UpstreamID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	counted := l.counts.serviceOf(service)
+	counted.count(server, 0, 0)
+	counted.Servers[server].Rejected++
+}
+
 // addLimits adds the limits of the servers that a report counts.
 func (l *loadTracker) addLimits(report *loadReport) {
 	for _, service := range report.Services {
@@ -306,48 +313,8 @@
 		}
 		result.Stats[id] = rangegrants.ServerStats{
 			MeanDuration: entry.meanDuration, Concurrency: entry.concurrency, Rate: entry.rate, RateLimit: entry.limit,
+			Rise: entry.concurrency - entry.before, Latest: entry.latest, Rejected: entry.rejected,
 		}
 	}
 	return result
 }
-
-const (
-	// durationWeight and concurrencyWeight are the weights of a new report in the moving averages of the duration, and of the number
-	// and the rate of requests.
-	durationWeight    = 0.2
-	concurrencyWeight = 0.5
-	// minRateSpan is the shortest span for which a rate is computed: daemons report every reportInterval.
-	minRateSpan = reportInterval
-)
-
-// addReports adds the sums of several relays, which cover about the same span, to the load of their services and servers.
-func (l *loadTracker) addReports(now time.Time, reports map[fleet.HostID]*loadReport) {
-	var sum loadReport
-	for host, report := range reports {
-		l.daemonCounts[host] = daemonCount{daemons: report.Daemons, receivedAt: now}
-		sum.merge(report)
-	}
-	span := reports[l.host].Span
-	for service, measured := range sum.Services {
-		if l.totals[service] == nil {
-			l.totals[service] = &ranges.Load{}
-		}
-		l.totals[service].AddReport(now, measured.Counts)
-		for id, server := range measured.Servers {
-			previous, ok := l.serverLoads[id]
-			next := serverLoad{
-				meanDuration: previous.meanDuration, concurrency: float64(server.Total) / float64(max(span, 1)), limit: server.Limit,
-				rate: float64(server.Requests+server.Limited) / max(span.Seconds(), minRateSpan.Seconds()), updatedAt: now,
-			}
-			if server.Requests > 0 {
-				next.meanDuration = server.Total / time.Duration(server.Requests)
-			}
-			if ok {
-				next.meanDuration = previous.meanDuration + time.Duration(float64(next.meanDuration-previous.meanDuration)*durationWeight)
-				next.concurrency = previous.concurrency + (next.concurrency-previous.concurrency)*concurrencyWeight
-				next.rate = previous.rate + (next.rate-previous.rate)*concurrencyWeight
-			}
-			l.serverLoads[id] = next
-		}
-	}
-}
--- a/internal/daemon/entry/loads_test.go
+++ b/internal/daemon/entry/loads_test.go
@@ -54,6 +54,7 @@
 		go func() { defer close(done); _ = assigner.run(ctx) }()
 		synctest.Wait()
 		for range 50 {
+			assigner.Arrived("s", 4000)
 			assigner.Served("s", "u1", 4000, 100*time.Millisecond)
 		}
 		relay.Add([]byte(`{"services":{"s":{"counts":{"4000":150},"servers":{"u1":{"requests":150,"total":15000000000}}}}}`))
@@ -95,9 +96,12 @@
 		done := make(chan struct{})
 		go func() { defer close(done); _ = assigner.run(ctx) }()
 		for range 6 {
+			assigner.Arrived("s", 4000)
 			assigner.Served("s", "u1", 4000, 100*time.Millisecond)
+			assigner.Arrived("s", 4000)
 			assigner.Limited("s", "u1", 4000)
 		}
+		assigner.Arrived("s", 5000)
 		assigner.Served("s", "u2", 5000, 100*time.Millisecond)
 		_ = timer.Wait(ctx, timer.System{}, time.Second)
 		fake.others = map[fleet.HostID][]byte{"h1": []byte(
@@ -112,3 +116,32 @@
 		<-done
 	})
 }
+
+// Guards against a full server that looks idle to the assigner, because it refuses the requests that it gets.
+func TestRejectionsAreCollected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		assigner, fake := newTracker(1)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = assigner.run(ctx) }()
+		for range 6 {
+			assigner.Arrived("s", 4000)
+			assigner.Rejected("s", "u1")
+		}
+		_ = timer.Wait(ctx, timer.System{}, time.Second)
+		fake.others = map[fleet.HostID][]byte{"h1": []byte(
+			`{"services":{"s":{"counts":{"4000":3},"servers":{"u1":{"requests":2,"total":800000000,"rejected":3}}}}}`)}
+		collected := assigner.Collect(ctx, "s")
+		is.Equal(collected.Load.Samples(), 9.0)
+		is.Equal(collected.Stats["u1"].Rejected, 9)
+		is.Equal(collected.Stats["u1"].Latest, ranges.Measured{Requests: 2, Total: 800 * time.Millisecond, Span: time.Second})
+		_ = timer.Wait(ctx, timer.System{}, time.Second)
+		collected = assigner.Collect(ctx, "s")
+		is.Equal(collected.Stats["u1"].Rejected, 0) // nothing is counted twice
+		is.Equal(collected.Stats["u1"].Latest, ranges.Measured{})
+		is.True(collected.Stats["u1"].Rise < 0)
+		cancel()
+		<-done
+	})
+}
--- a/internal/ownership/ranges/moves.go
+++ b/internal/ownership/ranges/moves.go
@@ -39,3 +39,12 @@
 	}
 	p.Moves = append(p.Moves, move)
 }
+
+// Utilization returns the highest and the mean utilization of the servers that were planned with.
+func (p *Planner) Utilization() (highest, mean float64) {
+	for i := range p.Servers {
+		highest = max(highest, p.Servers[i].Utilization)
+		mean += p.Servers[i].Utilization / float64(len(p.Servers))
+	}
+	return highest, mean
+}
--- a/internal/routing/router/pending.go
+++ b/internal/routing/router/pending.go
@@ -253,6 +253,7 @@
 		if p.service.pauseLeft(now, slot.upstream.ID) > 0 {
 			observation = balance.Paused{}
 		}
+		p.observeRejection(slot, result)
 		if result.WrongUpstream {
 			p.reportStaleMap()
 			observation, feedback = balance.Unreachable{}, admission.Abandoned{}
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -48,12 +48,16 @@
 	Finish(key idempotency.Key, result idempotency.RequestResult)
 }
 
-// LoadObserver is told which keyed requests were served and how long each took. The load of keys and the speed of servers
-// are derived from that.
+// LoadObserver is told of keyed requests: when each arrives, and where it was served and how long that took. The load of keys and
+// the speed of servers are derived from that.
 type LoadObserver interface {
+	// Arrived is told of each request once, before it has an owner, so that keys whose owner is full count with all their load.
+	Arrived(service fleet.ServiceName, key fleet.KeyHash)
 	Served(service fleet.ServiceName, server fleet.UpstreamID, key fleet.KeyHash, took time.Duration)
 	// Limited is told of a request that was not sent, because its server limits the requests that it takes.
 	Limited(service fleet.ServiceName, server fleet.UpstreamID, key fleet.KeyHash)
+	// Rejected is told of a request that its owner refused because it was full.
+	Rejected(service fleet.ServiceName, server fleet.UpstreamID)
 }
 
 // Recorder receives the record of each request that has ended.
@@ -188,6 +192,9 @@
 			return p.reject(rejection{outcome: cause.NotRun, cause: cause.BadRequest})
 		}
 		p.key, p.record.Key, p.record.Keyed = key, key, true
+		if r.LoadObserver != nil {
+			r.LoadObserver.Arrived(request.Service, key)
+		}
 	}
 	if rejected := p.claimIdempotencyKey(); rejected != nil {
 		return p.reject(*rejected)
--- a/internal/upstream/rangegrants/assigner.go
+++ b/internal/upstream/rangegrants/assigner.go
@@ -95,6 +95,12 @@
 	Concurrency float64
 	// Rate is the number of requests a second for the server, those that were not sent because of RateLimit included.
 	Rate float64
+	// Rise is by how much Concurrency has risen since the previous collection.
+	Rise float64
+	// Latest is what was measured since the previous collection, and Rejected the number of requests that the server refused since
+	// then because it was full.
+	Latest   ranges.Measured
+	Rejected int
 	// RateLimit is the number of requests a second that the server may get, or nil if it has named no limit.
 	RateLimit *float64
 }
@@ -138,8 +144,8 @@
 	confirmDelay = 150 * time.Millisecond
 	// loadInterval is the interval at which the load is collected. minRebalanceInterval is the time between two moves that
 	// are caused by load: the effect of a move has to show in the load before the next one.
-	loadInterval         = 500 * time.Millisecond
-	minRebalanceInterval = 450 * time.Millisecond
+	loadInterval         = 400 * time.Millisecond
+	minRebalanceInterval = 350 * time.Millisecond
 	// moveBatchDelay is how long the planner waits for further moves to end before it writes the end of one to the table.
 	// Requests for the range wait meanwhile.
 	moveBatchDelay = 60 * time.Millisecond
--- a/internal/upstream/rangegrants/available.go
+++ b/internal/upstream/rangegrants/available.go
@@ -6,14 +6,10 @@
 )
 
 // availableServers returns the servers to which ranges can be assigned. The capacity of a server is its number of slots, scaled
-// by its speed relative to the mean of all servers.
+// by its pace relative to the mean of all servers.
 func (t *term) availableServers(stats map[fleet.UpstreamID]ServerStats) []ranges.Server {
-	meanSeconds, measured := 0.0, 0
-	for _, server := range stats {
-		meanSeconds += server.MeanDuration.Seconds()
-		measured++
-	}
-	meanSeconds /= float64(max(1, measured))
+	mean := t.paces.MeanDuration()
+	meanSeconds := mean.Seconds()
 	var result []ranges.Server
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -27,11 +23,9 @@
 			continue
 		}
 		slots := float64(max(1, server.Slots))
-		capacity := slots
-		if duration := stats[server.ID].MeanDuration; duration > 0 {
-			capacity *= min(max(meanSeconds/duration.Seconds(), minSpeedFactor), maxSpeedFactor)
-		}
-		next := ranges.Server{Owner: server.Owner, Capacity: capacity, Utilization: stats[server.ID].Concurrency / slots}
+		capacity := slots * t.paces.Of(server.ID, mean)
+		next := ranges.Server{Owner: server.Owner, Capacity: capacity}
+		next.Utilization, next.Rise = utilization(stats[server.ID], slots)
 		if limit := stats[server.ID].RateLimit; limit != nil && meanSeconds > 0 {
 			// A slot of mean speed takes 1/meanSeconds requests a second.
 			next.Limited = true
@@ -71,12 +65,6 @@
 	minRateLimit       = 0.1
 )
 
-// minSpeedFactor and maxSpeedFactor bound the effect of a server's speed on its capacity.
-const (
-	minSpeedFactor = 0.4
-	maxSpeedFactor = 2
-)
-
 // readmitServers makes the servers available again that have responded to a probe.
 func (t *term) readmitServers() {
 	t.mu.Lock()
--- a/internal/upstream/rangegrants/term.go
+++ b/internal/upstream/rangegrants/term.go
@@ -29,6 +29,8 @@
 	// tableVersion and lastMove, an uptime, are used only by the goroutine that plans.
 	tableVersion table.Version
 	lastMove     time.Duration
+	// paces is the speed of the servers. Only the goroutine that plans uses it.
+	paces ranges.Paces
 
 	mu sync.Mutex
 	// table is guarded by mu: the table as last written.
@@ -134,6 +136,7 @@
 			_ = timer.Wait(ctx, t.Clock, moveBatchDelay)
 		case <-tick.C:
 			load = t.LoadSource.Collect(ctx, t.Service)
+			t.measurePaces(load.Stats)
 		case <-ctx.Done():
 		}
 	}
@@ -176,6 +179,7 @@
 	}
 	if changed {
 		t.logOwnerChanges(next)
+		t.logMoves(planner)
 		if next.Fence != t.table.Fence {
 			t.lastMove = now
 		}
