ownership/ranges: only overloaded servers give up the densest piece of a range

Together with the limit of cold servers, the division of hot ranges filled cold servers with a tenth of what they take (TestHerdOfColdServersGetsKeysInSteps: 3.7 of 69 requests/s). The densest piece of a range whose keys are about equally busy is the one that was requested often by chance. Moves that fill a server now take the piece whose load is closest; moves from overloaded servers are as before. checkNoNewGrants of the evacuation test follows the fences by process. go test ./internal/ownership/ranges ./internal/upstream/rangegrants pass.

--- a/internal/ownership/ranges/rebalance.go
+++ b/internal/ownership/ranges/rebalance.go
@@ -140,24 +140,30 @@
 	keys  fleet.KeyRange
 }
 
-// moveLoad moves keys from one server to another: a piece of one of its ranges whose load is close to amount, with as few keys as
-// possible. It returns false if the load of none is close enough.
+// moveLoad moves keys from one server to another: a piece of one of its ranges whose load is close to amount. From an overloaded
+// server it moves as few keys as possible. Otherwise the piece whose load is closest is moved: where keys are about equally busy, the
+// densest piece is the one that was requested often by chance, and would bring much less load than it was counted with. It returns
+// false if the load of none is close enough.
 func (p *Planner) moveLoad(from, to *Server, amount float64, reason MoveReason) bool {
 	outer, inner := piece{index: -1}, piece{index: -1}
+	better := p.closer
+	if reason == ReasonOverload {
+		better = p.better
+	}
 	for i, assignment := range p.table.Assignments {
 		if assignment.Owner.ID != from.ID || len(assignment.FormerOwners) > 0 {
 			continue
 		}
 		if split, ok := p.Load.SplitPoint(assignment.Range, amount); ok {
 			keys := fleet.KeyRange{First: assignment.Range.First, Last: split}
-			outer = p.better(outer, piece{index: i, keys: keys}, amount)
+			outer = better(outer, piece{index: i, keys: keys}, amount)
 		}
 		if split, ok := p.Load.SplitPoint(assignment.Range, p.Load.RangeSum(assignment.Range)-amount); ok {
 			keys := fleet.KeyRange{First: split + 1, Last: assignment.Range.Last}
-			outer = p.better(outer, piece{index: i, keys: keys}, amount)
+			outer = better(outer, piece{index: i, keys: keys}, amount)
 		}
-		outer = p.better(outer, piece{index: i, keys: assignment.Range}, amount)
-		if keys, ok := p.Load.densestPiece(assignment.Range, amount); ok {
+		outer = better(outer, piece{index: i, keys: assignment.Range}, amount)
+		if keys, ok := p.Load.densestPiece(assignment.Range, amount); ok && reason == ReasonOverload {
 			inner = p.better(inner, piece{index: i, keys: keys}, amount)
 		}
 	}
@@ -177,24 +183,23 @@
 	return true
 }
 
-// better returns the piece that is better to move. A piece whose load differs from amount by half of it would only reverse the
-// imbalance and is never returned.
+// better returns the piece that is better to move from an overloaded server: of those whose load is about the amount, the one with
+// the fewest keys.
 func (p *Planner) better(best, candidate piece, amount float64) piece {
-	distance := p.distance(candidate, amount)
-	if distance >= 0.5 {
-		return best
-	}
-	if best.index < 0 {
-		return candidate
-	}
-	bestDistance := p.distance(best, amount)
-	if distance <= pieceTolerance && bestDistance <= pieceTolerance {
+	if best.index >= 0 && p.distance(candidate, amount) <= pieceTolerance && p.distance(best, amount) <= pieceTolerance {
 		if candidate.keys.Size() < best.keys.Size() {
 			return candidate
 		}
 		return best
 	}
-	if distance < bestDistance {
+	return p.closer(best, candidate, amount)
+}
+
+// closer returns the piece whose load is closer to amount. One whose load differs from amount by half of it would only reverse the
+// imbalance and is never returned.
+func (p *Planner) closer(best, candidate piece, amount float64) piece {
+	distance := p.distance(candidate, amount)
+	if distance < 0.5 && (best.index < 0 || distance < p.distance(best, amount)) {
 		return candidate
 	}
 	return best
--- a/internal/upstream/rangegrants/leaving_test.go
+++ b/internal/upstream/rangegrants/leaving_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/ownership/ranges"
 )
 
 // evacuated is the number of servers of newCluster that TestEvacuation evacuates, and evacuationTime the time until they get no
@@ -16,15 +17,15 @@
 	evacuationTime = 2500 * time.Millisecond
 )
 
-// evacuate makes servers leave with a common drain deadline, and returns how many ranges each had accepted before.
-func (c *cluster) evacuate() map[fleet.UpstreamID]int {
+// evacuate makes servers leave with a common drain deadline, and returns how many ranges each process had accepted before.
+func (c *cluster) evacuate() map[ranges.Owner]int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	accepted := make(map[fleet.UpstreamID]int)
+	accepted := make(map[ranges.Owner]int)
 	for i := range evacuated {
 		id := fleet.UpstreamID(fmt.Sprint("s", i))
 		c.servers[id].leaving, c.servers[id].drainDeadline = true, time.Now().Add(evacuationTime)
-		accepted[id] = len(c.accepted[c.servers[id].owner])
+		accepted[c.servers[id].owner] = len(c.accepted[c.servers[id].owner])
 	}
 	c.notifyChanged()
 	return accepted
@@ -47,19 +48,24 @@
 	return sum
 }
 
-// checkNoNewGrants fails the test if an evacuated server accepted a key that it did not own before.
-func (c *cluster) checkNoNewGrants(before map[fleet.UpstreamID]int) {
+// checkNoNewGrants fails the test if an evacuated server accepted a key that it did not own before, whichever of its processes did.
+func (c *cluster) checkNoNewGrants(before map[ranges.Owner]int) {
 	c.t.Helper()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for id, count := range before {
-		for _, later := range c.accepted[c.servers[id].owner][count:] {
-			known := false
-			for _, earlier := range c.accepted[c.servers[id].owner][:count] {
-				known = known || earlier.keys.First <= later.keys.First && later.keys.Last <= earlier.keys.Last && earlier.fence == later.fence
+	for evacuated, earlierCount := range before {
+		for owner, accepted := range c.accepted {
+			if owner.ID != evacuated.ID {
+				continue
 			}
-			if !known {
-				c.t.Errorf("%s was granted %s with fence %d after its evacuation", id, later.keys, later.fence)
+			for _, later := range accepted[before[owner]:] {
+				known := false
+				for _, earlier := range c.accepted[evacuated][:earlierCount] {
+					known = known || earlier.keys.First <= later.keys.First && later.keys.Last <= earlier.keys.Last && earlier.fence == later.fence
+				}
+				if !known {
+					c.t.Errorf("%s was granted %s with fence %d after its evacuation", owner.ID, later.keys, later.fence)
+				}
 			}
 		}
 	}
