daemon/entry, platform: operators evacuate a failure domain by a row of the store

The rows op/evacuate/ZONE arrive with the table of the configuration, from the store or a relay; a second consumer of the same rows adopts them before the configuration. Upstreams there get a drain deadline, the router ends waits for them, and the assigner moves their ranges in steps. Adoption and end are logged and counted in gauges. Everything depends on the setting bounds.evacuateS. relay.Consumer.Restored gets the version that was read, to tell rows that an older copy lacks from rows that operators delete.

--- a/internal/daemon/entry/assigners.go
+++ b/internal/daemon/entry/assigners.go
@@ -66,7 +66,8 @@
 // newAssigner returns the assigner of a service, ready to run.
 func (d *Daemon) newAssigner(name fleet.ServiceName) *rangegrants.Assigner {
 	return &rangegrants.Assigner{
-		Service: name, Daemon: d.runID, Store: d.Store, Registry: serverRegistry{d.configuration}, Client: d.ServerClient,
+		Service: name, Daemon: d.runID, Store: d.Store, Registry: serverRegistry{d.configuration, d.evacuations != nil},
+		Client:     d.ServerClient,
 		LoadSource: d.loadTracker, Paused: d.isPaused, Candidates: d.node.Relays, Clock: d.Timer, Uptime: d.Timer, Log: d.Log,
 		GrantDuration:       scaled(d.Limits.MaxGrantDuration, grantFraction),
 		OutageGrantDuration: d.Limits.MaxGrantDuration, LeaseDuration: scaled(d.Limits.MaxGrantDuration, leaseFraction),
@@ -82,6 +83,8 @@
 // serverRegistry lists the servers of a service for its assigner, from the document in force.
 type serverRegistry struct {
 	configuration *configuration
+	// inSteps makes the ranges of leaving servers move in steps up to their drain deadlines.
+	inSteps bool
 }
 
 var _ rangegrants.Registry = serverRegistry{}
@@ -98,7 +101,11 @@
 	}
 	list := make([]rangegrants.Server, 0, len(service.Upstreams))
 	for _, server := range service.Upstreams {
-		list = append(list, rangegrants.Server{Owner: ownerOf(server), Slots: server.Slots, Leaving: !server.DrainDeadline.IsZero()})
+		next := rangegrants.Server{Owner: ownerOf(server), Slots: server.Slots, Leaving: !server.DrainDeadline.IsZero()}
+		if s.inSteps {
+			next.DrainDeadline = server.DrainDeadline
+		}
+		list = append(list, next)
 	}
 	return list
 }
--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -73,6 +73,8 @@
 	Store                                           Store
 	Tables                                          Tables
 	Limits                                          Limits
+	// Evacuations says how operators evacuate failure domains.
+	Evacuations Evacuations
 	// DecodeConfiguration decodes the operators' row, and DecodeUpstream an upstream's row.
 	DecodeConfiguration func(value []byte) (*document.Document, error)
 	DecodeUpstream      func(row table.Row) (registry.Entry, error)
@@ -93,13 +95,15 @@
 	runID         string
 	registry      *registry.Registry
 	configuration *configuration
-	ownershipMap  *ownershipMap
-	loadTracker   *loadTracker
-	node          *relay.Node
-	notices       *notices.Book
-	router        *router.Router
-	front         *front.Frontend
-	observer      *observer
+	// evacuations is nil if they are not in use.
+	evacuations  *evacuations
+	ownershipMap *ownershipMap
+	loadTracker  *loadTracker
+	node         *relay.Node
+	notices      *notices.Book
+	router       *router.Router
+	front        *front.Frontend
+	observer     *observer
 
 	mu sync.Mutex
 	// stopping is guarded by mu and set once the daemon is asked to stop; it is not ready from then on.
@@ -153,6 +157,9 @@
 	d.router.OnStaleMap = d.refreshTables
 	group.Go(func() error { return d.router.Run(servingCtx) })
 	group.Go(func() error { return d.loadTracker.run(servingCtx) })
+	if d.evacuations != nil {
+		group.Go(func() error { return d.router.FollowEvacuations(servingCtx, d.configuration.Changed) })
+	}
 	group.Go(func() error {
 		defer stopServing()
 		return d.serve(ctx, servingCtx)
@@ -181,6 +188,7 @@
 		},
 	}
 	d.notices.OnLeaving = d.registry.NoteLeaving
+	d.prepareEvacuations()
 	d.configuration = &configuration{
 		log: d.Log, decode: d.DecodeConfiguration, rowName: d.Tables.ConfigurationRow, registry: d.registry,
 	}
--- a/internal/daemon/entry/metrics.go
+++ b/internal/daemon/entry/metrics.go
@@ -18,6 +18,9 @@
 	if d.node != nil {
 		d.observer.metrics.ExposeTableAges(d.node.Age, d.node.GreatestAge)
 	}
+	if d.evacuations != nil {
+		d.observer.metrics.ExposeEvacuations(d.evacuations.set)
+	}
 	if d.notices != nil {
 		d.observer.metrics.ExposeNotices(d.notices)
 	}
--- a/internal/daemon/entry/tables.go
+++ b/internal/daemon/entry/tables.go
@@ -39,15 +39,11 @@
 		Daemons:    d.daemonCount, OnRecovered: d.registry.StoreRecovered, Reporter: d.loadTracker, Serve: d.runAssigners,
 		Limiter: &ratelimit.Limiter{},
 		Tables: []relay.Table{
-			{
-				Name:       d.Tables.ConfigurationTable,
-				Consumer:   relay.Consumer{Reset: d.configuration.applyRows, Apply: d.configuration.applyRows},
-				ApplyLimit: d.Limits.ApplyTimeout,
-			},
+			d.configurationTable(),
 			{
 				Name: d.Tables.UpstreamsTable,
 				Consumer: relay.Consumer{
-					Reset: d.resetUpstreams, Apply: d.applyUpstreams, Restored: d.registry.StoreRestored,
+					Reset: d.resetUpstreams, Apply: d.applyUpstreams, Restored: func(table.Version) { d.registry.StoreRestored() },
 				},
 				BatchDelay: d.upstreamsDelay, ApplyLimit: d.Limits.DrainTimeout,
 			},
--- a/internal/peer/relay/replica.go
+++ b/internal/peer/relay/replica.go
@@ -19,9 +19,9 @@
 	Reset func([]table.Row)
 	// Apply is called with the rows that changed. A deleted row has a nil value.
 	Apply func([]table.Row)
-	// Restored, if set, is called before Apply when the store has come back from an older copy. What was written shortly before
-	// may be missing, and what was overwritten or deleted may be there again.
-	Restored func()
+	// Restored, if set, is called before Apply when the store has come back from an older copy and was read at a version since.
+	// What was written shortly before may be missing, and what was overwritten or deleted may be there again.
+	Restored func(table.Version)
 }
 
 // replica holds copies of tables of the platform's store. Whoever supplies rows, the version of a copy never decreases.
@@ -144,7 +144,7 @@
 		r.log.Warn().Str("table", name).Uint32("era", uint32(after.Era())).Uint64("version", after.Number()).
 			Uint64("before", before.Number()).Int("rows", len(rows)).Msg("store has come back from an older copy")
 		if consumer.Restored != nil {
-			consumer.Restored()
+			consumer.Restored(after)
 		}
 	}
 	if consumer.Apply != nil && len(rows) > 0 {
