--- a/internal/observe/history/search.go
+++ b/internal/observe/history/search.go
@@ -33,6 +33,7 @@
 var localEvents = []string{
 	"upstream registered", "upstream changed its entry", "upstream's entry disappeared", "upstream is gone",
 	"configuration adopted", "older configuration ignored", "configuration cannot be read", tableAdopted,
+	"failure domain is evacuated", "evacuation of failure domain has ended",
 	"table cannot be followed", "table is followed again", "history of the table was lost; reading all rows",
 	"daemon starting", "daemon stopping; the balancer is told to use other daemons", "daemon stopped",
 }
