--- a/internal/daemon/entry/cold.go
+++ b/internal/daemon/entry/cold.go
@@ -20,6 +20,22 @@
 	})
 }
 
+// assumeColdIn takes the upstreams of a failure domain as cold until they state otherwise, because they have had no requests.
+func (d *Daemon) assumeColdIn(domain fleet.FailureDomain) {
+	current := d.configuration.Current()
+	if current == nil || d.Limits.ColdAllowance == (ratelimit.Allowance{}) {
+		return
+	}
+	for i := range current.Services {
+		service := &current.Services[i]
+		for _, upstream := range service.Upstreams {
+			if service.ColdRate > 0 && upstream.Locality.Domain == domain {
+				d.notices.AssumeCold(notices.Source{ID: upstream.ID, Incarnation: upstream.Incarnation}, service.ColdStart)
+			}
+		}
+	}
+}
+
 // probe sends a health probe to an upstream that could not be reached. The client of orders records what the response states.
 func (d *Daemon) probe(ctx context.Context, upstream document.Upstream) bool {
 	return d.ServerClient.Probe(ctx, ranges.Owner{ID: upstream.ID, Incarnation: upstream.Incarnation, Address: upstream.Address})
