notices, forward: a process that answers on an old connection has not started again

Cause: an upstream that accepts no more connections resets new ones. It counted as cold for seconds for each daemon that met a reset. Change: requests note when their connection was opened; a response on one that is older than the failure ends the assumption. Tested: go test ./internal/upstream/notices ./internal/upstream/forward ./internal/routing/router.

--- a/internal/routing/router/upstream_limit.go
+++ b/internal/routing/router/upstream_limit.go
@@ -42,7 +42,8 @@
 	}
 	if complete || len(outgoing.Notices) > 0 {
 		p.router.Notices.Record(notices.Exchange{
-			Source: slot.upstream.noticeSource(), SentAt: slot.startedAt, Complete: complete, Notices: outgoing.Notices,
+			Source: slot.upstream.noticeSource(), SentAt: slot.startedAt, ConnectedAt: outgoing.ConnectedAt, Complete: complete,
+			Notices: outgoing.Notices,
 		})
 	}
 	if asksForPause(outgoing.Notices) {
--- a/internal/upstream/forward/client.go
+++ b/internal/upstream/forward/client.go
@@ -61,6 +61,8 @@
 	ConnectTime time.Duration
 	// Reused is set by Send if the connection had carried other requests, so that a response may belong to one of them.
 	Reused bool
+	// ConnectedAt is set by Send to when the connection was opened. It is zero if there was none.
+	ConnectedAt time.Time
 	// Notices is set by Send to what the upstream stated about itself in the heads of the responses that it sent meanwhile.
 	Notices []Notice
 }
@@ -141,7 +143,7 @@
 		// A refusal that is repeated on the connection would look like that of this try.
 		refusedBefore := slices.Contains(conn.refused, request.ID)
 		if !refusedBefore && c.Clock.Now().Before(conn.expires) && conn.checkIdle() == nil {
-			request.Reused = true
+			request.Reused, request.ConnectedAt = true, conn.openedAt
 			return conn, nil
 		}
 		_ = conn.Close()
@@ -153,8 +155,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "forward: connect")
 	}
-	request.ConnectTime = c.Clock.Now().Sub(start)
-	return newConnection(conn, request.ConnectTime), nil
+	request.ConnectedAt = c.Clock.Now()
+	request.ConnectTime = request.ConnectedAt.Sub(start)
+	return newConnection(conn, request.ConnectedAt, request.ConnectTime), nil
 }
 
 // popIdle removes and returns the most recently used idle connection, or nil if there is none.
--- a/internal/upstream/forward/connection.go
+++ b/internal/upstream/forward/connection.go
@@ -32,6 +32,8 @@
 	reader *bufio.Reader
 	// connectTime is how long it took to open the connection.
 	connectTime time.Duration
+	// openedAt is when the connection was opened. Whatever answers on it is the process that accepted it then.
+	openedAt time.Time
 	// written counts the bytes that the operating system accepted. It proves that no byte of a request was sent. Only the
 	// goroutine that writes accesses it.
 	written int64
@@ -48,8 +50,8 @@
 // maxRefused is the number of refused requests after which a connection is not used again.
 const maxRefused = 16
 
-func newConnection(conn net.Conn, connectTime time.Duration) *connection {
-	result := &connection{Conn: conn, connectTime: connectTime}
+func newConnection(conn net.Conn, openedAt time.Time, connectTime time.Duration) *connection {
+	result := &connection{Conn: conn, openedAt: openedAt, connectTime: connectTime}
 	result.reader = bufio.NewReaderSize(result, readBufferSize)
 	return result
 }
--- a/internal/upstream/notices/book.go
+++ b/internal/upstream/notices/book.go
@@ -42,6 +42,8 @@
 	// nothing.
 	// It is zero if the notices were not made in a response to this daemon, but in an entry or to a peer.
 	SentAt time.Time
+	// ConnectedAt is when the connection was opened on which the response came. It is zero if that is not known.
+	ConnectedAt time.Time
 	// Revision orders the entries of one process if the notices were made in an entry. It is zero if they were not.
 	Revision uint64
 	// Complete is set if the response was received whole, so that what it does not state is withdrawn.
--- a/internal/upstream/notices/cold.go
+++ b/internal/upstream/notices/cold.go
@@ -20,8 +20,9 @@
 // coldState is what is known about the cold time of one process. Its remaining cold time is counted from the receipt of a report,
 // so that it is never counted too short.
 type coldState struct {
-	// until is when the process stops being cold. It is not after the present for one that is not cold.
-	until time.Time
+	// until is when the process stops being cold as it has reported, assumedUntil as was assumed since then, and answeredUntil as
+	// was assumed because it has answered after it could not be reached. The latest holds.
+	until, assumedUntil, answeredUntil time.Time
 	// revision is that of the latest entry that was adopted, or zero.
 	revision uint64
 	// reportedAt is when the latest report arrived, in an entry or a response, or zero if the state is assumed.
@@ -33,30 +34,31 @@
 	// unreachable is set from a failed attempt until the process answers. It is then cold for assumeFor, unless it says otherwise.
 	unreachable bool
 	assumeFor   time.Duration
+	// failedAt is when the process first could not be reached since its latest report, or zero. A response on a connection that was
+	// opened before is of the same process, and ends what was assumed.
+	failedAt time.Time
 	// logged is set while the process was last logged as cold.
 	logged bool
 	// absentSince is since when the process has no entry. It is zero while it has one.
 	absentSince time.Time
 }
 
-// isCold reports whether the process counts as cold.
-func (c *coldState) isCold(now time.Time) bool { return c.unreachable || now.Before(c.until) }
+// end returns when the process stops counting as cold.
+func (c *coldState) end(now time.Time) time.Time {
+	result := maxTime(c.until, maxTime(c.assumedUntil, c.answeredUntil))
+	if c.unreachable {
+		return maxTime(result, now.Add(c.assumeFor))
+	}
+	return result
+}
 
 // ColdUntil returns until when a process is cold. It is not after the present for one that is not cold, and zero for one of which
 // nothing is known.
 func (b *Book) ColdUntil(source Source) time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.coldUntil(source)
-}
-
-// coldUntil does what ColdUntil does. The caller holds mu.
-func (b *Book) coldUntil(source Source) time.Time {
 	state := b.cold[source]
-	if state.unreachable {
-		return maxTime(state.until, b.Now().Add(state.assumeFor))
-	}
-	return state.until
+	return state.end(b.Now())
 }
 
 // ColdUntilAssuming returns until when a process is cold. One of which nothing is known counts as cold for a duration from now.
@@ -66,7 +68,8 @@
 	if _, known := b.cold[source]; !known {
 		b.assumeCold(source, duration)
 	}
-	return b.coldUntil(source)
+	state := b.cold[source]
+	return state.end(b.Now())
 }
 
 // AssumeCold lets a process count as cold for a duration from now, unless an entry or a response that is newer says otherwise. It
@@ -80,7 +83,7 @@
 // assumeCold does what AssumeCold does. The caller holds mu.
 func (b *Book) assumeCold(source Source, duration time.Duration) {
 	now, state := b.Now(), b.cold[source]
-	state.until = maxTime(state.until, now.Add(duration))
+	state.assumedUntil = maxTime(state.assumedUntil, now.Add(duration))
 	state.assumedAt, state.reportedAt, state.responded = now, time.Time{}, false
 	b.storeCold(source, state)
 }
@@ -90,20 +93,29 @@
 func (b *Book) NoteUnreachable(source Source, duration time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	state := b.cold[source]
+	now, state := b.Now(), b.cold[source]
+	if state.failedAt.IsZero() {
+		state.failedAt = now
+	}
 	state.unreachable, state.assumeFor = true, duration
-	state.assumedAt, state.reportedAt, state.responded = b.Now(), time.Time{}, false
+	state.assumedAt, state.reportedAt, state.responded = now, time.Time{}, false
 	b.storeCold(source, state)
 }
 
 // noteAnswer notes that a process has responded. The caller holds mu.
 func (b *Book) noteAnswer(exchange Exchange) {
-	state, known := b.cold[exchange.Source]
-	if known && state.unreachable && exchange.SentAt.After(state.assumedAt) {
-		state.unreachable = false
-		b.cold[exchange.Source] = state
-		b.assumeCold(exchange.Source, state.assumeFor)
+	state := b.cold[exchange.Source]
+	if state.failedAt.IsZero() || !exchange.SentAt.After(state.assumedAt) {
+		return
+	}
+	switch {
+	case !exchange.ConnectedAt.IsZero() && exchange.ConnectedAt.Before(state.failedAt):
+		state.failedAt, state.answeredUntil = time.Time{}, time.Time{}
+	case state.unreachable:
+		state.answeredUntil = b.Now().Add(state.assumeFor)
 	}
+	state.unreachable = false
+	b.storeCold(exchange.Source, state)
 }
 
 // recordCold adopts a report of the remaining cold time. The end of the cold time of a process does not change, and a report is
@@ -127,16 +139,17 @@
 		until = state.until
 	}
 	state.until, state.reportedAt, state.unreachable = until, now, false
+	state.assumedUntil, state.answeredUntil, state.failedAt = time.Time{}, time.Time{}, time.Time{}
 	b.storeCold(exchange.Source, state)
 }
 
 // storeCold stores the state of a process and logs if it has become cold or warm. The caller holds mu.
 func (b *Book) storeCold(source Source, state coldState) {
 	now := b.Now()
-	if cold := state.isCold(now); cold != state.logged {
+	if cold := now.Before(state.end(now)); cold != state.logged {
 		state.logged = cold
 		if event := b.coldLog.next(b, now, source); event != nil && cold {
-			event.Dur("for", state.until.Sub(now)).Bool("assumed", state.reportedAt.IsZero()).Bool("unreachable", state.unreachable).
+			event.Dur("for", state.end(now).Sub(now)).Bool("assumed", state.reportedAt.IsZero()).Bool("unreachable", state.unreachable).
 				Msg("upstream is cold; it gets a limited number of requests")
 		} else if event != nil {
 			event.Msg("upstream is no longer cold")
@@ -170,7 +183,7 @@
 	defer b.mu.Unlock()
 	now, count := b.Now(), 0
 	for source, state := range b.cold {
-		switch cold := state.isCold(now); {
+		switch cold := now.Before(state.end(now)); {
 		case cold && state.absentSince.IsZero():
 			count++
 		case !cold && state.logged:
--- a/internal/upstream/notices/cold_test.go
+++ b/internal/upstream/notices/cold_test.go
@@ -38,22 +38,24 @@
 		events []coldEvent
 		want   time.Duration
 	}{
-		"entry":                           {[]coldEvent{{revision: 1, left: 3 * second}}, 3 * second},
-		"first start":                     {[]coldEvent{{revision: 1}}, 0},
-		"unknown":                         {nil, 3 * second},
-		"copy of the entry":               {[]coldEvent{{revision: 1, left: 3 * second}, {pause: second, revision: 1, left: 3 * second}}, 2 * second},
-		"older entry shortens":            {[]coldEvent{{revision: 5, left: 3 * second}, {pause: second, revision: 4}}, 2 * second},
-		"newer entry":                     {[]coldEvent{{revision: 1, left: 3 * second}, {pause: second, revision: 2, left: second / 2}}, second / 2},
-		"health response":                 {[]coldEvent{{revision: 1, left: 3 * second}, {pause: second, left: second}}, second},
-		"late entry after health":         {[]coldEvent{{left: second}, {pause: second / 2, revision: 7, left: 3 * second}}, second / 2},
-		"overtaken health response":       {[]coldEvent{{revision: 1, left: second}, {pause: second / 2, sentAgo: second, left: 3 * second}}, second / 2},
-		"assumed":                         {[]coldEvent{{revision: 1}, assumed}, 3 * second},
-		"assumed, copy of the entry":      {[]coldEvent{{revision: 1}, assumed, {revision: 1}}, 3 * second},
-		"assumed, newer entry":            {[]coldEvent{{revision: 1}, assumed, {revision: 2}}, 0},
-		"assumed, response of before":     {[]coldEvent{{revision: 1}, assumed, {sentAgo: second}}, 3 * second},
-		"unreachable":                     {[]coldEvent{{revision: 1}, unreachable, {pause: 9 * second, other: func(*notices.Book) {}}}, 3 * second},
-		"unreachable, answers a request":  {[]coldEvent{{revision: 1}, unreachable, {pause: second, other: answer(source)}, {pause: second, other: answer(source)}}, 2 * second},
-		"unreachable, answers the health": {[]coldEvent{{revision: 1}, unreachable, {pause: second}}, 0},
+		"entry":                            {[]coldEvent{{revision: 1, left: 3 * second}}, 3 * second},
+		"first start":                      {[]coldEvent{{revision: 1}}, 0},
+		"unknown":                          {nil, 3 * second},
+		"copy of the entry":                {[]coldEvent{{revision: 1, left: 3 * second}, {pause: second, revision: 1, left: 3 * second}}, 2 * second},
+		"older entry shortens":             {[]coldEvent{{revision: 5, left: 3 * second}, {pause: second, revision: 4}}, 2 * second},
+		"newer entry":                      {[]coldEvent{{revision: 1, left: 3 * second}, {pause: second, revision: 2, left: second / 2}}, second / 2},
+		"health response":                  {[]coldEvent{{revision: 1, left: 3 * second}, {pause: second, left: second}}, second},
+		"late entry after health":          {[]coldEvent{{left: second}, {pause: second / 2, revision: 7, left: 3 * second}}, second / 2},
+		"overtaken health response":        {[]coldEvent{{revision: 1, left: second}, {pause: second / 2, sentAgo: second, left: 3 * second}}, second / 2},
+		"assumed":                          {[]coldEvent{{revision: 1}, assumed}, 3 * second},
+		"assumed, copy of the entry":       {[]coldEvent{{revision: 1}, assumed, {revision: 1}}, 3 * second},
+		"assumed, newer entry":             {[]coldEvent{{revision: 1}, assumed, {revision: 2}}, 0},
+		"assumed, response of before":      {[]coldEvent{{revision: 1}, assumed, {sentAgo: second}}, 3 * second},
+		"unreachable":                      {[]coldEvent{{revision: 1}, unreachable, {pause: 9 * second, other: func(*notices.Book) {}}}, 3 * second},
+		"unreachable, answers a request":   {[]coldEvent{{revision: 1}, unreachable, {pause: second, other: answer(source)}, {pause: second, other: answer(source)}}, 2 * second},
+		"unreachable, the same process":    {[]coldEvent{{revision: 1}, unreachable, {pause: second, other: answerOn(source, 2*second)}}, 0},
+		"unreachable, on a new connection": {[]coldEvent{{revision: 1}, unreachable, unreachable, {pause: second, other: answerOn(source, 3*second/2)}}, 3 * second},
+		"unreachable, answers the health":  {[]coldEvent{{revision: 1}, unreachable, {pause: second}}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -77,6 +79,13 @@
 	}
 }
 
+// answerOn returns an event in which a process responds on a connection that was opened a time before.
+func answerOn(source notices.Source, age time.Duration) func(*notices.Book) {
+	return func(b *notices.Book) {
+		b.Record(notices.Exchange{Source: source, SentAt: b.Now(), ConnectedAt: b.Now().Add(-age), Complete: true})
+	}
+}
+
 // answer returns an event in which a process responds to a request without a report.
 func answer(source notices.Source) func(*notices.Book) {
 	return func(b *notices.Book) { b.Record(notices.Exchange{Source: source, SentAt: b.Now(), Complete: true}) }
