--- a/internal/peer/relay/cold_test.go
+++ b/internal/peer/relay/cold_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/peer/wire"
 	"rosemarywick.example/rosemarywick/internal/routing/ratelimit"
 )
 
@@ -60,3 +61,28 @@
 		}
 	}
 }
+
+// Guards against a second schedule for a cold upstream at a relay that does not keep its limit by its own list, and against a daemon
+// that does not ask a relay for a while because it has said so.
+func TestOnlyKeeperDecidesAboutColdUpstreams(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork(t, 4, 2)
+		sleep(started)
+		keeper, ok := n.running()[0].members.keeper("u")
+		is.True(ok)
+		cold := ratelimit.Limit{Reason: ratelimit.Cold, PerSecond: 5.6, Allowance: coldAllowance}.Rate()
+		stated := ratelimit.Rate{Reason: ratelimit.Stated, PerSecond: 5}
+		for _, daemon := range n.running() {
+			is.Equal(daemon.decideReserve("u", cold, time.Second) != nil, daemon.Local.ID == keeper.Host)
+			is.True(daemon.decideReserve("v", stated, time.Second) != nil)
+		}
+		asking := n.running()[0]
+		sequence, response, ok := asking.reservations.begin(time.Now(), keeper.Run)
+		is.True(ok)
+		asking.reservations.deliver(&wire.Reserved{Sequence: sequence, NotKeeper: true})
+		is.Equal(<-response, nil)
+		_, _, ok = asking.reservations.begin(time.Now(), keeper.Run)
+		is.True(ok)
+	})
+}
