balance: choose upstreams of unkeyed services by expected time, from a preferred subset

The choice between two random upstreams used only what this daemon had measured, a request in 12 to 16 s at each upstream, so that slow upstreams got as many requests as fast ones, and nearly every other request needed a new connection.

If the measurements of all daemons are known (SetFleetLoads, summed by FleetSum), the upstream with the least expected time is chosen of one that is random by capacity and those that reported their load within 0.3 s. Candidates are a subset by rendezvous hashing, own failure domain first, which grows while the chosen member is busy. Without the measurements nothing changes.

--- a/internal/routing/balance/pick.go
+++ b/internal/routing/balance/pick.go
@@ -22,8 +22,8 @@
 	HasCapacity func(fleet.UpstreamID) bool
 }
 
-// Pick returns the better of two upstreams that are chosen at random by weight ("power of two choices"). It returns false
-// if no upstream can be used now.
+// Pick returns the better of two upstreams that are chosen at random by weight ("power of two choices"), or the one with the
+// least expected time if the measurements of all daemons are known. It returns false if no upstream can be used now.
 func (p *Pool) Pick(now time.Time, criteria Criteria) (fleet.UpstreamID, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -37,6 +37,9 @@
 	if criteria.Bulk {
 		candidates = p.inLocalDomain(candidates)
 	}
+	if p.informed(now) {
+		return p.pickFromSubset(p.fleetView(now), candidates).ID, true
+	}
 	first := p.pickWeighted(now, candidates)
 	second := p.pickWeighted(now, candidates)
 	for range 2 { // a comparison needs two different upstreams
--- a/internal/routing/balance/pool.go
+++ b/internal/routing/balance/pool.go
@@ -16,6 +16,8 @@
 	ID       fleet.UpstreamID
 	Locality fleet.Locality
 	Drained  bool
+	// Slots is the number of requests that the upstream runs at a time, or zero if it is not known.
+	Slots int
 }
 
 // Observation is what the result of one request showed about its upstream. It is one of Responded, Rejected, Paused, Leaving,
@@ -55,6 +57,10 @@
 type Load struct {
 	// Running and Waiting are the numbers of requests from all daemons.
 	Running, Waiting int
+	// Slots is the number of requests that it runs at a time, or zero if it does not report that.
+	Slots int
+	// Pace is how long work takes there at the moment, relative to the usual time. Zero means that it is not known.
+	Pace float64
 }
 
 const (
@@ -99,6 +105,8 @@
 type Pool struct {
 	// Local is the locality of this daemon.
 	Local fleet.Locality
+	// Daemon identifies this daemon, so that daemons prefer different upstreams.
+	Daemon fleet.HostID
 	// RoundTrip returns the round-trip time between two localities. Nil assumes 6 ms between failure domains and 40 ms
 	// between regions.
 	RoundTrip func(from, to fleet.Locality) time.Duration
@@ -110,6 +118,8 @@
 	upstreams []*upstreamEstimate
 	// byID is guarded by mu and holds the same estimates.
 	byID map[fleet.UpstreamID]*upstreamEstimate
+	// fleetAt is guarded by mu: when the measurements of all daemons were last received.
+	fleetAt time.Time
 }
 
 // upstreamEstimate is what the pool has observed about one upstream.
@@ -137,6 +147,9 @@
 	lastResponse time.Time
 	reportedLoad Load
 	reportedAt   time.Time
+	fleet        fleetEstimate
+	// rank is lower for upstreams that this daemon prefers.
+	rank uint64
 }
 
 // SetCandidates replaces the candidates. Upstreams that remain keep their estimates. A new upstream gets a reduced share at
@@ -151,7 +164,7 @@
 	for _, candidate := range candidates {
 		estimate := previous[candidate.ID]
 		if estimate == nil {
-			estimate = &upstreamEstimate{rampSince: now}
+			estimate = &upstreamEstimate{rampSince: now, rank: rendezvous(p.Daemon, candidate.ID)}
 			if isFirstSet {
 				estimate.rampSince = now.Add(-rampDuration)
 			}
@@ -162,6 +175,7 @@
 		p.byID[candidate.ID] = estimate
 		p.upstreams = append(p.upstreams, estimate)
 	}
+	p.upstreams = p.inOrderOfPreference(p.upstreams)
 }
 
 func (p *Pool) roundTripTo(to fleet.Locality) time.Duration {
@@ -188,6 +202,7 @@
 		estimate.silentSince = now
 	}
 	estimate.inFlight++
+	estimate.fleet.sentSinceReport++
 }
 
 // RequestEnded updates the estimates after a request has ended.
@@ -234,6 +249,7 @@
 	defer p.mu.Unlock()
 	if estimate := p.byID[id]; estimate != nil && at.After(estimate.reportedAt) {
 		estimate.reportedLoad, estimate.reportedAt = load, at
+		estimate.fleet.sentSinceReport = 0
 	}
 }
 
