entry, relay, router: load of unkeyed upstreams, stated and measured by all daemons

The balancer needs the pace of upstreams that a daemon itself hardly uses. Responses state the load (forward.Load, decoded in platform from Rosemarywick-Server-Load; malformed values are counted and ignored). Daemons report the requests of unkeyed services to their relay; each second relays exchange these sums and send the mean duration and the requests in flight of each upstream to their followers, in 7 bytes for each upstream. Message Loads has the new number 11; older daemons ignore it, and daemons that get none choose as before.

go test -race ./internal/daemon/entry ./internal/routing/router; go test ./internal/peer/relay ./internal/upstream/forward ./internal/upstream/notices; go test -run Notice ./platform. go test -race ./internal/peer/relay passed in the second run; the first one ended with a failed check of the race detector itself (tsan_rtl.cpp:346).

--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -22,6 +22,7 @@
 	"rosemarywick.example/rosemarywick/internal/ownership/ranges"
 	"rosemarywick.example/rosemarywick/internal/peer/relay"
 	"rosemarywick.example/rosemarywick/internal/platform/table"
+	"rosemarywick.example/rosemarywick/internal/routing/balance"
 	"rosemarywick.example/rosemarywick/internal/routing/ratelimit"
 	"rosemarywick.example/rosemarywick/internal/routing/retry"
 	"rosemarywick.example/rosemarywick/internal/routing/router"
@@ -189,6 +190,12 @@
 		storeTime: func() time.Duration { return d.Store.Reading().Latest(d.Timer.Uptime()) },
 	}
 	d.loadTracker = &loadTracker{host: d.Host.ID, clock: d.Timer, log: d.Log, notices: d.notices, allowance: d.Limits.RateAllowance}
+	d.loadTracker.fleet = &fleetLoads{
+		clock: d.Timer, log: d.Log, upstreams: d.unkeyedUpstreams,
+		onSums: func(service fleet.ServiceName, loads map[fleet.UpstreamID]balance.FleetLoad) {
+			d.router.SetFleetLoads(service, loads)
+		},
+	}
 	d.node = d.newNode()
 	d.loadTracker.peers = d.node
 	d.observer = newObserver(d)
--- a/internal/daemon/entry/loads.go
+++ b/internal/daemon/entry/loads.go
@@ -35,6 +35,8 @@
 	Services map[fleet.ServiceName]*serviceReport `json:"services,omitempty"`
 	// Daemons is the number of daemons whose reports were added. It is zero in the report of one daemon.
 	Daemons int `json:"daemons,omitempty"`
+	// Unkeyed counts the requests of services without keys. The sum of a relay does not have it.
+	Unkeyed unkeyedReport `json:"unkeyed,omitempty"`
 	// Leaving lists upstreams that have stated recently, in a response to any of the daemons, that they leave.
 	Leaving []notices.Source `json:"leaving,omitempty"`
 }
@@ -135,6 +137,8 @@
 	notices *notices.Book
 	// allowance is what the deployment accepts as obeying a limit.
 	allowance ratelimit.Allowance
+	// fleet sums the load of upstreams of services without keys. It may be nil.
+	fleet *fleetLoads
 	// onCollected is called with the load of a service each time the reports have been summed.
 	onCollected func(fleet.ServiceName, *ranges.Load)
 
@@ -173,6 +177,16 @@
 	l.counts.serviceOf(service).count(server, 1, duration)
 }
 
+// ServedUnkeyed counts a request of a service without keys that an upstream has answered.
+func (l *loadTracker) ServedUnkeyed(service fleet.ServiceName, upstream fleet.UpstreamID, duration time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.counts.Unkeyed == nil {
+		l.counts.Unkeyed = make(unkeyedReport)
+	}
+	l.counts.Unkeyed.add(service, upstream, unkeyedCount{1, int(duration.Round(time.Millisecond).Milliseconds())})
+}
+
 // Limited counts a keyed request that was not sent, because its server limits the requests that it takes.
 func (l *loadTracker) Limited(service fleet.ServiceName, server fleet.UpstreamID, _ fleet.KeyHash) {
 	l.mu.Lock()
@@ -218,7 +232,7 @@
 		l.counts = loadReport{}
 		l.mu.Unlock()
 		counts.Leaving = l.notices.LeavingNews()
-		if len(counts.Services) == 0 && len(counts.Leaving) == 0 {
+		if len(counts.Services) == 0 && len(counts.Unkeyed) == 0 && len(counts.Leaving) == 0 {
 			continue
 		}
 		l.addLimits(&counts)
@@ -239,6 +253,9 @@
 		return
 	}
 	l.adoptLeaving(&decoded)
+	if l.fleet != nil {
+		l.fleet.Add(decoded.Unkeyed)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.received.merge(&decoded)
--- a/internal/daemon/entry/tables.go
+++ b/internal/daemon/entry/tables.go
@@ -37,7 +37,7 @@
 		Local: d.Host, Process: d.runID, Store: d.Store, Feed: d.Store, Clock: d.Timer, Log: d.Log, StartDelay: d.startDelay,
 		ClaimDelay: d.linkDelay(),
 		Daemons:    d.daemonCount, OnRecovered: d.registry.StoreRecovered, Reporter: d.loadTracker, Serve: d.runAssigners,
-		Limiter: &ratelimit.Limiter{},
+		Limiter: &ratelimit.Limiter{}, Loads: d.loadTracker.fleet,
 		Tables: []relay.Table{
 			{
 				Name:       d.Tables.ConfigurationTable,
--- a/internal/peer/relay/node.go
+++ b/internal/peer/relay/node.go
@@ -94,6 +94,8 @@
 	Limiter *ratelimit.Limiter
 	// Reporter receives the load reports of other daemons while this one follows the store.
 	Reporter Reporter
+	// Loads adds up the loads of upstreams that daemons of all failure domains measure. It may be nil.
+	Loads LoadSums
 	// Serve is run while this daemon is a relay, or has no peer address. Its context ends with the role or when the daemon stops.
 	Serve func(ctx context.Context)
 
@@ -213,6 +215,7 @@
 	case err := <-failed:
 		return errors.Wrap(err, "relay: connect to peers")
 	}
+	n.tasks.Go(func() { n.runLoads(ctx) })
 	n.runRoles(ctx)
 	return nil
 }
--- a/internal/peer/relay/serve.go
+++ b/internal/peer/relay/serve.go
@@ -54,6 +54,8 @@
 		n.handleReserve(ctx, from, body.Reserve)
 	case *wire.Relay_Reserved:
 		n.reservations.deliver(body.Reserved)
+	case *wire.Relay_Loads:
+		n.handleLoads(from, body.Loads)
 	case *wire.Relay_Relays:
 		n.handleRelays(from, body.Relays.GetRows())
 	case *wire.Relay_Update, *wire.Relay_Heartbeat:
--- a/internal/routing/router/pending.go
+++ b/internal/routing/router/pending.go
@@ -243,9 +243,7 @@
 		}
 		feedback = admission.Served{Latency: result.TimeToFirstByte}
 		p.service.breaker.markServed(slot.assignment)
-		if p.router.LoadObserver != nil && p.service.Keyed() {
-			p.router.LoadObserver.Served(p.service.Name, slot.upstream.ID, p.key, result.TimeToFirstByte)
-		}
+		p.observeResponse(slot, result)
 	case forward.Truncated:
 		observation = balance.Rejected{}
 	case forward.Rejected:
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -56,6 +56,8 @@
 	Served(service fleet.ServiceName, server fleet.UpstreamID, key fleet.KeyHash, took time.Duration)
 	// Limited is told of a request that was not sent, because its server limits the requests that it takes.
 	Limited(service fleet.ServiceName, server fleet.UpstreamID, key fleet.KeyHash)
+	// ServedUnkeyed is told of a request of a service without keys that an upstream answered.
+	ServedUnkeyed(service fleet.ServiceName, upstream fleet.UpstreamID, took time.Duration)
 	// Rejected is told of a request that its owner refused because it was full.
 	Rejected(service fleet.ServiceName, server fleet.UpstreamID)
 }
--- a/internal/routing/router/service.go
+++ b/internal/routing/router/service.go
@@ -53,7 +53,9 @@
 	if previous != nil && previous.Keyed() == declared.Keyed() {
 		next.runtimeState, next.queue = previous.runtimeState, previous.queue
 	} else {
-		next.runtimeState = &runtimeState{pool: &balance.Pool{Local: r.Host.Locality}, budget: r.newBudget(), breaker: newBreaker()}
+		next.runtimeState = &runtimeState{
+			pool: &balance.Pool{Local: r.Host.Locality, Daemon: r.Host.ID}, budget: r.newBudget(), breaker: newBreaker(),
+		}
 	}
 	weights := make(map[fleet.TenantName]int)
 	for _, tenant := range current.Tenants {
@@ -63,6 +65,7 @@
 	for _, upstream := range declared.Upstreams {
 		candidates = append(candidates, balance.Candidate{
 			ID: upstream.ID, Locality: upstream.Locality, Drained: upstream.Drained || !upstream.DrainDeadline.IsZero(),
+			Slots: slotsOf(declared, upstream),
 		})
 		next.upstreams[upstream.ID] = r.buildUpstream(previous, declared, upstream, weights)
 	}
@@ -148,8 +151,8 @@
 	}
 	slots := declared.Slots
 	for _, upstream := range declared.Upstreams {
-		if upstream.ID == id && upstream.Slots > 0 {
-			slots = upstream.Slots
+		if upstream.ID == id {
+			slots = slotsOf(declared, upstream)
 		}
 	}
 	return &admission.AdaptiveLimit{
@@ -157,6 +160,14 @@
 	}
 }
 
+// slotsOf returns the number of requests that an upstream runs at a time: that which it registered, or that of its service.
+func slotsOf(declared *document.Service, upstream document.Upstream) int {
+	if upstream.Slots > 0 {
+		return upstream.Slots
+	}
+	return declared.Slots
+}
+
 // connectionLimit returns how many connections this daemon may open to one upstream of a service.
 func (r *Router) connectionLimit(declared *document.Service) int {
 	return max(minConnections, declared.MaxConnections/r.hostCount())
--- a/internal/routing/router/upstream_limit.go
+++ b/internal/routing/router/upstream_limit.go
@@ -30,6 +30,7 @@
 
 // recordNotices records what the upstream of a slot stated about itself in its response.
 func (p *pendingRequest) recordNotices(slot *acquiredSlot, outgoing *forward.Request, result forward.Result) {
+	p.recordLoad(slot, outgoing.Notices)
 	if p.router.Notices == nil {
 		return
 	}
--- a/internal/upstream/forward/result.go
+++ b/internal/upstream/forward/result.go
@@ -58,7 +58,7 @@
 }
 
 // Notice is what an upstream states about itself in a response, whatever the response says about the request. It is one of
-// RateLimit, Leaving, Pause and Malformed.
+// RateLimit, Leaving, Pause, Load and Malformed.
 type Notice interface {
 	notice()
 }
@@ -72,12 +72,21 @@
 // Pause means that the upstream refused the request and wants nothing more from this daemon for a time.
 type Pause struct{ Duration time.Duration }
 
+// Load is the load of the upstream when it responded.
+type Load struct {
+	// Running and Waiting are the numbers of requests from all daemons, and Slots that of requests that run at a time.
+	Running, Waiting, Slots int
+	// Pace is how long work takes there at the moment, relative to the usual time. Zero means that it is not known.
+	Pace float64
+}
+
 // Malformed is a statement that can't be understood and is ignored.
 type Malformed struct{ Header, Value string }
 
 func (RateLimit) notice() {}
 func (Leaving) notice()   {}
 func (Pause) notice()     {}
+func (Load) notice()      {}
 func (Malformed) notice() {}
 
 func (Responded) result()  {}
--- a/internal/upstream/notices/book.go
+++ b/internal/upstream/notices/book.go
@@ -97,6 +97,7 @@
 			}
 		case forward.Pause:
 			current.pausedUntil = b.pause(exchange.Source, current.pausedUntil, notice)
+		case forward.Load: // the balancer keeps it
 		case forward.Malformed:
 			b.countMalformed(exchange.Source, notice)
 		}
