ranges: spread hot keys that share a server; servers keep their last range

A key with more load than any server can spare was never moved, so that two of them stayed on one server. It moves now if both servers have clearly less load afterwards. Joining small ranges could take the last range from a server, which was then given others at once. Utilization gauges cover unkeyed services, too.

go test -race ./internal/ownership/ranges ./internal/daemon/entry; go test ./internal/upstream/rangegrants

--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -194,6 +194,7 @@
 		clock: d.Timer, log: d.Log, upstreams: d.unkeyedUpstreams,
 		onSums: func(service fleet.ServiceName, loads map[fleet.UpstreamID]balance.FleetLoad) {
 			d.router.SetFleetLoads(service, loads)
+			d.observeFleetLoads(service, loads)
 		},
 	}
 	d.node = d.newNode()
--- a/internal/daemon/entry/metrics.go
+++ b/internal/daemon/entry/metrics.go
@@ -5,6 +5,7 @@
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/observe/metrics"
 	"rosemarywick.example/rosemarywick/internal/ownership/ranges"
+	"rosemarywick.example/rosemarywick/internal/routing/balance"
 )
 
 // keysPerPartition is the number of adjacent keys that the metrics count as one partition. Ranges are split and merged, so
@@ -60,3 +61,25 @@
 		})
 	}
 }
+
+// observeFleetLoads updates the utilization of the upstreams of a service without keys.
+func (d *Daemon) observeFleetLoads(service fleet.ServiceName, loads map[fleet.UpstreamID]balance.FleetLoad) {
+	current := d.configuration.Current()
+	if current == nil {
+		return
+	}
+	declared := current.FindService(service)
+	if declared == nil || len(declared.Upstreams) == 0 {
+		return
+	}
+	highest, sum := 0.0, 0.0
+	for _, upstream := range declared.Upstreams {
+		slots := upstream.Slots
+		if slots == 0 {
+			slots = declared.Slots
+		}
+		used := loads[upstream.ID].InFlight / float64(max(1, slots))
+		highest, sum = max(highest, used), sum+used
+	}
+	d.observer.metrics.ObserveUtilization(service, highest, sum/float64(len(declared.Upstreams)))
+}
--- a/internal/ownership/ranges/consolidate.go
+++ b/internal/ownership/ranges/consolidate.go
@@ -1,6 +1,10 @@
 package ranges
 
-import "slices"
+import (
+	"slices"
+
+	"rosemarywick.example/rosemarywick/internal/core/fleet"
+)
 
 const (
 	// A plan joins up to one range for joinsDivisor servers, and minJoins at least. The pieces of a hot range are joined again over
@@ -26,12 +30,18 @@
 	slices.SortFunc(candidates, func(a, b int) int {
 		return p.table.Assignments[a].Range.Size() - p.table.Assignments[b].Range.Size()
 	})
+	owned := make(map[fleet.UpstreamID]int)
+	for _, assignment := range p.table.Assignments {
+		owned[assignment.Owner.ID]++
+	}
 	moved := 0
 	for _, index := range candidates {
 		if moved == min(excess, max(minJoins, len(p.Servers)/joinsDivisor)) {
 			break
 		}
-		if p.joinNeighbour(index) {
+		// A server keeps its last range: it would be given keys at once, because it has none.
+		if owner := p.table.Assignments[index].Owner.ID; owned[owner] > 1 && p.joinNeighbour(index) {
+			owned[owner]--
 			moved++
 		}
 	}
--- a/internal/ownership/ranges/limited_test.go
+++ b/internal/ownership/ranges/limited_test.go
@@ -51,3 +51,25 @@
 	}
 	return result
 }
+
+// Guards against hot keys that stay on one server because each of them exceeds what any other server can spare, and against one that
+// moves on and on.
+func TestHotKeysAreSeparated(t *testing.T) {
+	is := is.New(t)
+	list := servers(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)
+	table, _ := newPlanner(list, &ranges.Load{}).Next(&ranges.Table{})
+	load, moved := loadOn(1000, 3, 1500), 0
+	for range 10 {
+		next, changed := newPlanner(list, load).Next(table)
+		table = withoutFormerOwners(next)
+		if changed {
+			moved++
+		}
+	}
+	owners := make(map[fleet.UpstreamID]bool)
+	for key := fleet.NumericKey(1000); key < 1003; key++ {
+		owners[table.Locate(key).Owner.ID] = true
+	}
+	is.Equal(len(owners), 3)
+	is.True(moved <= 3) // the plan settles
+}
--- a/internal/ownership/ranges/rebalance.go
+++ b/internal/ownership/ranges/rebalance.go
@@ -34,6 +34,11 @@
 	minLimitedUtilization = 0.8
 	// limitedNoiseFraction is the part of the noise margin that applies to such a server. Waiting for certainty costs refusals.
 	limitedNoiseFraction = 0.5
+	// minHotKeyRatio is the load of a key, relative to the target of its server, from which on it is moved by itself.
+	minHotKeyRatio = 0.5
+	// maxHotKeyRatio is the load, relative to that of its server before, that a server may have with a key that exceeds the spare
+	// load of all servers.
+	maxHotKeyRatio = 0.7
 	// minRebalanceMoves is the number of moves from overloaded servers that any plan may make.
 	minRebalanceMoves = 8
 	// pieceTolerance is by how much, relative to the amount, the load of a piece may differ from the amount without another one
@@ -47,15 +52,15 @@
 // rebalance moves keys from overloaded servers to those with the most spare capacity. One plan divides a hot range into as many
 // pieces as are needed. It skips servers whose load is concentrated on a few keys that cannot be split.
 func (p *Planner) rebalance() bool {
-	changed, skipped, full := false, make(map[fleet.UpstreamID]bool), make(map[fleet.UpstreamID]bool)
+	changed, skipped := false, make(map[fleet.UpstreamID]bool)
 	fill := p.fillRatio()
 	for moves := 0; moves < p.maxMoves() && len(p.table.Assignments) < p.maxAssignments(); {
 		from := p.mostLoaded(skipped)
 		if from == nil || p.loadRatio(from) < overloadRatio {
 			break
 		}
-		to := p.mostSpare(fill, full)
-		if to == nil || p.spare(to, fill) < minSpare*p.targetLoad(to) {
+		to := p.mostSpare(fill)
+		if p.spare(to, fill) < minSpare*p.targetLoad(to) {
 			break
 		}
 		if !p.overloaded(from) {
@@ -63,7 +68,7 @@
 			continue
 		}
 		amount := min(p.serverLoads[from.ID]-p.targetLoad(from), p.spare(to, fill))
-		if p.moveLoad(from, to, amount, ReasonOverload) {
+		if p.moveLoad(from, to, amount, ReasonOverload) || p.moveHotKey(from, to) {
 			changed = true
 			moves++
 		} else {
@@ -86,11 +91,11 @@
 	return p.targetLoad(server)*fill - p.serverLoads[server.ID]
 }
 
-// mostSpare returns the server with the most spare load of those that are not full.
-func (p *Planner) mostSpare(fill float64, full map[fleet.UpstreamID]bool) *Server {
-	var best *Server
+// mostSpare returns the server with the most spare load.
+func (p *Planner) mostSpare(fill float64) *Server {
+	best := &p.Servers[0]
 	for i := range p.Servers {
-		if server := &p.Servers[i]; !full[server.ID] && (best == nil || p.spare(server, fill) > p.spare(best, fill)) {
+		if server := &p.Servers[i]; p.spare(server, fill) > p.spare(best, fill) {
 			best = server
 		}
 	}
@@ -169,12 +174,42 @@
 	if best.index < 0 {
 		return false
 	}
-	p.noteMove(best.keys, from.ID, to, reason, best.keys != p.table.Assignments[best.index].Range)
-	p.assignPiece(best, to)
-	load := p.Load.RangeSum(best.keys)
+	p.movePiece(best, from, to, reason)
+	return true
+}
+
+// moveHotKey moves the key with the most load of an overloaded server if it exceeds the spare load of any other one, but leaves
+// both servers with clearly less load than the first one has. Hot keys that share a server are spread by that.
+func (p *Planner) moveHotKey(from, to *Server) bool {
+	best, most := piece{index: -1}, 0.0
+	for i, assignment := range p.table.Assignments {
+		if assignment.Owner.ID != from.ID || len(assignment.FormerOwners) > 0 {
+			continue
+		}
+		for key := int(assignment.Range.First); key <= int(assignment.Range.Last); key++ {
+			keys := fleet.KeyRange{First: fleet.NumericKey(key), Last: fleet.NumericKey(key)}
+			if load := p.Load.RangeSum(keys); load > most {
+				best, most = piece{index: i, keys: keys}, load
+			}
+		}
+	}
+	if best.index < 0 || most < minHotKeyRatio*p.targetLoad(from) {
+		return false
+	}
+	if p.loadRatio(to)+most/p.targetLoad(to) > maxHotKeyRatio*p.loadRatio(from) {
+		return false
+	}
+	p.movePiece(best, from, to, ReasonOverload)
+	return true
+}
+
+// movePiece moves a piece and its load.
+func (p *Planner) movePiece(moved piece, from, to *Server, reason MoveReason) {
+	p.noteMove(moved.keys, from.ID, to, reason, moved.keys != p.table.Assignments[moved.index].Range)
+	p.assignPiece(moved, to)
+	load := p.Load.RangeSum(moved.keys)
 	p.serverLoads[from.ID] -= load
 	p.serverLoads[to.ID] += load
-	return true
 }
 
 // better returns the piece that is better to move. A piece whose load differs from amount by half of it would only reverse the
