rangegrants: rebalance once for each collection of the load

A plan that was made because a move ended could move keys by the load that the plan before had used. The next collection then came within minRebalanceInterval, and a range that became hot waited for the one after it. go test ./internal/upstream/rangegrants

--- a/internal/upstream/rangegrants/term.go
+++ b/internal/upstream/rangegrants/term.go
@@ -29,6 +29,9 @@
 	// tableVersion and lastMove, an uptime, are used only by the goroutine that plans.
 	tableVersion table.Version
 	lastMove     time.Duration
+	// collected is set from a collection of the load until the next plan that may move keys by it. Only the goroutine that plans
+	// uses it.
+	collected bool
 	// paces is the speed of the servers. Only the goroutine that plans uses it.
 	paces ranges.Paces
 
@@ -137,6 +140,7 @@
 		case <-tick.C:
 			load = t.LoadSource.Collect(ctx, t.Service)
 			t.measurePaces(load.Stats)
+			t.collected = true
 		case <-ctx.Done():
 		}
 	}
@@ -167,7 +171,9 @@
 func (t *term) plan(ctx context.Context, load AggregateLoad) bool {
 	t.readmitServers()
 	now := t.Uptime.Uptime()
-	rebalance := now-t.lastMove >= minRebalanceInterval
+	// A move by a load that was used before would only delay that by the next collection.
+	rebalance := t.collected && now-t.lastMove >= minRebalanceInterval
+	t.collected = t.collected && !rebalance
 	planner := &ranges.Planner{
 		Servers: t.availableServers(load.Stats), Load: load.Load, Rebalance: rebalance, Now: t.Store.Reading().Earliest(now),
 		GrantsExpireAt: t.grantsExpireAt, Released: t.released, Ended: t.processEnded, Granted: t.granted, Refused: t.refused,
