--- a/internal/routing/balance/pick.go
+++ b/internal/routing/balance/pick.go
@@ -24,8 +24,8 @@
 	IsCold func(fleet.UpstreamID) bool
 }
 
-// Pick returns the better of two upstreams that are chosen at random by weight ("power of two choices"). It returns false
-// if no upstream can be used now.
+// Pick returns the better of two upstreams that are chosen at random by weight ("power of two choices"), or the one with the
+// least expected time if the measurements of all daemons are known. It returns false if no upstream can be used now.
 func (p *Pool) Pick(now time.Time, criteria Criteria) (fleet.UpstreamID, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -48,11 +48,15 @@
 	return first.ID, true
 }
 
-// pickBetter returns the better of two candidates that are chosen at random by weight, or nil if there are none.
+// pickBetter returns the better of two candidates that are chosen at random by weight, or the one of the preferred subset with the
+// least expected time if the measurements of all daemons are known. It returns nil if there are no candidates.
 func (p *Pool) pickBetter(now time.Time, candidates []*upstreamEstimate, averages poolAverages) *upstreamEstimate {
 	if len(candidates) == 0 {
 		return nil
 	}
+	if p.informed(now) {
+		return p.pickFromSubset(p.fleetView(now), candidates)
+	}
 	first := p.pickWeighted(now, candidates)
 	second := p.pickWeighted(now, candidates)
 	for range 2 { // a comparison needs two different upstreams
--- a/internal/upstream/forward/result.go
+++ b/internal/upstream/forward/result.go
@@ -58,7 +58,7 @@
 }
 
 // Notice is what an upstream states about itself in a response, whatever the response says about the request. It is one of
-// RateLimit, Leaving, Pause, Cold and Malformed.
+// RateLimit, Leaving, Pause, Cold, Load and Malformed.
 type Notice interface {
 	notice()
 }
@@ -75,6 +75,14 @@
 // Cold means that the upstream has started recently and is slow for a time, which is zero for one that is not.
 type Cold struct{ For time.Duration }
 
+// Load is the load of the upstream when it responded.
+type Load struct {
+	// Running and Waiting are the numbers of requests from all daemons, and Slots that of requests that run at a time.
+	Running, Waiting, Slots int
+	// Pace is how long work takes there at the moment, relative to the usual time. Zero means that it is not known.
+	Pace float64
+}
+
 // Malformed is a statement that can't be understood and is ignored.
 type Malformed struct{ Header, Value string }
 
@@ -82,6 +90,7 @@
 func (Leaving) notice()   {}
 func (Pause) notice()     {}
 func (Cold) notice()      {}
+func (Load) notice()      {}
 func (Malformed) notice() {}
 
 func (Responded) result()  {}
--- a/internal/upstream/notices/book.go
+++ b/internal/upstream/notices/book.go
@@ -106,6 +106,7 @@
 			current.pausedUntil = b.pause(exchange.Source, current.pausedUntil, notice)
 		case forward.Cold:
 			b.recordCold(exchange, notice)
+		case forward.Load: // the balancer keeps it
 		case forward.Malformed:
 			b.countMalformed(exchange.Source, notice)
 		}
