forward: hold new connections to upstreams that reset them; limit the reuse of idle ones

Cause: upstreams at their connection limit reset new connections. Each reset was followed by the next attempt at once, and a non-idempotent request that had been written by then ended with an unknown outcome. Connections to upstreams that announce no Keep-Alive were used for 4 s only, and connections that upstreams drop without notice were reused again and again.

Change: a reset of a new connection within 250 ms, with nothing received, is reported as Full in NotSent and NoResponse. A client with HoldNewConnections then opens none for 100 ms to 1.6 s (exponential, with a random part). A non-idempotent request is written on a new connection to an upstream that has recently reset connections or refused requests only after one round trip without a reset. MaxIdle extends the reuse for idempotent requests. ReuseLimit shortens the reuse for a service after resets of reused connections, for non-idempotent requests first. Idle connections count against MaxConnections. Clients for orders set none of these fields and behave as before.

Tests over loopback sockets: an upstream that resets every new connection gets at most 6 connections within 1 s (a hot loop of one request each 5 ms), and only the first non-idempotent request may end as unknown; an upstream that drops connections idle for 250 ms leaves one of six requests unknown. 30 repetitions passed, and one run with -race.

--- a/internal/upstream/forward/client.go
+++ b/internal/upstream/forward/client.go
@@ -23,7 +23,8 @@
 	// retransmitted after 1 s.
 	dialTimeout = 1500 * time.Millisecond
 	// idleTimeout is shorter than the idle timeouts common among servers, so that a connection is rarely reused while the
-	// upstream is closing it. If a response has a Keep-Alive timeout, that timeout less idleMargin is used instead.
+	// upstream is closing it. If a response has a Keep-Alive timeout, that timeout less idleMargin is used instead. The margin
+	// covers that upstreams name whole seconds, and the time of the request's way.
 	idleTimeout = 4 * time.Second
 	idleMargin  = time.Second
 	// defaultBufferLimit is the largest response body in bytes that is read into memory before any of it is passed on. Such
@@ -57,6 +58,8 @@
 	// NewConnection asks for a connection that has carried no other request, so that no response to one can be taken for the
 	// response to this one.
 	NewConnection bool
+	// NonIdempotent is set for a request whose outcome must not be left unknown if that can be avoided, since it cannot be repeated.
+	NonIdempotent bool
 	// ConnectTime is set by Send to the time that it took to open a connection. It is zero if an idle one was reused.
 	ConnectTime time.Duration
 	// Reused is set by Send if the connection had carried other requests, so that a response may belong to one of them.
@@ -76,6 +79,18 @@
 	// BufferLimit is the largest response body in bytes that is read into memory before any of it is passed on. Zero means
 	// 64 KiB, and then only responses with a Content-Length are buffered.
 	BufferLimit int64
+	// HoldNewConnections keeps the client from opening connections for a time after the upstream has reset a new one.
+	HoldNewConnections bool
+	// MaxIdle is the idle age up to which connections are reused for idempotent requests if the upstream announces no Keep-Alive
+	// timeout. Zero means 4 s, as for non-idempotent ones.
+	MaxIdle time.Duration
+	// Reuse limits the reuse of connections. The clients of one service share it. It may be nil.
+	Reuse *ReuseLimit
+	// OnEvent is called with changes in how connections are used. It may be nil and must not block.
+	OnEvent func(Event)
+
+	// full is what is known about the connection limit of the upstream.
+	full fullState
 
 	once sync.Once
 	// slots is a semaphore of MaxConnections. A request holds a slot while it opens or uses a connection.
@@ -106,9 +121,7 @@
 	idle := c.idle
 	c.idle, c.closed = nil, true
 	c.mu.Unlock()
-	for _, conn := range idle {
-		_ = conn.Close()
-	}
+	closeAll(idle)
 }
 
 // Send sends the request once and never repeats it. Canceling ctx aborts the attempt, also while the response body is read.
@@ -122,7 +135,7 @@
 	conn, err := c.connect(ctx, request)
 	if err != nil {
 		<-c.slots
-		return NotSent{ContextDone: ctx.Err() != nil, Err: err}
+		return NotSent{ContextDone: ctx.Err() != nil, Full: errors.Is(err, errFull), Err: err}
 	}
 	exchange := &exchange{client: c, connection: conn, request: request, ctx: ctx}
 	return exchange.roundTrip()
@@ -134,13 +147,14 @@
 		return nil, context.Cause(ctx)
 	}
 	for !request.NewConnection {
-		conn := c.popIdle()
+		conn, expired := c.takeIdle(request.NonIdempotent)
+		closeAll(expired)
 		if conn == nil {
 			break
 		}
 		// A refusal that is repeated on the connection would look like that of this try.
 		refusedBefore := slices.Contains(conn.refused, request.ID)
-		if !refusedBefore && c.Clock.Now().Before(conn.expires) && conn.checkIdle() == nil {
+		if !refusedBefore && conn.checkIdle() == nil {
 			request.Reused = true
 			return conn, nil
 		}
@@ -148,27 +162,22 @@
 	}
 	request.Reused = false
 	start := c.Clock.Now()
+	if c.HoldNewConnections && c.full.tryOpen(start) > 0 {
+		return nil, errFull
+	}
+	closeAll(c.makeRoom())
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", c.Address.String())
+	if isReset(err) && ctx.Err() == nil { // the reset arrived before connecting was seen to have succeeded
+		c.report(c.full.noteReset(c.Clock.Now(), start))
+		return nil, errors.Mark(err, errFull)
+	}
 	if err != nil {
 		return nil, errors.Wrap(err, "forward: connect")
 	}
-	request.ConnectTime = c.Clock.Now().Sub(start)
-	return newConnection(conn, request.ConnectTime), nil
-}
-
-// popIdle removes and returns the most recently used idle connection, or nil if there is none.
-func (c *Client) popIdle() *connection {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.idle) == 0 {
-		return nil
-	}
-	last := len(c.idle) - 1
-	conn := c.idle[last]
-	c.idle[last] = nil
-	c.idle = c.idle[:last]
-	return conn
+	opened := c.Clock.Now()
+	request.ConnectTime = opened.Sub(start)
+	return newConnection(conn, opened, request.ConnectTime), nil
 }
 
 // putIdle returns a connection to the pool. It also closes the idle connections that have expired, so that those opened
@@ -184,10 +193,9 @@
 	if c.closed {
 		expired = append(expired, conn)
 	} else {
+		conn.idleSince = now
 		c.idle = append(c.idle, conn)
 	}
 	c.mu.Unlock()
-	for _, old := range expired {
-		_ = old.Close()
-	}
+	closeAll(expired)
 }
--- a/internal/upstream/forward/connection.go
+++ b/internal/upstream/forward/connection.go
@@ -32,6 +32,11 @@
 	reader *bufio.Reader
 	// connectTime is how long it took to open the connection.
 	connectTime time.Duration
+	// openedAt is when the connection was open. idleSince is when it last became idle, and idleFor for how long it then was.
+	openedAt, idleSince time.Time
+	idleFor             time.Duration
+	// received counts the bytes that were read. Only the goroutine that reads accesses it.
+	received int64
 	// written counts the bytes that the operating system accepted. It proves that no byte of a request was sent. Only the
 	// goroutine that writes accesses it.
 	written int64
@@ -39,8 +44,8 @@
 	// goroutine that reads accesses them.
 	readingHead bool
 	headLeft    int
-	// expires is the time from which the idle connection is not used again.
-	expires time.Time
+	// expires is the time from which the idle connection is not used again, and expiresSafely that for non-idempotent requests.
+	expires, expiresSafely time.Time
 	// refused lists the requests that were refused on this connection, at most maxRefused. A faulty upstream may repeat a refusal.
 	refused []fleet.RequestID
 }
@@ -48,8 +53,8 @@
 // maxRefused is the number of refused requests after which a connection is not used again.
 const maxRefused = 16
 
-func newConnection(conn net.Conn, connectTime time.Duration) *connection {
-	result := &connection{Conn: conn, connectTime: connectTime}
+func newConnection(conn net.Conn, openedAt time.Time, connectTime time.Duration) *connection {
+	result := &connection{Conn: conn, openedAt: openedAt, connectTime: connectTime}
 	result.reader = bufio.NewReaderSize(result, readBufferSize)
 	return result
 }
@@ -61,13 +66,16 @@
 // Read reads from the upstream. While a head is read, it fails with errHeadTooLarge beyond the limit.
 func (c *connection) Read(p []byte) (int, error) {
 	if !c.readingHead {
-		return c.Conn.Read(p)
+		n, err := c.Conn.Read(p)
+		c.received += int64(n)
+		return n, err
 	}
 	if c.headLeft == 0 {
 		return 0, errHeadTooLarge
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
 	c.headLeft -= n
+	c.received += int64(n)
 	return n, err
 }
 
@@ -115,15 +123,15 @@
 	_ = c.Close()
 }
 
-// keepAliveTimeout returns the idle timeout that the upstream announced in the Keep-Alive header, or fallback.
-func keepAliveTimeout(header http.Header, fallback time.Duration) time.Duration {
+// keepAliveTimeout returns the idle timeout that the upstream announced in the Keep-Alive header, and whether it did.
+func keepAliveTimeout(header http.Header) (time.Duration, bool) {
 	for part := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
-			return time.Duration(seconds) * time.Second
+			return time.Duration(seconds) * time.Second, true
 		}
 	}
-	return fallback
+	return 0, false
 }
 
 // responseBody reads a response body from its connection. It returns the connection to the client's pool when the response
--- a/internal/upstream/forward/exchange.go
+++ b/internal/upstream/forward/exchange.go
@@ -34,6 +34,9 @@
 	connection *connection
 	request    *Request
 	ctx        context.Context
+	// started is when the request was about to be written, and receivedBefore how many bytes the connection had received then.
+	started        time.Time
+	receivedBefore int64
 	// stopWatch stops resetting the connection when ctx ends. It returns false if ctx has ended already.
 	stopWatch func() bool
 	// writeDone is closed when the concurrent write of the request has ended. It is nil if the request was written inline.
@@ -41,31 +44,39 @@
 	// writeErr is the error of the concurrent write. It is set before writeDone is closed.
 	writeErr error
 	// reusable reports whether the response allows another request on the connection, and expires is until when.
-	reusable bool
-	expires  time.Time
+	reusable               bool
+	expires, expiresSafely time.Time
 }
 
 // roundTrip sends the request and reads the response headers, and also the body if it is short.
 func (e *exchange) roundTrip() Result {
-	start := e.client.Clock.Now()
 	e.stopWatch = context.AfterFunc(e.ctx, e.connection.reset)
+	if err := e.awaitReset(); err != nil {
+		full := e.failed(err)
+		e.finish(false)
+		return NotSent{ContextDone: e.ctx.Err() != nil, Full: full, Err: err}
+	}
+	start := e.client.Clock.Now()
+	e.started, e.receivedBefore = start, e.connection.received
 	writtenBefore := e.connection.written
 	if err := e.write(e.encode(start)); err != nil {
-		sent := e.connection.written > writtenBefore
+		sent, full := e.connection.written > writtenBefore, e.failed(err)
 		e.finish(false)
 		if sent {
-			return NoResponse{ContextDone: e.ctx.Err() != nil, Err: err}
+			return NoResponse{ContextDone: e.ctx.Err() != nil, Full: full, Err: err}
 		}
-		return NotSent{ContextDone: e.ctx.Err() != nil, Err: err}
+		return NotSent{ContextDone: e.ctx.Err() != nil, Full: full, Err: err}
 	}
 	response, err := e.readHead() //nolint:bodyclose // the body is closed with the exchange
 	if err != nil {
+		full := e.failed(err)
 		e.finish(false)
 		if errors.Is(err, errInvalidResponse) {
 			return Truncated{Err: err}
 		}
-		return NoResponse{ContextDone: e.ctx.Err() != nil, Err: err}
+		return NoResponse{ContextDone: e.ctx.Err() != nil, Full: full, Err: err}
 	}
+	e.responded()
 	return e.handleResponse(response, e.client.Clock.Now().Sub(start))
 }
 
@@ -144,10 +155,13 @@
 // handleResponse turns a response whose body is unread into the Result of the exchange.
 func (e *exchange) handleResponse(response *http.Response, timeToFirstByte time.Duration) Result {
 	e.reusable = !response.Close
-	e.expires = e.client.Clock.Now().Add(keepAliveTimeout(response.Header, idleTimeout+idleMargin) - idleMargin)
+	e.setExpiry(response.Header)
 	switch class := e.client.Dialect.Classify(e.request, response.StatusCode, response.Header).(type) {
 	case Refused:
 		e.connection.refused = append(e.connection.refused, e.request.ID)
+		if rejected, ok := class.Result.(Rejected); ok && !rejected.Draining && !rejected.WrongUpstream {
+			e.client.full.noteRefusal(e.client.Clock.Now())
+		}
 		e.reusable = e.reusable && len(e.connection.refused) < maxRefused
 		e.discardBody(response)
 		return class.Result
@@ -172,6 +186,17 @@
 	return e.bufferBody(result, response.ContentLength, limit)
 }
 
+// setExpiry sets until when the connection can be used again.
+func (e *exchange) setExpiry(header http.Header) {
+	now := e.client.Clock.Now()
+	if announced, ok := keepAliveTimeout(header); ok {
+		e.expires = now.Add(announced - idleMargin)
+		e.expiresSafely = e.expires
+		return
+	}
+	e.expires, e.expiresSafely = now.Add(max(e.client.MaxIdle, idleTimeout)), now.Add(idleTimeout)
+}
+
 // bufferBody reads a short body into memory. A body of unknown length that exceeds the limit is passed on as a stream.
 func (e *exchange) bufferBody(result Responded, length, limit int64) Result {
 	content := make([]byte, 0, max(length, 0)+bytes.MinRead)
@@ -230,7 +255,7 @@
 	}
 	conn := e.connection
 	if complete && ctxActive && e.reusable && conn.reader.Buffered() == 0 {
-		conn.expires = e.expires
+		conn.expires, conn.expiresSafely = e.expires, e.expiresSafely
 		e.client.putIdle(conn)
 	} else {
 		conn.reset()
--- a/internal/upstream/forward/result.go
+++ b/internal/upstream/forward/result.go
@@ -41,7 +41,9 @@
 type NotSent struct {
 	// ContextDone reports whether the attempt failed because its context ended, which says nothing about the upstream.
 	ContextDone bool
-	Err         error
+	// Full reports whether the upstream accepts no further connection for now, as it has reset a new one.
+	Full bool
+	Err  error
 }
 
 // NoResponse means that bytes of the request may have reached the upstream and that no response, or only a part
@@ -49,7 +51,9 @@
 type NoResponse struct {
 	// ContextDone reports whether the attempt failed because its context ended.
 	ContextDone bool
-	Err         error
+	// Full reports whether a new connection was reset at once, which means that the upstream accepts no further one for now.
+	Full bool
+	Err  error
 }
 
 // Truncated means that the response ended early or was invalid, and that no part of it was passed on.
