router: take an upstream at its connection limit for full, not for lost

Cause: a reset of a new connection counted as an unreachable upstream. The breaker held back all requests for a server that was only full, and the pool suspected upstreams.

Change: such a reset counts as a rejection in balance and admission. Requests wait for a connection in the queue of the upstream, go elsewhere, or are refused with 503 and the new cause upstream-full if they would wait for more than half of the time until their target. Clients of a service share a limit for the reuse of connections.

Test: a server that resets every connection over a loopback socket; requests end as not-run within the target, and the breaker is not told. Tests of routing, observe/metrics, observe/records and daemon/entry pass, routing with -race; the orders tests of platform pass.

--- a/internal/core/cause/outcome.go
+++ b/internal/core/cause/outcome.go
@@ -45,6 +45,8 @@
 	TenantShare Cause = "tenant-share"
 	// UpstreamRefused means that the upstream stated that it did not run the request.
 	UpstreamRefused Cause = "upstream-refused"
+	// UpstreamFull means that the upstream accepted no further connection, so that the request was not sent.
+	UpstreamFull Cause = "upstream-full"
 	// UpstreamLimit means that the upstream limits the requests that it takes from all daemons, and that the limit is used up.
 	UpstreamLimit Cause = "upstream-limit"
 	// UpstreamPaused means that the upstream has asked this daemon to send nothing for some time.
--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -196,7 +196,7 @@
 	d.router = &router.Router{
 		Host: d.Host, Clock: d.Timer, Config: d.configuration, OwnershipMap: d.ownershipMap, LoadObserver: d.loadTracker,
 		Recorder: d.observer, HostCount: d.daemonCount, Dialect: d.UpstreamDialect, BufferLimit: maxBufferedBytes,
-		NewBudget: d.newBudget, Notices: d.notices,
+		NewBudget: d.newBudget, Notices: d.notices, OnConnectionEvent: d.observer.observeConnections,
 		RateLimits: &upstreamLimits{
 			keeper: d.node, allowance: d.Limits.RateAllowance, daemonCount: d.daemonCount, clock: d.Timer,
 			own: ratelimit.Limiter{Staggered: true},
--- a/internal/observe/metrics/metrics.go
+++ b/internal/observe/metrics/metrics.go
@@ -57,6 +57,7 @@
 	causes    *prometheus.CounterVec
 	imbalance *prometheus.GaugeVec
 	omitted   prometheus.Counter
+	connections
 
 	mu sync.RWMutex
 	// services and tenants have label values of their own. They are guarded by mu and replaced as a whole.
@@ -86,6 +87,7 @@
 	m.omitted = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "rosemarywick_log_lines_omitted_total", Help: "Lines about single requests left out of the log for their number.",
 	})
+	m.connections = newConnections(m.registry)
 	m.registry.MustRegister(m.ownership, m.durations, m.outcomes, m.causes, m.imbalance, m.omitted)
 	return m
 }
@@ -133,6 +135,8 @@
 	m.outcomes.DeletePartialMatch(labels)
 	m.causes.DeletePartialMatch(labels)
 	m.imbalance.DeletePartialMatch(labels)
+	m.resets.DeletePartialMatch(labels)
+	m.idleResets.DeletePartialMatch(labels)
 }
 
 // labels returns the label values of a service and a tenant. The caller holds mu until it has used them, so that Configure
--- a/internal/observe/records/meaning.go
+++ b/internal/observe/records/meaning.go
@@ -18,6 +18,7 @@
 	cause.TenantShare:         "the tenant had used up its share of a contended upstream",
 	cause.UpstreamLimit:       "the upstream limits the requests that it takes, and the limit was used up",
 	cause.UpstreamPaused:      "the upstream has asked this daemon to send nothing for some time",
+	cause.UpstreamFull:        "the upstream accepted no further connection",
 	cause.UpstreamRefused:     "the upstream stated that it did not run the request",
 	cause.UpstreamUnreachable: "no connection to the upstream could be made",
 	cause.UpstreamReset:       "the connection was lost after the request may have reached the upstream",
--- a/internal/routing/retry/decision.go
+++ b/internal/routing/retry/decision.go
@@ -106,6 +106,9 @@
 	case forward.NotOwner:
 		return awaitMapIfKeyed(request, resendOrStop, reason)
 	case forward.NotSent:
+		if result.Full { // the upstream is not lost, so that waiting for the map would not help
+			return resendOrStop
+		}
 		return awaitMapIfKeyed(request, resendOrStop, reason)
 	case forward.NoResponse, forward.Truncated:
 		if request.Delivery == document.Idempotent {
@@ -160,6 +163,9 @@
 		if result.ContextDone {
 			return localCause
 		}
+		if result.Full {
+			return cause.UpstreamFull
+		}
 		return cause.UpstreamUnreachable
 	case forward.NoResponse:
 		if result.ContextDone {
--- a/internal/routing/router/keyed.go
+++ b/internal/routing/router/keyed.go
@@ -22,6 +22,9 @@
 		if owner.queue.hasWaiting() {
 			p.reportStaleMap() // the assigner may have moved the key because the server is overloaded
 		}
+		if rejected := p.rejectIfFull(map[fleet.UpstreamID]*upstreamState{owner.ID: owner}); rejected != nil {
+			return nil, rejected
+		}
 		ctx, cancel := p.router.attempts.track(p, assignment, true)
 		_, rejected = p.admit(ctx, owner.queue)
 		superseded := ctx.Err() != nil && p.ctx.Err() == nil
--- a/internal/routing/router/pending.go
+++ b/internal/routing/router/pending.go
@@ -173,6 +173,9 @@
 		if rejected := p.awaitPauses(); rejected != nil {
 			return "", rejected
 		}
+		if rejected := p.rejectIfFull(p.service.upstreams); rejected != nil {
+			return "", rejected
+		}
 		id, rejected := p.admit(p.ctx, p.service.queue)
 		if rejected == nil || rejected.cause != cause.UpstreamPaused {
 			return id, rejected
@@ -205,6 +208,7 @@
 	outgoing := &forward.Request{
 		ID: p.request.ID, Method: p.request.Method, Target: p.request.Target, Header: p.request.Header,
 		Body: p.request.Body, Deadline: p.deadline, Hostname: p.request.Hostname, Upstream: slot.upstream.ID,
+		NonIdempotent: p.request.Delivery != document.Idempotent,
 	}
 	ctx, cancel := p.ctx, context.CancelFunc(nil)
 	if p.service.Keyed() {
@@ -232,6 +236,10 @@
 
 // release releases a slot and updates the estimates of the upstream by the result.
 func (p *pendingRequest) release(slot *acquiredSlot, result forward.Result) {
+	if isFull(result) {
+		p.releaseFull(slot)
+		return
+	}
 	now := p.router.Clock.Now()
 	var observation balance.Observation = balance.Unreachable{}
 	var feedback admission.Feedback = admission.Abandoned{}
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -85,6 +85,8 @@
 	// may be nil; limits are not regarded then.
 	Notices    *notices.Book
 	RateLimits RateLimits
+	// OnConnectionEvent is called with changes in how connections to an upstream are used. It may be nil and must not block.
+	OnConnectionEvent func(fleet.ServiceName, fleet.UpstreamID, forward.Event)
 	// Dialect translates requests and responses to the headers that the upstreams use. Nil selects the headers of this
 	// product.
 	Dialect forward.Dialect
--- a/internal/routing/router/service.go
+++ b/internal/routing/router/service.go
@@ -30,6 +30,8 @@
 	pool    *balance.Pool
 	budget  *retry.Budget
 	breaker *ownerBreaker
+	// reuse limits the reuse of connections to the upstreams.
+	reuse *forward.ReuseLimit
 }
 
 // upstreamState is the configuration of one upstream, its client and its queue.
@@ -53,7 +55,9 @@
 	if previous != nil && previous.Keyed() == declared.Keyed() {
 		next.runtimeState, next.queue = previous.runtimeState, previous.queue
 	} else {
-		next.runtimeState = &runtimeState{pool: &balance.Pool{Local: r.Host.Locality}, budget: r.newBudget(), breaker: newBreaker()}
+		next.runtimeState = &runtimeState{
+			pool: &balance.Pool{Local: r.Host.Locality}, budget: r.newBudget(), breaker: newBreaker(), reuse: &forward.ReuseLimit{},
+		}
 	}
 	weights := make(map[fleet.TenantName]int)
 	for _, tenant := range current.Tenants {
@@ -64,7 +68,7 @@
 		candidates = append(candidates, balance.Candidate{
 			ID: upstream.ID, Locality: upstream.Locality, Drained: upstream.Drained || !upstream.DrainDeadline.IsZero(),
 		})
-		next.upstreams[upstream.ID] = r.buildUpstream(previous, declared, upstream, weights)
+		next.upstreams[upstream.ID] = r.buildUpstream(previous, declared, upstream, weights, next.reuse)
 	}
 	next.pool.SetCandidates(r.Clock.Now(), candidates)
 	if !declared.Keyed() {
@@ -78,6 +82,7 @@
 // address is the same.
 func (r *Router) buildUpstream(
 	previous *serviceState, declared *document.Service, upstream document.Upstream, weights map[fleet.TenantName]int,
+	reuse *forward.ReuseLimit,
 ) *upstreamState {
 	result := &upstreamState{Upstream: upstream}
 	if previous != nil {
@@ -86,16 +91,13 @@
 		}
 	}
 	if result.client == nil {
-		result.client = &forward.Client{
-			Address: upstream.Address, Clock: r.Clock, MaxConnections: r.connectionLimit(declared), Dialect: r.Dialect,
-			BufferLimit: r.BufferLimit,
-		}
+		result.client = r.newClient(declared, upstream, reuse)
 	}
 	if declared.Keyed() {
 		result.queue = r.configureQueue(result.queue, declared, weights, 1, func(
-			_ time.Time, _ *admission.Request, hasCapacity func(fleet.UpstreamID) bool,
+			_ time.Time, request *admission.Request, hasCapacity func(fleet.UpstreamID) bool,
 		) (fleet.UpstreamID, bool) {
-			return upstream.ID, hasCapacity(upstream.ID)
+			return upstream.ID, hasCapacity(upstream.ID) && result.client.HeldFor(!request.Idempotent) <= 0
 		})
 	}
 	return result
@@ -173,6 +175,8 @@
 func (s *serviceState) pickUpstream(
 	now time.Time, req *admission.Request, hasCapacity func(fleet.UpstreamID) bool,
 ) (fleet.UpstreamID, bool) {
-	usable := func(id fleet.UpstreamID) bool { return s.pauseLeft(now, id) <= 0 && hasCapacity(id) }
+	usable := func(id fleet.UpstreamID) bool {
+		return s.pauseLeft(now, id) <= 0 && hasCapacity(id) && s.canConnect(id, req)
+	}
 	return s.pool.Pick(now, balance.Criteria{Avoid: req.Avoid, Idempotent: req.Idempotent, Bulk: req.Bulk, HasCapacity: usable})
 }
--- a/internal/routing/router/upstream_limit.go
+++ b/internal/routing/router/upstream_limit.go
@@ -85,12 +85,7 @@
 	if !p.service.Keyed() && len(p.service.upstreams) > 1 {
 		return 0
 	}
-	target := p.request.LatencyTarget
-	if target == 0 {
-		target = p.service.LatencyTarget
-	}
-	left := min(p.started.Add(target).Sub(now), p.deadline.Sub(now))
-	return max(0, time.Duration(float64(left)*maxLimitWait))
+	return p.timeToTarget(now)
 }
 
 // refuseForLimit gives up a slot that the upstream's limit keeps from being used. A request that another upstream can run is to
--- a/internal/routing/router/upstream_pause.go
+++ b/internal/routing/router/upstream_pause.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"rosemarywick.example/rosemarywick/internal/core/cause"
+	"rosemarywick.example/rosemarywick/internal/core/document"
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/routing/admission"
 	"rosemarywick.example/rosemarywick/internal/upstream/forward"
@@ -74,7 +75,8 @@
 func (p *pendingRequest) retryDelay(slot *acquiredSlot) time.Duration {
 	now := p.router.Clock.Now()
 	if p.service.Keyed() {
-		return max(0, p.service.pauseLeft(now, slot.upstream.ID))
+		held := slot.upstream.client.HeldFor(p.request.Delivery != document.Idempotent)
+		return max(0, held, p.service.pauseLeft(now, slot.upstream.ID))
 	}
 	return p.service.shortestPauseLeft(now)
 }
