retry: let daemons retry whose share of the burst is less than one

Cause: a daemon's budget keeps burst/daemons unused retries, and takes one only if a whole one is left. With the burst of 64 in the platform's test settings and 87 (or 67) daemons, the share is 0.74 (0.96), so that no daemon could ever take a retry, however many requests it had: every rejected request and every lost idempotent one ended with cause retry-budget.

Change: such a budget starts with its share and keeps up to one whole retry. Its ratio is reduced by a tenth, which makes up for what the daemons keep beyond the burst after 1,150 requests. Budgets with a share of one or more are unchanged.

Test: 87 daemons with 200 first attempts each, ratio 0.2 and burst 64. On the former code no retry was taken; now 0.85 to 1 times what is allowed.

--- a/internal/routing/retry/budget.go
+++ b/internal/routing/retry/budget.go
@@ -23,22 +23,45 @@
 	Strict bool
 
 	mu sync.Mutex
-	// spent is guarded by mu and lies between 0 and the burst.
-	spent float64
+	// spent is guarded by mu and lies between 0 and the capacity. It counts from started on.
+	spent   float64
+	started bool
 }
 
+// smallShareRatio reduces the ratio of a budget whose share of the burst is less than one retry. Such a budget keeps up to one
+// whole retry, since it could never take one otherwise: a burst of 64 for 87 daemons is 0.74 for each. What it keeps beyond its
+// share is made up for by the lower ratio: 87 daemons keep at most 23 retries too many, which 1,150 requests outweigh at 0.2.
+const smallShareRatio = 0.9
+
+// start gives a budget its share of the burst, at its first use.
+func (b *Budget) start() {
+	if !b.started {
+		b.started = true
+		b.spent = b.capacity() - b.burst()
+	}
+}
+
+// capacity returns the number of unused retries that are kept.
+func (b *Budget) capacity() float64 { return max(b.burst(), 1) }
+
 // RecordFirstAttempt adds the ratio of one first attempt to the budget.
 func (b *Budget) RecordFirstAttempt() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.spent = max(b.spent-b.ratio(), 0)
+	b.start()
+	ratio := b.ratio()
+	if b.burst() < 1 {
+		ratio *= smallShareRatio
+	}
+	b.spent = max(b.spent-ratio, 0)
 }
 
 // Take takes one retry from the budget. It returns false if none is left.
 func (b *Budget) Take() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.spent+1 > b.burst() {
+	b.start()
+	if b.spent+1 > b.capacity() {
 		return false
 	}
 	b.spent++
--- a/internal/routing/retry/retry_test.go
+++ b/internal/routing/retry/retry_test.go
@@ -77,3 +77,26 @@
 	}
 	is.True(taken <= 1010 && taken > 950)
 }
+
+// Guards against daemons that never retry, since each one's share of the fleet's burst is less than one retry, and against a fleet of
+// them that retries more than it may. The load is that of 87 daemons with a ratio of 0.2 and a burst of 64.
+func TestBudgetOfManyDaemons(t *testing.T) {
+	is := is.New(t)
+	const daemons, attempts, burst, ratio = 87, 200, 64.0, 0.2
+	taken, startingWith := 0, 0
+	for range daemons {
+		budget := &retry.Budget{Ratio: ratio, Strict: true, Burst: func() float64 { return burst / daemons }}
+		for budget.Take() {
+			startingWith++
+		}
+		for range attempts {
+			budget.RecordFirstAttempt()
+			for budget.Take() {
+				taken++
+			}
+		}
+	}
+	is.Equal(startingWith, 0)
+	is.True(float64(taken) <= ratio*daemons*attempts+burst)
+	is.True(float64(taken) >= 0.85*ratio*daemons*attempts)
+}
