admission, router: urgent requests and those still in time go first; hold requests to full servers

Cause: of the requests for a server with more load than it can run, most were late: 87 daemons, each of which may have one request in flight, fill 3 slots and a queue of 12 nearly six times, and none of them sends enough for its limit to adapt. Queues served kinds by share only, whether or not a request could still be in time, and Retry-After ignored how long callers wait.

Change, only for configurations that tell requests apart by priority: - queues serve requests that can meet their target before those that cannot, by weighted fair queueing with the more urgent kind first, and evict and refuse in the opposite order; what cannot be served in time is refused; - a daemon that learns from a rejection, or from a stated load of 3 requests for each slot, that a server is full sends nothing there for 0.75 of the time in which the server runs one request of each daemon (at most 2.5 s; twice as long for each step to a less urgent priority); - Returns schedules the announced returns of refused callers and recognizes those that come back early, which are served after others; - Retry-After never exceeds a third of the time that the caller has left. Router.RecordLoad passes a stated load on to the queue of a server.

Tests of routing with -race, daemon/entry, caller/front and some of platform pass.

--- a/internal/core/document/document.go
+++ b/internal/core/document/document.go
@@ -60,6 +60,16 @@
 	return s.Key != nil
 }
 
+// SlotsOf returns the number of requests that an upstream of the service runs concurrently.
+func (s *Service) SlotsOf(id fleet.UpstreamID) int {
+	for i := range s.Upstreams {
+		if s.Upstreams[i].ID == id && s.Upstreams[i].Slots > 0 {
+			return s.Upstreams[i].Slots
+		}
+	}
+	return s.Slots
+}
+
 // Upstream is one declared back end of a service.
 type Upstream struct {
 	ID       fleet.UpstreamID
--- a/internal/core/document/entry.go
+++ b/internal/core/document/entry.go
@@ -22,6 +22,8 @@
 	MaxAttempts int
 	// Bulk marks requests with large responses.
 	Bulk bool
+	// Priority is 0 for the most urgent requests and grows as they get less urgent.
+	Priority int
 	// Tenant is the tenant whose share the requests use.
 	Tenant fleet.TenantName
 	// Splits contains at least one service, and at least one weight is not zero.
--- a/internal/routing/admission/controller.go
+++ b/internal/routing/admission/controller.go
@@ -63,6 +63,13 @@
 	// EndBy is when the daemon stops and every request must have ended, or zero. A request whose own deadline is later is refused
 	// unless it is expected to end by then.
 	EndBy time.Time
+	// Prioritized makes requests with an urgent priority, and those that can still meet their target, go before others.
+	Prioritized bool
+	// Hosts returns the number of daemons that share the upstream, and Slots is the number of its slots, if there is only one
+	// upstream. With Prioritized and more than one host, the controller holds requests back while the upstream is full. Hosts
+	// may be nil.
+	Hosts func() int
+	Slots int
 	// TenantWeight returns the share of a tenant. Nil gives all tenants the same share.
 	TenantWeight func(fleet.TenantName) int
 
@@ -76,6 +83,9 @@
 	lastAdmission     time.Time
 	// missRate is a moving average of the share of queued requests that could no longer meet their deadlines.
 	missRate float64
+	// returns holds the returns of refused callers, and pace how often requests are sent. Both are used only if Prioritized is set.
+	returns Returns
+	pace    pace
 }
 
 // upstreamState is the concurrency limit of one upstream and the number of requests in flight there.
@@ -108,6 +118,9 @@
 	if c.endsTooLate(now, request) {
 		return stoppingRefusal, nil
 	}
+	if c.Prioritized {
+		return c.submitPrioritized(now, request)
+	}
 	if c.queue.length == 0 {
 		if id, ok := c.reserveSlot(now, request); ok {
 			return Admitted{Upstream: id}, nil
@@ -140,11 +153,16 @@
 	if c.admissionInterval > 0 && c.queue.length > 0 {
 		return time.Duration(count * float64(max(c.admissionInterval, now.Sub(c.lastAdmission))))
 	}
+	return time.Duration(count * float64(c.serviceTime) / float64(c.occupiedSlots()))
+}
+
+// occupiedSlots returns the number of slots that this daemon uses, and at least one for each upstream.
+func (c *Controller) occupiedSlots() int {
 	slots := 0
 	for _, state := range c.upstreams {
 		slots += max(state.inFlight, 1)
 	}
-	return time.Duration(count * float64(c.serviceTime) / float64(max(1, slots)))
+	return max(1, slots)
 }
 
 // reserveSlot selects an upstream with capacity for the request and takes a slot there.
@@ -164,6 +182,9 @@
 	state := c.upstream(id)
 	UpdateLimit(state.limit, state.inFlight, feedback, now)
 	state.inFlight--
+	if c.paced() {
+		c.pace.observe(now, feedback, c.hosts(), c.Slots)
+	}
 	if served, ok := feedback.(Served); ok {
 		if c.serviceTime == 0 {
 			c.serviceTime = served.Latency
@@ -175,6 +196,9 @@
 
 // Dispatch admits queued requests while there is capacity, and refuses those that can no longer meet their deadlines.
 func (c *Controller) Dispatch(now time.Time) []Dequeued {
+	if c.Prioritized {
+		return c.dispatchPrioritized(now)
+	}
 	var dequeued []Dequeued
 	for c.queue.length > 0 {
 		tenant := c.queue.next()
@@ -271,6 +295,9 @@
 }
 
 // DeadlineRefusal returns the refusal of a request that can no longer meet its deadline.
-func (c *Controller) DeadlineRefusal(now time.Time) Refused {
+func (c *Controller) DeadlineRefusal(now time.Time, request *Request) Refused {
+	if c.Prioritized {
+		return c.refuse(now, request, cause.DeadlineUnmeetable, c.waitOf(now, request, c.tenantWeight(request.Tenant)))
+	}
 	return c.newDeadlineRefusal(now)
 }
--- a/internal/routing/admission/fairqueue.go
+++ b/internal/routing/admission/fairqueue.go
@@ -19,6 +19,15 @@
 	Idempotent bool
 	// Bulk is set for a request with a large response.
 	Bulk bool
+	// Priority is 0 for the most urgent requests and grows as they get less urgent. Target is the time by which the response is
+	// of full use, or zero. Both are used only by a controller with priorities.
+	Priority int
+	Target   time.Time
+	// Repeated is set if this daemon has sent the request before, so that it is not an arrival of a caller.
+	Repeated bool
+
+	// early is set if the caller came back before the time that it was told.
+	early bool
 }
 
 // fairQueue holds the queued requests of all tenants, each tenant in a queue of its own. It serves the tenants in
@@ -71,7 +80,7 @@
 // dequeue removes the request at index from a queue and advances the pass of its tenant.
 func (q *fairQueue) dequeue(queue *tenantQueue, index int) *Request {
 	request := queue.requests[index]
-	q.virtualTime = queue.pass
+	q.virtualTime = max(q.virtualTime, queue.pass)
 	queue.pass += 1 / queue.weight
 	q.removeAt(queue, index)
 	return request
--- a/internal/routing/router/pending.go
+++ b/internal/routing/router/pending.go
@@ -98,6 +98,9 @@
 			p.reachedSends++
 		}
 		p.avoidUpstream = slot.upstream.ID
+		if rejected := p.rejectFull(slot, result); rejected != nil {
+			return p.reject(*rejected)
+		}
 		switch decision := retry.Decide(p.retryRequest(), result, p.service.budget).(type) {
 		case retry.PassThrough:
 			return p.respond(slot, decision.Response)
@@ -185,11 +188,7 @@
 
 // admit waits for admission by a queue and returns the upstream that was selected.
 func (p *pendingRequest) admit(ctx context.Context, queue *admissionQueue) (fleet.UpstreamID, *rejection) {
-	candidate := &admission.Request{
-		Tenant: p.request.Tenant, Arrived: p.router.Clock.Now(), Deadline: p.deadline, Avoid: p.avoidUpstream,
-		Idempotent: p.request.Delivery == document.Idempotent, Bulk: p.request.Bulk,
-	}
-	switch decision := queue.admit(ctx, candidate).(type) {
+	switch decision := queue.admit(ctx, p.newCandidate()).(type) {
 	case admission.Admitted:
 		return decision.Upstream, nil
 	case admission.Refused:
@@ -297,7 +296,8 @@
 	}
 	p.finish(rejected.outcome, rejected.cause, rejected.status)
 	return Rejected{
-		Outcome: rejected.outcome, Cause: rejected.cause, RetryAfter: rejected.retryAfter, RecordedStatus: rejected.status,
+		Outcome: rejected.outcome, Cause: rejected.cause, RetryAfter: p.capRetryAfter(rejected.retryAfter),
+		RecordedStatus: rejected.status,
 	}
 }
 
--- a/internal/routing/router/queue.go
+++ b/internal/routing/router/queue.go
@@ -136,7 +136,7 @@
 		return <-decisions
 	}
 	delete(q.waiting, request)
-	return q.controller.DeadlineRefusal(q.clock.Now())
+	return q.controller.DeadlineRefusal(q.clock.Now(), request)
 }
 
 // refuseWaiting refuses all waiting requests.
--- a/internal/routing/router/request.go
+++ b/internal/routing/router/request.go
@@ -31,6 +31,8 @@
 	LatencyTarget time.Duration
 	// MaxAttempts is the maximum number of upstreams to which the request may be sent. Zero means unlimited.
 	MaxAttempts int
+	// Priority is 0 for the most urgent requests and grows as they get less urgent.
+	Priority int
 	// Bulk is set for a request with a large response.
 	Bulk   bool
 	Header http.Header
--- a/internal/routing/router/response.go
+++ b/internal/routing/router/response.go
@@ -29,11 +29,7 @@
 // respond wraps the response of an upstream for the caller.
 func (p *pendingRequest) respond(slot *acquiredSlot, responded forward.Responded) Response {
 	reason := cause.OK
-	target := p.request.LatencyTarget
-	if target == 0 {
-		target = p.service.LatencyTarget
-	}
-	if p.router.Clock.Now().Sub(p.started) > target {
+	if p.router.Clock.Now().Sub(p.started) > p.target() {
 		reason = cause.SlowUpstream
 	}
 	if responded.Status >= http.StatusInternalServerError {
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -216,10 +216,12 @@
 	return fleet.KeyHash(number), err
 }
 
-// RecordLoad records the load that an upstream reported at a time.
+// RecordLoad records the load that an upstream reported at a time. One that came with the response to a request is recorded
+// before the request ends.
 func (r *Router) RecordLoad(name fleet.ServiceName, id fleet.UpstreamID, load balance.Load, at time.Time) {
 	if service := r.currentService(name); service != nil {
 		service.pool.RecordLoad(at, id, load)
+		service.recordServerLoad(at, id, load)
 	}
 }
 
--- a/internal/routing/router/service.go
+++ b/internal/routing/router/service.go
@@ -22,6 +22,8 @@
 	queue *admissionQueue
 	// notices holds what the upstreams state about themselves. It may be nil.
 	notices *notices.Book
+	// prioritized is set if the configuration tells requests apart by priority.
+	prioritized bool
 	*runtimeState
 }
 
@@ -51,6 +53,7 @@
 func (r *Router) buildService(previous *serviceState, declared *document.Service, current *document.Document) *serviceState {
 	next := &serviceState{
 		Service: declared, version: current.Version, upstreams: make(map[fleet.UpstreamID]*upstreamState), notices: r.Notices,
+		prioritized: current.HasPriorities(),
 	}
 	if previous != nil && previous.Keyed() == declared.Keyed() {
 		next.runtimeState, next.queue = previous.runtimeState, previous.queue
@@ -99,6 +102,7 @@
 		) (fleet.UpstreamID, bool) {
 			return upstream.ID, hasCapacity(upstream.ID) && result.client.HeldFor(!request.Idempotent) <= 0
 		})
+		r.configurePace(result.queue, declared, upstream.ID)
 	}
 	return result
 }
@@ -118,6 +122,7 @@
 		controller.TenantWeight = func(tenant fleet.TenantName) int { return max(1, weights[tenant]) }
 		controller.NewLimit = func(id fleet.UpstreamID) admission.Limit { return r.newLimit(declared, id) }
 		controller.EndBy = r.endBy
+		controller.Prioritized = r.document.HasPriorities()
 	})
 	return queue
 }
@@ -148,12 +153,7 @@
 	if r.NewLimit != nil {
 		return r.NewLimit(declared)
 	}
-	slots := declared.Slots
-	for _, upstream := range declared.Upstreams {
-		if upstream.ID == id && upstream.Slots > 0 {
-			slots = upstream.Slots
-		}
-	}
+	slots := declared.SlotsOf(id)
 	return &admission.AdaptiveLimit{
 		Ceiling: float64(min(slots, r.connectionLimit(declared))), FairShare: float64(slots) / float64(r.hostCount()),
 	}
--- a/internal/routing/router/upstream_full.go
+++ b/internal/routing/router/upstream_full.go
@@ -56,11 +56,7 @@
 // timeToTarget returns how long a request may wait so that it is still of use: half of the time until its latency target, so that
 // the rest is left for the upstream.
 func (p *pendingRequest) timeToTarget(now time.Time) time.Duration {
-	target := p.request.LatencyTarget
-	if target == 0 {
-		target = p.service.LatencyTarget
-	}
-	left := min(p.started.Add(target).Sub(now), p.deadline.Sub(now))
+	left := min(p.started.Add(p.target()).Sub(now), p.deadline.Sub(now))
 	return max(0, time.Duration(float64(left)*maxLimitWait))
 }
 
