router: pass the pause that an upstream asks for on to callers unchanged

Change: the cap does not apply to the cause upstream-paused.

Tests: routing/router; platform with -run 'Config|Caller|Pause|Limit'.

--- a/internal/routing/router/competing.go
+++ b/internal/routing/router/competing.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"rosemarywick.example/rosemarywick/internal/core/cause"
 	"rosemarywick.example/rosemarywick/internal/core/document"
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/routing/admission"
@@ -48,12 +49,12 @@
 }
 
 // capRetryAfter shortens the time after which a caller is told to come back to what it waits at most. A longer one would make it
-// come back earlier than it was told.
-func (p *pendingRequest) capRetryAfter(retryAfter time.Duration) time.Duration {
-	if p.service == nil || !p.service.prioritized || retryAfter <= 0 {
-		return retryAfter
+// come back earlier than it was told. A pause that an upstream has asked for is passed on unchanged.
+func (p *pendingRequest) capRetryAfter(rejected rejection) time.Duration {
+	if p.service == nil || !p.service.prioritized || rejected.retryAfter <= 0 || rejected.cause == cause.UpstreamPaused {
+		return rejected.retryAfter
 	}
-	return min(retryAfter, max(time.Millisecond, p.deadline.Sub(p.router.Clock.Now())/callerPatience))
+	return min(rejected.retryAfter, max(time.Millisecond, p.deadline.Sub(p.router.Clock.Now())/callerPatience))
 }
 
 // configurePace tells the queue of a server what it shares its slots with.
--- a/internal/routing/router/pending.go
+++ b/internal/routing/router/pending.go
@@ -296,7 +296,7 @@
 	}
 	p.finish(rejected.outcome, rejected.cause, rejected.status)
 	return Rejected{
-		Outcome: rejected.outcome, Cause: rejected.cause, RetryAfter: p.capRetryAfter(rejected.retryAfter),
+		Outcome: rejected.outcome, Cause: rejected.cause, RetryAfter: p.capRetryAfter(rejected),
 		RecordedStatus: rejected.status,
 	}
 }
