admission: refuse held requests at once when a new hold begins; events, metrics and log lines

Cause: a request that waited for the end of a hold stayed in the queue when another response started the next hold, until its deadline. Operators could not see holds and early returns.

Change: such a request is refused as soon as the hold exceeds what it can wait. Controllers report holds and early returns; the daemon counts both and logs holds within the limit for log lines.

--- a/internal/daemon/entry/competition.go
+++ b/internal/daemon/entry/competition.go
@@ -2,6 +2,7 @@
 
 import (
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/routing/admission"
 	"rosemarywick.example/rosemarywick/internal/upstream/forward"
 )
 
@@ -25,3 +26,17 @@
 		}
 	}
 }
+
+// observeAdmission counts what the queues of servers notice, and logs when requests are held back.
+func (o *observer) observeAdmission(service fleet.ServiceName, server fleet.UpstreamID, event admission.Event) {
+	switch event := event.(type) {
+	case admission.ServerHeld:
+		o.metrics.ObserveHold(service)
+		if o.logLimiter.AllowN(o.now(), 1) {
+			o.log.Info().Str("service", string(service)).Str("upstream", string(server)).Dur("hold", event.For).
+				Msg("server is full; requests are held back for a time")
+		}
+	case admission.ReturnedEarly:
+		o.metrics.ObserveEarlyReturn(service)
+	}
+}
--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -197,6 +197,7 @@
 		Host: d.Host, Clock: d.Timer, Config: d.configuration, OwnershipMap: d.ownershipMap, LoadObserver: d.loadTracker,
 		Recorder: d.observer, HostCount: d.daemonCount, Dialect: d.UpstreamDialect, BufferLimit: maxBufferedBytes,
 		NewBudget: d.newBudget, Notices: d.notices, OnConnectionEvent: d.observer.observeConnections,
+		OnAdmissionEvent: d.observer.observeAdmission,
 		RateLimits: &upstreamLimits{
 			keeper: d.node, allowance: d.Limits.RateAllowance, daemonCount: d.daemonCount, clock: d.Timer,
 			own: ratelimit.Limiter{Staggered: true},
--- a/internal/observe/metrics/metrics.go
+++ b/internal/observe/metrics/metrics.go
@@ -50,14 +50,14 @@
 
 // Metrics collects the metrics of one daemon. New creates it. Its methods may be called concurrently.
 type Metrics struct {
-	registry  *prometheus.Registry
-	ownership *ownership
-	durations *prometheus.HistogramVec
-	outcomes  *prometheus.CounterVec
-	causes    *prometheus.CounterVec
-	imbalance *prometheus.GaugeVec
-	omitted   prometheus.Counter
-	connections
+	registry    *prometheus.Registry
+	ownership   *ownership
+	durations   *prometheus.HistogramVec
+	outcomes    *prometheus.CounterVec
+	causes      *prometheus.CounterVec
+	imbalance   *prometheus.GaugeVec
+	omitted     prometheus.Counter
+	competition competition
 
 	mu sync.RWMutex
 	// services and tenants have label values of their own. They are guarded by mu and replaced as a whole.
@@ -87,7 +87,7 @@
 	m.omitted = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "rosemarywick_log_lines_omitted_total", Help: "Lines about single requests left out of the log for their number.",
 	})
-	m.connections = newConnections(m.registry)
+	m.competition = newCompetition(m.registry)
 	m.registry.MustRegister(m.ownership, m.durations, m.outcomes, m.causes, m.imbalance, m.omitted)
 	return m
 }
@@ -135,8 +135,7 @@
 	m.outcomes.DeletePartialMatch(labels)
 	m.causes.DeletePartialMatch(labels)
 	m.imbalance.DeletePartialMatch(labels)
-	m.resets.DeletePartialMatch(labels)
-	m.idleResets.DeletePartialMatch(labels)
+	m.competition.deleteSeries(labels)
 }
 
 // labels returns the label values of a service and a tenant. The caller holds mu until it has used them, so that Configure
--- a/internal/routing/admission/controller.go
+++ b/internal/routing/admission/controller.go
@@ -70,6 +70,8 @@
 	// may be nil.
 	Hosts func() int
 	Slots int
+	// OnEvent is called with what the controller notices if Prioritized is set. It may be nil and must not block.
+	OnEvent func(Event)
 	// TenantWeight returns the share of a tenant. Nil gives all tenants the same share.
 	TenantWeight func(fleet.TenantName) int
 
@@ -183,7 +185,7 @@
 	UpdateLimit(state.limit, state.inFlight, feedback, now)
 	state.inFlight--
 	if c.paced() {
-		c.pace.observe(now, feedback, c.hosts(), c.Slots)
+		c.observePace(now, feedback)
 	}
 	if served, ok := feedback.(Served); ok {
 		if c.serviceTime == 0 {
--- a/internal/routing/admission/pace.go
+++ b/internal/routing/admission/pace.go
@@ -49,8 +49,8 @@
 	loadAt time.Time
 }
 
-// hold starts the holds that do not last already.
-func (p *pace) hold(now time.Time, hosts, slots int) {
+// hold starts the holds that do not last already. It returns the duration of that of the most urgent requests if it starts that.
+func (p *pace) hold(now time.Time, hosts, slots int) (started time.Duration) {
 	work := p.work
 	if work == 0 {
 		work = defaultWork
@@ -59,9 +59,13 @@
 	for priority, until := range p.heldUntil {
 		if !now.Before(until) {
 			p.heldUntil[priority] = now.Add(duration)
+			if priority == 0 {
+				started = duration
+			}
 		}
 		duration *= holdRatio
 	}
+	return started
 }
 
 // left returns for how long requests of a priority are held back.
@@ -69,34 +73,21 @@
 	return max(0, p.heldUntil[min(max(priority, 0), maxPriority)].Sub(now))
 }
 
-// record adopts a stated load.
-func (p *pace) record(now time.Time, load ServerLoad, hosts int) {
+// record adopts a stated load, and reports whether the server is full.
+func (p *pace) record(now time.Time, load ServerLoad) (full bool) {
 	if now.Before(p.loadAt) {
-		return
+		return false
 	}
 	p.load, p.loadAt = load, now
 	if load.Running+load.Waiting >= fullLoad*max(1, load.Slots) {
-		p.hold(now, hosts, load.Slots)
-		return
+		return true
 	}
-	p.heldUntil = [maxPriority + 1]time.Time{}
+	p.release()
+	return false
 }
 
-// observe updates the estimates by the result of a request. Without a stated load, a rejection shows that the server is full,
-// and a response that it is not.
-func (p *pace) observe(now time.Time, feedback Feedback, hosts, slots int) {
-	stated := now.Sub(p.loadAt) <= statedWithin
-	switch feedback := feedback.(type) {
-	case Served:
-		p.observeWork(feedback.Latency, stated)
-		if !stated {
-			p.heldUntil = [maxPriority + 1]time.Time{}
-		}
-	case Shed:
-		p.hold(now, hosts, slots)
-	case Abandoned:
-	}
-}
+// release ends all holds.
+func (p *pace) release() { p.heldUntil = [maxPriority + 1]time.Time{} }
 
 // observeWork updates the time of work from the latency of a response.
 func (p *pace) observeWork(latency time.Duration, stated bool) {
@@ -124,8 +115,31 @@
 
 // RecordLoad adopts the load that the only upstream of the controller stated in a response. It is called before Release.
 func (c *Controller) RecordLoad(now time.Time, load ServerLoad) {
-	if c.paced() {
-		c.pace.record(now, load, c.hosts())
+	if c.paced() && c.pace.record(now, load) {
+		c.hold(now)
+	}
+}
+
+// observePace updates the pace by the result of a request. Without a stated load, a rejection shows that the server is full, and
+// a response that it is not.
+func (c *Controller) observePace(now time.Time, feedback Feedback) {
+	stated := now.Sub(c.pace.loadAt) <= statedWithin
+	switch feedback := feedback.(type) {
+	case Served:
+		c.pace.observeWork(feedback.Latency, stated)
+		if !stated {
+			c.pace.release()
+		}
+	case Shed:
+		c.hold(now)
+	case Abandoned:
+	}
+}
+
+// hold holds requests back because the server is full.
+func (c *Controller) hold(now time.Time) {
+	if started := c.pace.hold(now, c.hosts(), c.Slots); started > 0 {
+		c.report(ServerHeld{For: started})
 	}
 }
 
@@ -147,7 +161,7 @@
 	if !c.paced() {
 		return Refused{}, false
 	}
-	c.pace.hold(now, c.hosts(), c.Slots)
+	c.hold(now)
 	wait := c.held(now, request)
 	if wait <= c.usefulHold(now, request) {
 		return Refused{}, false
--- a/internal/routing/admission/prioritized.go
+++ b/internal/routing/admission/prioritized.go
@@ -18,7 +18,9 @@
 // submitPrioritized is Submit for requests with priorities.
 func (c *Controller) submitPrioritized(now time.Time, request *Request) (Decision, []Dequeued) {
 	if !request.Repeated {
-		_, request.early = c.returns.Arrive(now, request).(EarlyReturn)
+		if _, request.early = c.returns.Arrive(now, request).(EarlyReturn); request.early {
+			c.report(ReturnedEarly{})
+		}
 	}
 	weight := c.tenantWeight(request.Tenant)
 	if wait := c.held(now, request); wait > c.usefulHold(now, request) {
@@ -86,7 +88,7 @@
 			switch {
 			case c.endsTooLate(now, request):
 				dequeued = append(dequeued, Dequeued{Request: request, Decision: stoppingRefusal})
-			case c.missesDeadline(start, request):
+			case c.missesDeadline(start, request), c.held(now, request) > c.usefulHold(now, request):
 				refusal := c.refuse(now, request, cause.DeadlineUnmeetable, c.waitOf(now, request, int(queue.weight)))
 				dequeued = append(dequeued, Dequeued{Request: request, Decision: refusal})
 			default:
--- a/internal/routing/router/competing.go
+++ b/internal/routing/router/competing.go
@@ -62,6 +62,9 @@
 	slots := declared.SlotsOf(id)
 	queue.configure(func(controller *admission.Controller) {
 		controller.Hosts, controller.Slots = r.hostCount, slots
+		if r.OnAdmissionEvent != nil {
+			controller.OnEvent = func(event admission.Event) { r.OnAdmissionEvent(declared.Name, id, event) }
+		}
 	})
 }
 
--- a/internal/routing/router/competing_test.go
+++ b/internal/routing/router/competing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/core/timer"
 	"rosemarywick.example/rosemarywick/internal/routing/balance"
+	"rosemarywick.example/rosemarywick/internal/upstream/standin"
 )
 
 // Guards against a request that waits at the daemon or at a full server although it cannot be served in time, against a Retry-After
@@ -58,3 +60,44 @@
 		})
 	}
 }
+
+// Guards against a request that is sent to a full server again and again, and against further requests that the server rejects as
+// well: after a rejection, the daemon refuses at once. Without priorities, the request is repeated within the budget.
+func TestRejectionByFullServer(t *testing.T) {
+	for name, test := range map[string]struct {
+		priority int
+		repeated bool
+	}{"with priorities": {1, false}, "without priorities": {0, true}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var arrived atomic.Int64
+			worker := &standin.Worker{InjectFault: func(*http.Request) standin.Fault {
+				arrived.Add(1)
+				return standin.FaultReject
+			}}
+			is.NoErr(worker.Start(t.Context()))
+			defer worker.Stop()
+			service := document.Service{
+				Name: "s", Timeout: 1200 * time.Millisecond, LatencyTarget: 400 * time.Millisecond, QueueLimit: 9, Slots: 3,
+				MaxConnections: 580, Key: document.KeyNumericHeader{Name: "k"}, Guard: fleet.GuardHold,
+				Upstreams: []document.Upstream{{ID: "a", Address: worker.Address()}},
+			}
+			r := &Router{
+				Clock: timer.System{}, OwnershipMap: fixedOwners{fleet.Assignment{Owner: "a"}}, HostCount: func() int { return 87 },
+				Config: configuration{&document.Document{
+					Services: []document.Service{service}, Entries: []document.Entry{{}, {Priority: test.priority}},
+				}},
+			}
+			defer r.Close()
+			request := &Request{
+				ID: "r", Service: "s", Method: http.MethodPost, Target: "/", Key: "7", Priority: 1, MaxAttempts: 3,
+			}
+			for range 3 {
+				response, ok := r.Do(t.Context(), request).(Rejected)
+				is.True(ok)
+				is.Equal(response.Outcome, cause.NotRun)
+			}
+			is.Equal(arrived.Load() > 1, test.repeated)
+		})
+	}
+}
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -87,6 +87,8 @@
 	RateLimits RateLimits
 	// OnConnectionEvent is called with changes in how connections to an upstream are used. It may be nil and must not block.
 	OnConnectionEvent func(fleet.ServiceName, fleet.UpstreamID, forward.Event)
+	// OnAdmissionEvent is called with what the queue of a server notices. It may be nil and must not block.
+	OnAdmissionEvent func(fleet.ServiceName, fleet.UpstreamID, admission.Event)
 	// Dialect translates requests and responses to the headers that the upstreams use. Nil selects the headers of this
 	// product.
 	Dialect forward.Dialect
