--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -225,7 +225,8 @@
 		Recorder: d.observer, HostCount: d.daemonCount, Dialect: d.UpstreamDialect, BufferLimit: maxBufferedBytes,
 		NewBudget: d.newBudget, Notices: d.notices,
 		RateLimits: d.limits, StatedAllowance: d.Limits.RateAllowance, ColdAllowance: d.Limits.ColdAllowance,
-		Probe: d.probe,
+		Probe:             d.probe,
+		OnConnectionEvent: d.observer.observeConnections, OnAdmissionEvent: d.observer.observeAdmission,
 	}
 	d.front = &front.Frontend{
 		Address: d.CallerAddress, Router: d.router, Config: d.configuration, Clock: d.Timer, Log: d.Log,
--- a/internal/observe/metrics/metrics.go
+++ b/internal/observe/metrics/metrics.go
@@ -50,14 +50,15 @@
 
 // Metrics collects the metrics of one daemon. New creates it. Its methods may be called concurrently.
 type Metrics struct {
-	registry  *prometheus.Registry
-	ownership *ownership
-	durations *prometheus.HistogramVec
-	outcomes  *prometheus.CounterVec
-	causes    *prometheus.CounterVec
-	imbalance *prometheus.GaugeVec
-	omitted   prometheus.Counter
-	plans     *plans
+	registry    *prometheus.Registry
+	ownership   *ownership
+	durations   *prometheus.HistogramVec
+	outcomes    *prometheus.CounterVec
+	causes      *prometheus.CounterVec
+	imbalance   *prometheus.GaugeVec
+	omitted     prometheus.Counter
+	plans       *plans
+	competition competition
 
 	mu sync.RWMutex
 	// services and tenants have label values of their own. They are guarded by mu and replaced as a whole.
@@ -88,6 +89,7 @@
 	m.omitted = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "rosemarywick_log_lines_omitted_total", Help: "Lines about single requests left out of the log for their number.",
 	})
+	m.competition = newCompetition(m.registry)
 	m.registry.MustRegister(m.ownership, m.durations, m.outcomes, m.causes, m.imbalance, m.omitted)
 	m.registry.MustRegister(m.plans.utilization, m.plans.moves)
 	return m
@@ -138,6 +140,7 @@
 	m.imbalance.DeletePartialMatch(labels)
 	m.plans.utilization.DeletePartialMatch(labels)
 	m.plans.moves.DeletePartialMatch(labels)
+	m.competition.deleteSeries(labels)
 }
 
 // labels returns the label values of a service and a tenant. The caller holds mu until it has used them, so that Configure
--- a/internal/observe/records/meaning.go
+++ b/internal/observe/records/meaning.go
@@ -19,6 +19,7 @@
 	cause.UpstreamLimit:       "the upstream limits the requests that it takes, and the limit was used up",
 	cause.UpstreamCold:        "the upstream has started recently and takes few requests, and their number was used up",
 	cause.UpstreamPaused:      "the upstream has asked this daemon to send nothing for some time",
+	cause.UpstreamFull:        "the upstream accepted no further connection",
 	cause.UpstreamRefused:     "the upstream stated that it did not run the request",
 	cause.UpstreamUnreachable: "no connection to the upstream could be made",
 	cause.UpstreamReset:       "the connection was lost after the request may have reached the upstream",
--- a/internal/routing/retry/decision.go
+++ b/internal/routing/retry/decision.go
@@ -67,6 +67,9 @@
 			return decision
 		}
 	case Resend:
+		if _, rejected := result.(forward.Rejected); rejected && request.Keyed && budget.scarce() {
+			break // the server has just been full, and another request may have more use of the retry
+		}
 		if budget.Strict && !MayHaveReached(result) || budget.Take() {
 			return decision
 		}
@@ -106,6 +109,9 @@
 	case forward.NotOwner:
 		return awaitMapIfKeyed(request, resendOrStop, reason)
 	case forward.NotSent:
+		if result.Full { // the upstream is not lost, so that waiting for the map would not help
+			return resendOrStop
+		}
 		return awaitMapIfKeyed(request, resendOrStop, reason)
 	case forward.NoResponse, forward.Truncated:
 		if request.Delivery == document.Idempotent {
@@ -160,6 +166,9 @@
 		if result.ContextDone {
 			return localCause
 		}
+		if result.Full {
+			return cause.UpstreamFull
+		}
 		return cause.UpstreamUnreachable
 	case forward.NoResponse:
 		if result.ContextDone {
--- a/internal/routing/router/pending.go
+++ b/internal/routing/router/pending.go
@@ -100,6 +100,9 @@
 			p.reachedSends++
 		}
 		p.avoidUpstream = slot.upstream.ID
+		if rejected := p.rejectFull(slot, result); rejected != nil {
+			return p.reject(*rejected)
+		}
 		switch decision := retry.Decide(p.retryRequest(), result, p.service.budget).(type) {
 		case retry.PassThrough:
 			return p.respond(slot, decision.Response)
@@ -178,6 +181,9 @@
 		if rejected := p.awaitPauses(); rejected != nil {
 			return "", rejected
 		}
+		if rejected := p.rejectIfFull(p.service.upstreams); rejected != nil {
+			return "", rejected
+		}
 		id, rejected := p.admit(p.ctx, p.service.queue)
 		if rejected == nil || rejected.cause != cause.UpstreamPaused {
 			return id, rejected
@@ -187,11 +193,7 @@
 
 // admit waits for admission by a queue and returns the upstream that was selected.
 func (p *pendingRequest) admit(ctx context.Context, queue *admissionQueue) (fleet.UpstreamID, *rejection) {
-	candidate := &admission.Request{
-		Tenant: p.request.Tenant, Arrived: p.router.Clock.Now(), Deadline: p.deadline, Avoid: p.avoidUpstream,
-		Idempotent: p.request.Delivery == document.Idempotent, Bulk: p.request.Bulk,
-	}
-	switch decision := queue.admit(ctx, candidate).(type) {
+	switch decision := queue.admit(ctx, p.newCandidate()).(type) {
 	case admission.Admitted:
 		return decision.Upstream, nil
 	case admission.Refused:
@@ -210,6 +212,7 @@
 	outgoing := &forward.Request{
 		ID: p.request.ID, Method: p.request.Method, Target: p.request.Target, Header: p.request.Header,
 		Body: p.request.Body, Deadline: p.deadline, Hostname: p.request.Hostname, Upstream: slot.upstream.ID,
+		NonIdempotent: p.request.Delivery != document.Idempotent,
 	}
 	ctx, cancel := p.ctx, context.CancelFunc(nil)
 	if p.service.Keyed() {
@@ -237,6 +240,10 @@
 
 // release releases a slot and updates the estimates of the upstream by the result.
 func (p *pendingRequest) release(slot *acquiredSlot, result forward.Result) {
+	if isFull(result) {
+		p.releaseFull(slot)
+		return
+	}
 	now := p.router.Clock.Now()
 	var observation balance.Observation = balance.Unreachable{}
 	var feedback admission.Feedback = admission.Abandoned{}
@@ -296,7 +303,8 @@
 	}
 	p.finish(rejected.outcome, rejected.cause, rejected.status)
 	return Rejected{
-		Outcome: rejected.outcome, Cause: rejected.cause, RetryAfter: rejected.retryAfter, RecordedStatus: rejected.status,
+		Outcome: rejected.outcome, Cause: rejected.cause, RetryAfter: p.capRetryAfter(rejected),
+		RecordedStatus: rejected.status,
 	}
 }
 
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -98,6 +98,10 @@
 	// Probe asks an upstream for its health. It is used instead of a request to try an unreachable upstream that may be cold. Nil
 	// means that requests are used.
 	Probe func(ctx context.Context, upstream document.Upstream) bool
+	// OnConnectionEvent is called with changes in how connections to an upstream are used. It may be nil and must not block.
+	OnConnectionEvent func(fleet.ServiceName, fleet.UpstreamID, forward.Event)
+	// OnAdmissionEvent is called with what the queue of a server notices. It may be nil and must not block.
+	OnAdmissionEvent func(fleet.ServiceName, fleet.UpstreamID, admission.Event)
 	// Dialect translates requests and responses to the headers that the upstreams use. Nil selects the headers of this
 	// product.
 	Dialect forward.Dialect
@@ -234,10 +238,12 @@
 	return fleet.KeyHash(number), err
 }
 
-// RecordLoad records the load that an upstream reported at a time.
+// RecordLoad records the load that an upstream reported at a time. One that came with the response to a request is recorded
+// before the request ends.
 func (r *Router) RecordLoad(name fleet.ServiceName, id fleet.UpstreamID, load balance.Load, at time.Time) {
 	if service := r.currentService(name); service != nil {
 		service.pool.RecordLoad(at, id, load)
+		service.recordServerLoad(at, id, load)
 	}
 }
 
--- a/internal/routing/router/service.go
+++ b/internal/routing/router/service.go
@@ -24,6 +24,8 @@
 	notices *notices.Book
 	// coldLimited is set if cold upstreams of the service get a limited number of requests.
 	coldLimited bool
+	// prioritized is set if the configuration tells requests apart by priority.
+	prioritized bool
 	*runtimeState
 }
 
@@ -32,6 +34,8 @@
 	pool    *balance.Pool
 	budget  *retry.Budget
 	breaker *ownerBreaker
+	// reuse limits the reuse of connections to the upstreams.
+	reuse *forward.ReuseLimit
 }
 
 // upstreamState is the configuration of one upstream, its client and its queue.
@@ -51,13 +55,14 @@
 func (r *Router) buildService(previous *serviceState, declared *document.Service, current *document.Document) *serviceState {
 	next := &serviceState{
 		Service: declared, version: current.Version, upstreams: make(map[fleet.UpstreamID]*upstreamState), notices: r.Notices,
-		coldLimited: r.limitsCold(declared),
+		coldLimited: r.limitsCold(declared), prioritized: current.HasPriorities(),
 	}
 	if previous != nil && previous.Keyed() == declared.Keyed() {
 		next.runtimeState, next.queue = previous.runtimeState, previous.queue
 	} else {
 		next.runtimeState = &runtimeState{
 			pool: &balance.Pool{Local: r.Host.Locality, Daemon: r.Host.ID}, budget: r.newBudget(), breaker: newBreaker(),
+			reuse: &forward.ReuseLimit{},
 		}
 	}
 	weights := make(map[fleet.TenantName]int)
@@ -70,7 +75,7 @@
 			ID: upstream.ID, Locality: upstream.Locality, Drained: upstream.Drained || !upstream.DrainDeadline.IsZero(),
 			Slots: slotsOf(declared, upstream),
 		})
-		next.upstreams[upstream.ID] = r.buildUpstream(previous, declared, upstream, weights)
+		next.upstreams[upstream.ID] = r.buildUpstream(previous, declared, upstream, weights, next.reuse)
 	}
 	next.pool.SetProbed(next.coldLimited && r.Probe != nil)
 	next.breaker.setProbed(next.coldLimited && r.Probe != nil)
@@ -86,6 +91,7 @@
 // address is the same.
 func (r *Router) buildUpstream(
 	previous *serviceState, declared *document.Service, upstream document.Upstream, weights map[fleet.TenantName]int,
+	reuse *forward.ReuseLimit,
 ) *upstreamState {
 	result := &upstreamState{Upstream: upstream}
 	if previous != nil {
@@ -94,17 +100,15 @@
 		}
 	}
 	if result.client == nil {
-		result.client = &forward.Client{
-			Address: upstream.Address, Clock: r.Clock, MaxConnections: r.connectionLimit(declared), Dialect: r.Dialect,
-			BufferLimit: r.BufferLimit,
-		}
+		result.client = r.newClient(declared, upstream, reuse)
 	}
 	if declared.Keyed() {
 		result.queue = r.configureQueue(result.queue, declared, weights, 1, func(
-			_ time.Time, _ *admission.Request, hasCapacity func(fleet.UpstreamID) bool,
+			_ time.Time, request *admission.Request, hasCapacity func(fleet.UpstreamID) bool,
 		) (fleet.UpstreamID, bool) {
-			return upstream.ID, hasCapacity(upstream.ID)
+			return upstream.ID, hasCapacity(upstream.ID) && result.client.HeldFor(!request.Idempotent) <= 0
 		})
+		r.configurePace(result.queue, declared, upstream.ID)
 	}
 	return result
 }
@@ -124,6 +128,7 @@
 		controller.TenantWeight = func(tenant fleet.TenantName) int { return max(1, weights[tenant]) }
 		controller.NewLimit = func(id fleet.UpstreamID) admission.Limit { return r.newLimit(declared, id) }
 		controller.EndBy = r.endBy
+		controller.Prioritized = r.document.HasPriorities()
 	})
 	return queue
 }
@@ -154,12 +159,7 @@
 	if r.NewLimit != nil {
 		return r.NewLimit(declared)
 	}
-	slots := declared.Slots
-	for _, upstream := range declared.Upstreams {
-		if upstream.ID == id {
-			slots = slotsOf(declared, upstream)
-		}
-	}
+	slots := declared.SlotsOf(id)
 	return &admission.AdaptiveLimit{
 		Ceiling: float64(min(slots, r.connectionLimit(declared))), FairShare: float64(slots) / float64(r.hostCount()),
 	}
@@ -189,7 +189,9 @@
 func (s *serviceState) pickUpstream(
 	now time.Time, req *admission.Request, hasCapacity func(fleet.UpstreamID) bool,
 ) (fleet.UpstreamID, bool) {
-	usable := func(id fleet.UpstreamID) bool { return s.pauseLeft(now, id) <= 0 && hasCapacity(id) }
+	usable := func(id fleet.UpstreamID) bool {
+		return s.pauseLeft(now, id) <= 0 && hasCapacity(id) && s.canConnect(id, req)
+	}
 	return s.pool.Pick(now, balance.Criteria{
 		Avoid: req.Avoid, Idempotent: req.Idempotent, Bulk: req.Bulk, HasCapacity: usable, IsCold: s.coldTest(now),
 	})
