balance: of three random upstreams, take that with the fewest own requests

Where upstreams state no load, the choice by expected time left more requests late than before (964 instead of 744 of 24,600 simulated), since one random upstream was compared with none. A daemon's own requests in flight are known exactly, so of three drawn upstreams the one with the fewest is taken. The subset has 4 instead of 8 remote members.

--- a/internal/routing/balance/expected.go
+++ b/internal/routing/balance/expected.go
@@ -20,6 +20,10 @@
 	// simulation with requests of 270 ms, 600 ms made the 99th percentile worse by a tenth and 2 s by a half, since other
 	// daemons' requests have arrived there by then.
 	freshReport = 300 * time.Millisecond
+	// randomDraws is the number of upstreams that are drawn at random by capacity. The one with the fewest of this daemon's own
+	// requests is compared with others. With one draw, 964 instead of 407 requests of the simulation took longer than 1.5 s where
+	// upstreams report no load.
+	randomDraws = 3
 )
 
 // FleetLoad is what all daemons together measured at an upstream within the last seconds.
@@ -181,22 +185,11 @@
 	return e.slotsIn(view) * ramp / max(e.runningTime(view), 1)
 }
 
-// pickFastest returns the candidate with the least expected time of one that is chosen at random by capacity and those that have
-// just reported their load. With two random ones, daemons turn to the same upstreams: in the simulation, more than twice as many
-// requests took longer than 1.5 s.
+// pickFastest returns the candidate with the least expected time of one that is drawn at random and those that have just reported
+// their load. If several drawn ones were compared by expected time, daemons would turn to the same upstreams: in the simulation,
+// more than twice as many requests took longer than 1.5 s.
 func (p *Pool) pickFastest(view fleetView, candidates []*upstreamEstimate) *upstreamEstimate {
-	total := 0.0
-	for _, upstream := range candidates {
-		total += upstream.capacity(view)
-	}
-	best := candidates[len(candidates)-1]
-	remaining := p.randomFloat() * total
-	for _, upstream := range candidates {
-		if remaining -= upstream.capacity(view); remaining < 0 {
-			best = upstream
-			break
-		}
-	}
+	best := p.draw(view, candidates)
 	bestTime := best.expectedTime(view)
 	for _, upstream := range candidates {
 		if upstream.reportedAt.IsZero() || view.now.Sub(upstream.reportedAt) >= freshReport {
@@ -208,3 +201,26 @@
 	}
 	return best
 }
+
+// draw draws randomDraws candidates at random by capacity, and returns the one with the fewest requests of this daemon in flight.
+func (p *Pool) draw(view fleetView, candidates []*upstreamEstimate) *upstreamEstimate {
+	total := 0.0
+	for _, upstream := range candidates {
+		total += upstream.capacity(view)
+	}
+	var best *upstreamEstimate
+	for range randomDraws {
+		drawn := candidates[len(candidates)-1]
+		remaining := p.randomFloat() * total
+		for _, upstream := range candidates {
+			if remaining -= upstream.capacity(view); remaining < 0 {
+				drawn = upstream
+				break
+			}
+		}
+		if best == nil || drawn.inFlight < best.inFlight {
+			best = drawn
+		}
+	}
+	return best
+}
--- a/internal/routing/balance/subset.go
+++ b/internal/routing/balance/subset.go
@@ -16,10 +16,9 @@
 	// subsetLocal and subsetRemote are the numbers of upstreams of the own failure domain and of others that a daemon prefers. With
 	// 620 requests a second at 87 daemons, each member gets one in 3 s on average, and idle connections are kept for 10 s.
 	subsetLocal  = 16
-	subsetRemote = 8
+	subsetRemote = 4
 	// busyExcess is the expected number of requests that do not fit into the slots from which on the chosen member counts as busy.
-	// A request waits there for some time. With 1, 0.29 instead of 0.21 connections were opened for each request, and the 99th
-	// percentile was higher.
+	// With 1, 0.29 instead of 0.21 connections were opened for each request, and the 99th percentile was higher.
 	busyExcess = 2
 )
 
--- a/internal/routing/balance/uneven_test.go
+++ b/internal/routing/balance/uneven_test.go
@@ -19,15 +19,15 @@
 // unevenFleet is a simulation of an unkeyed service: daemons that choose among upstreams of different speed, which slow down by
 // chance. A fifth of the time, in intervals of 400 ms, work takes three times as long at an upstream.
 type unevenFleet struct {
-	// fleetLoads makes the daemons know the loads that upstreams report and the measurements of all daemons.
-	fleetLoads bool
-	random     *rand.Rand
-	now        time.Time
-	events     eventQueue
-	daemons    []*simulatedDaemon
-	upstreams  []*simulatedUpstream
-	fleet      balance.FleetSum
-	result     fleetResult
+	// fleetLoads makes the daemons know the measurements of all daemons, and stated the loads that upstreams report.
+	fleetLoads, stated bool
+	random             *rand.Rand
+	now                time.Time
+	events             eventQueue
+	daemons            []*simulatedDaemon
+	upstreams          []*simulatedUpstream
+	fleet              balance.FleetSum
+	result             fleetResult
 }
 
 type simulatedDaemon struct {
@@ -96,8 +96,8 @@
 	return fleet.Locality{Region: "r", Domain: fleet.FailureDomain(fmt.Sprint("d", index%4))}
 }
 
-func newUnevenFleet(seed uint64, fleetLoads bool) *unevenFleet {
-	u := &unevenFleet{fleetLoads: fleetLoads, random: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1000, 0)}
+func newUnevenFleet(seed uint64, fleetLoads, stated bool) *unevenFleet {
+	u := &unevenFleet{fleetLoads: fleetLoads, stated: stated, random: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1000, 0)}
 	var candidates []balance.Candidate
 	for i := range fleetUpstreams {
 		upstream := &simulatedUpstream{
@@ -204,7 +204,7 @@
 				s.measured.Total += responded.Latency
 			}
 			daemon.idle[index] = append(daemon.idle[index], u.now)
-			if u.fleetLoads {
+			if u.stated {
 				daemon.pool.RecordLoad(u.now, s.id, report)
 			}
 			daemon.pool.RequestEnded(u.now, s.id, observation)
@@ -263,9 +263,9 @@
 // queue while others are free, that turn to the same upstreams together, and that open a connection for every other request.
 func TestUnevenUpstreams(t *testing.T) {
 	is := is.New(t)
-	var p50, p99, late, connections [2]float64
-	for i, informed := range []bool{false, true} {
-		result := newUnevenFleet(1, informed).run()
+	var p50, p99, late, connections [3]float64
+	for i, mode := range []string{"as before", "measurements of all daemons", "and stated loads"} {
+		result := newUnevenFleet(1, i > 0, i > 1).run()
 		n := len(result.latencies)
 		p50[i], p99[i] = result.latencies[n/2].Seconds(), result.latencies[n*99/100].Seconds()
 		connections[i] = float64(result.connections) / float64(n)
@@ -274,14 +274,16 @@
 				late[i]++
 			}
 		}
-		t.Logf("informed %v: p50 %.3f s, p99 %.3f s, late %.0f of %d, rejected %d", informed, p50[i], p99[i], late[i], n, result.rejected)
+		t.Logf("%s: p50 %.3f s, p99 %.3f s, late %.0f of %d, rejected %d", mode, p50[i], p99[i], late[i], n, result.rejected)
 		t.Logf("busiest/mean %.2f, connections per request %.2f, sent to other domains %.2f", result.busiestMean, connections[i],
 			float64(result.crossing)/float64(result.sent))
 	}
-	is.True(p50[1] < 0.85*p50[0])
-	is.True(p99[1] < 0.75*p99[0])
-	is.True(late[1] < 0.25*late[0])
-	is.True(connections[1] < 0.25)
+	is.True(p50[1] < p50[0])
+	is.True(p99[1] < 0.9*p99[0])
+	is.True(p50[2] < 0.85*p50[0])
+	is.True(p99[2] < 0.65*p99[0])
+	is.True(late[2] < 0.2*late[0])
+	is.True(connections[1] < 0.25 && connections[2] < 0.25)
 }
 
 // Guards against a subset that changes as a whole when one upstream comes or goes, and against members of other failure domains
@@ -289,7 +291,7 @@
 func TestSubsetIsStable(t *testing.T) {
 	is := is.New(t)
 	sample := func(count int) map[fleet.UpstreamID]bool {
-		u := newUnevenFleet(1, true)
+		u := newUnevenFleet(1, true, true)
 		pool, chosen := u.daemons[0].pool, make(map[fleet.UpstreamID]bool)
 		var candidates []balance.Candidate
 		loads := make(map[fleet.UpstreamID]balance.FleetLoad)
@@ -318,6 +320,6 @@
 			common++
 		}
 	}
-	is.True(len(before) <= 24)
+	is.True(len(before) <= 20)
 	is.True(common >= len(before)-2)
 }
