ranges: a server that takes keys gives none away in the same plan

Servers were filled up to a load at which they counted as overloaded themselves, so that in one plan of a hot range they passed on ranges of 600 cold keys.

--- a/internal/ownership/ranges/rebalance.go
+++ b/internal/ownership/ranges/rebalance.go
@@ -71,6 +71,7 @@
 		if p.moveLoad(from, to, amount, ReasonOverload) || p.moveHotKey(from, to) {
 			changed = true
 			moves++
+			skipped[to.ID] = true // it takes keys up to the fill ratio and gives none away
 		} else {
 			skipped[from.ID] = true
 		}
