forward, front: request bodies are held once, in blocks

A body was read by io.ReadAll, which copies while it grows, and was copied once more behind its head for sending, so that a body of 64 MiB took 178 MiB. Bodies are now read into blocks of at most 64 KiB (forward.Body) and written from them; a request up to 8 KiB is still one write.

Tested: go test ./internal/caller/front; go test -race ./internal/upstream/forward ./internal/routing/router.

--- a/internal/bench/requests/fleet.go
+++ b/internal/bench/requests/fleet.go
@@ -17,6 +17,7 @@
 	"rosemarywick.example/rosemarywick/internal/core/timer"
 	"rosemarywick.example/rosemarywick/internal/routing/admission"
 	"rosemarywick.example/rosemarywick/internal/routing/router"
+	"rosemarywick.example/rosemarywick/internal/upstream/forward"
 	"rosemarywick.example/rosemarywick/internal/upstream/standin"
 )
 
@@ -140,7 +141,7 @@
 	f.sent.Add(1) // Record reverts this if the request is rejected without an attempt
 	response := f.Routers[host].Do(ctx, &router.Request{
 		ID: fleet.RequestID(fmt.Sprint(number)), Service: serviceName, Key: fmt.Sprint(number), Delivery: delivery,
-		Method: http.MethodPost, Target: "/", Body: []byte("x"),
+		Method: http.MethodPost, Target: "/", Body: forward.Body{[]byte("x")},
 	})
 	switch response := response.(type) {
 	case *router.UpstreamResponse:
--- a/internal/caller/front/native.go
+++ b/internal/caller/front/native.go
@@ -93,18 +93,6 @@
 	return request, nil
 }
 
-// ReadBody reads the body of a request. It fails if the body exceeds limit bytes; a limit of zero means 1 MiB.
-func ReadBody(rw http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	if limit == 0 {
-		limit = defaultBodyLimit
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(rw, r.Body, limit))
-	return body, errors.Wrap(err, "front: read body")
-}
-
 // WriteRejection writes the response for a request that was rejected.
 func (d *nativeDialect) WriteRejection(rw http.ResponseWriter, rejected router.Rejected) {
 	header := rw.Header()
--- a/internal/routing/router/request.go
+++ b/internal/routing/router/request.go
@@ -34,7 +34,7 @@
 	// Bulk is set for a request with a large response.
 	Bulk   bool
 	Header http.Header
-	Body   []byte
+	Body   forward.Body
 }
 
 // Response is the result of routing a request. It is one of *UpstreamResponse and Rejected.
--- a/internal/upstream/forward/client.go
+++ b/internal/upstream/forward/client.go
@@ -44,7 +44,7 @@
 	Hostname string
 	// Header holds the caller's headers. Dialects drop the hop-by-hop headers.
 	Header http.Header
-	Body   []byte
+	Body   Body
 	// Deadline is the time by which the caller needs the response.
 	Deadline time.Time
 	// Upstream is the ID of the upstream that shall run the request. Another one may have taken over its address.
--- a/internal/upstream/forward/client_test.go
+++ b/internal/upstream/forward/client_test.go
@@ -30,7 +30,7 @@
 
 func newRequest(id, method string, body int) *forward.Request {
 	return &forward.Request{
-		ID: fleet.RequestID(id), Method: method, Target: "/x", Body: make([]byte, body), Deadline: time.Now().Add(time.Second),
+		ID: fleet.RequestID(id), Method: method, Target: "/x", Body: forward.Body{make([]byte, body)}, Deadline: time.Now().Add(time.Second),
 		Header: http.Header{"Idempotency-Key": {"i"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}, "X-End": {"2"}},
 	}
 }
--- a/internal/upstream/forward/exchange.go
+++ b/internal/upstream/forward/exchange.go
@@ -50,7 +50,7 @@
 	start := e.client.Clock.Now()
 	e.stopWatch = context.AfterFunc(e.ctx, e.connection.reset)
 	writtenBefore := e.connection.written
-	if err := e.write(e.encode(start)); err != nil {
+	if err := e.write(start); err != nil {
 		sent := e.connection.written > writtenBefore
 		e.finish(false)
 		if sent {
@@ -69,41 +69,47 @@
 	return e.handleResponse(response, e.client.Clock.Now().Sub(start))
 }
 
-// encode returns the request in its HTTP/1.1 form.
-func (e *exchange) encode(now time.Time) []byte {
+// encodeHead returns the head of the request in its HTTP/1.1 form, with room for the part of the body that is written with it.
+func (e *exchange) encodeHead(now time.Time) []byte {
 	host, header := e.client.Dialect.EncodeHeader(e.request, e.request.Deadline.Sub(now))
 	if host == "" {
 		host = e.client.Address.String()
 	}
-	if len(e.request.Body) > 0 || e.request.Method == http.MethodPost || e.request.Method == http.MethodPut {
-		header.Set("Content-Length", strconv.Itoa(len(e.request.Body)))
+	length := e.request.Body.Len()
+	if length > 0 || e.request.Method == http.MethodPost || e.request.Method == http.MethodPut {
+		header.Set("Content-Length", strconv.FormatInt(length, 10))
 	} else {
 		header.Del("Content-Length")
 	}
 	var buffer bytes.Buffer
-	buffer.Grow(len(e.request.Body) + 512)
+	buffer.Grow(int(min(length, inlineWriteLimit)) + 512)
 	buffer.WriteString(e.request.Method + " " + e.request.Target + " HTTP/1.1\r\nHost: " + host + "\r\n")
 	_ = header.Write(&buffer) // writing to a bytes.Buffer does not fail
 	buffer.WriteString("\r\n")
-	buffer.Write(e.request.Body)
 	return buffer.Bytes()
 }
 
 // write writes the request, or its first part if the rest is written concurrently. An error means that the connection
 // cannot be used; connection.written tells whether any byte was sent.
-func (e *exchange) write(content []byte) error {
-	if len(content) <= inlineWriteLimit {
-		_, err := e.connection.Write(content)
-		return errors.Wrap(err, "forward: write request")
-	}
+func (e *exchange) write(now time.Time) error {
+	head := e.encodeHead(now)
+	// A short body is copied behind the head, so that a small request is one write. The rest is written from where it is held.
+	first, rest := e.request.Body.take(head, max(inlineWriteLimit-len(head), 0))
 	// The first part is written synchronously, so that a failure before any byte was sent is noticed.
-	if _, err := e.connection.Write(content[:inlineWriteLimit]); err != nil {
+	if _, err := e.connection.Write(first); err != nil {
 		return errors.Wrap(err, "forward: write request")
 	}
+	if len(rest) == 0 {
+		return nil
+	}
 	e.writeDone = make(chan struct{})
 	go func() {
 		defer close(e.writeDone)
-		_, e.writeErr = e.connection.Write(content[inlineWriteLimit:])
+		for _, block := range rest {
+			if _, e.writeErr = e.connection.Write(block); e.writeErr != nil {
+				return
+			}
+		}
 	}()
 	return nil
 }
