front, entry, platform: one budget for all that is held for callers

Many callers with bodies of legal size, or with responses that they did not take, made the process exceed its memory. Room for an announced body is reserved before any of it is read, and that of chunks block by block; what does not fit is refused with 503, cause no-room, Retry-After and Connection: close, before anything is sent to an upstream. A body that is not complete by the deadline of its request ends with deadline-passed. Responses, bytes read ahead and connections use the same budget; the number of connections follows from memory as well as from descriptors, of which the platform reserves 200. A caller that takes nothing for the idle timeout is cut off. maxHeaderBytes (431) and headerTimeoutS of the configuration are honored; the head of a request is limited to 64 KiB in any case. Metrics rosemarywick_held_bytes, rosemarywick_room_refusals_total and rosemarywick_room_closed_connections_total; a bounded log line for each connection that is closed.

Tested: go test ./platform; go test -race ./internal/caller/... ./internal/daemon/entry ./internal/observe/metrics ./internal/core/...

--- a/internal/caller/front/body_test.go
+++ b/internal/caller/front/body_test.go
@@ -15,13 +15,13 @@
 	"rosemarywick.example/rosemarywick/internal/caller/front"
 )
 
-// Guards against a body that ends early and passes for a whole one, against a wrong length, and against a body over the limit that is
-// accepted or read although its length is announced.
+// Guards against a body that ends early and passes for a whole one, against a wrong length, and against a body over the limit
+// that is accepted or read although its length is announced.
 func TestReadBody(t *testing.T) {
 	const limit = 200_000
 	lengths, failures := make(chan int64, 1), make(chan error, 1)
 	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		body, err := front.ReadBody(rw, r, limit)
+		body, err := front.ReadBody(rw, r, limit, 0)
 		failures <- err
 		lengths <- body.Len()
 	}))
--- a/internal/caller/front/conn.go
+++ b/internal/caller/front/conn.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"rosemarywick.example/rosemarywick/internal/caller/budget"
 )
 
 // callerConn is a connection from a caller.
@@ -27,19 +29,73 @@
 	// cancelRequests ends the contexts of the requests on the connection. requestContext sets it before the first read.
 	cancelRequests context.CancelFunc
 	ahead          readAhead
+	// holder counts what is held for the connection.
+	holder *budget.Holder
+	// readingBody is set from the first read of a request's body until its response is written.
+	readingBody atomic.Bool
+	// idleLimited is set once the idle timeout was applied to the idle connection. http.Server sets the next deadline when it
+	// has seen the first bytes of a request.
+	idleLimited atomic.Bool
+}
+
+// connKey is the key of the callerConn in the contexts of its requests.
+type connKey struct{}
+
+// connOf returns the connection of a request, or nil if it is not one of a callerListener.
+func connOf(ctx context.Context) *callerConn {
+	conn, _ := ctx.Value(connKey{}).(*callerConn)
+	return conn
+}
+
+// heldBy returns the holder of a request's connection, or nil if it has none.
+func heldBy(ctx context.Context) *budget.Holder {
+	if conn := connOf(ctx); conn != nil {
+		return conn.holder
+	}
+	return nil
+}
+
+// cutOff ends the connection for lack of room. If a body is being read, its request has not been sent, and the caller is told
+// so.
+func (c *callerConn) cutOff() {
+	if c.readingBody.Load() {
+		_ = c.ahead.setDeadline(time.Unix(1, 0)) // an error means that the connection has ended
+		return
+	}
+	_ = c.Close()
+}
+
+// Write writes to the caller. A caller that takes nothing for the time for which it may be idle is cut off.
+func (c *callerConn) Write(p []byte) (int, error) {
+	_ = c.SetWriteDeadline(time.Now().Add(c.idleTimeout())) // an error shows at the write
+	n, err := c.Conn.Write(p)
+	if n > 0 {
+		c.holder.Progressed()
+	}
+	return n, err //nolint:wrapcheck // http.Server interprets the errors of a connection
+}
+
+// idleTimeout returns the time for which a caller may be idle.
+func (c *callerConn) idleTimeout() time.Duration {
+	if c.config != nil {
+		if current := c.config.Current(); current != nil && current.CallerLimits.IdleTimeout > 0 {
+			return current.CallerLimits.IdleTimeout
+		}
+	}
+	return defaultIdleTimeout
 }
 
 // requestContext returns the context from which those of a connection's requests are derived. http.Server calls it for each
 // accepted connection.
 func requestContext(ctx context.Context, conn net.Conn) context.Context {
 	if caller, ok := conn.(*callerConn); ok {
-		ctx, caller.cancelRequests = context.WithCancel(ctx)
+		ctx, caller.cancelRequests = context.WithCancel(context.WithValue(ctx, connKey{}, caller))
 	}
 	return ctx
 }
 
-// Read reads from the caller. http.Server reads a single byte while it serves a request, to notice the end of the connection. If
-// that byte begins a further request, the connection is read ahead until the next Read.
+// Read reads from the caller. http.Server reads a single byte while it serves a request, to notice the end of the connection.
+// If that byte begins a further request, the connection is read ahead until the next Read.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.ahead.take(p)
 	if n == 0 && err == nil {
@@ -55,16 +111,22 @@
 func (c *callerConn) Close() error {
 	err := c.Conn.Close()
 	c.listener.forget(c)
+	c.holder.Close()
 	c.cancelRequests()
 	return errors.Wrap(err, "front: close connection")
 }
 
-// SetReadDeadline sets the read deadline. For an idle connection it applies the idle timeout of the current configuration
-// instead of the given deadline.
+// SetReadDeadline sets the read deadline. http.Server sets one in the future while it waits for a request and while it reads
+// the head of one. In place of it, the idle timeout or the header timeout of the current configuration applies.
 func (c *callerConn) SetReadDeadline(deadline time.Time) error {
-	if c.idle.Load() && c.config != nil {
-		if current := c.config.Current(); current != nil && current.CallerLimits.IdleTimeout > 0 && !deadline.IsZero() {
-			deadline = time.Now().Add(current.CallerLimits.IdleTimeout)
+	now := time.Now()
+	if deadline.After(now) {
+		if c.idle.Load() && c.idleLimited.CompareAndSwap(false, true) {
+			deadline = now.Add(c.idleTimeout())
+		} else if c.config != nil {
+			if current := c.config.Current(); current != nil && current.CallerLimits.HeaderTimeout > 0 {
+				deadline = now.Add(current.CallerLimits.HeaderTimeout)
+			}
 		}
 	}
 	return c.ahead.setDeadline(deadline)
@@ -83,6 +145,7 @@
 		return
 	}
 	caller.idle.Store(state == http.StateIdle)
+	caller.idleLimited.Store(false)
 	caller.listener.setIdle(caller, state == http.StateIdle)
 	inUse := state == http.StateNew || state == http.StateActive
 	f.mu.Lock()
--- a/internal/caller/front/connections.go
+++ b/internal/caller/front/connections.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"rosemarywick.example/rosemarywick/internal/caller/budget"
 	"rosemarywick.example/rosemarywick/internal/core/timer"
 )
 
@@ -25,6 +26,8 @@
 	log    zerolog.Logger
 	// limit is the number of connections that are kept open at a time, or zero if it is not limited.
 	limit int
+	// budget holds room for each connection. Nil means that there is no limit.
+	budget *budget.Budget
 
 	closeOnce sync.Once
 	// closeErr is set by closeOnce.
@@ -43,9 +46,9 @@
 	return l.closeErr
 }
 
-// Accept waits for the next connection and returns it as a callerConn. A lack of resources ends no server: the connection that
-// has been idle for longest is closed, and accepting goes on after a pause. If all connections are in use at the limit, a new
-// one is closed.
+// Accept waits for the next connection and returns it as a callerConn. A lack of resources ends no server: the connection
+// that has been idle for longest is closed, and accepting goes on after a pause. If all connections are in use at the limit,
+// a new one is closed.
 func (l *callerListener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
@@ -72,11 +75,22 @@
 			return nil
 		}
 	}
+	caller := &callerConn{Conn: conn, config: l.config, listener: l, cancelRequests: func() {}}
+	holder, ok := l.budget.Open(caller.cutOff)
+	for !ok {
+		if !l.closeLongestIdle() {
+			return nil
+		}
+		holder, ok = l.budget.Open(caller.cutOff)
+	}
 	l.mu.Lock()
 	l.open++
 	l.mu.Unlock()
-	caller := &callerConn{Conn: conn, config: l.config, listener: l, cancelRequests: func() {}}
-	caller.ahead = readAhead{conn: conn, gone: func() { caller.cancelRequests() }}
+	caller.holder = holder
+	caller.ahead = readAhead{conn: conn, holder: holder, gone: func() { caller.cancelRequests() }}
+	if l.budget != nil {
+		caller.setReceiveBuffer(budget.ReceiveBuffer)
+	}
 	return caller
 }
 
--- a/internal/caller/front/front.go
+++ b/internal/caller/front/front.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"rosemarywick.example/rosemarywick/internal/caller/budget"
 	"rosemarywick.example/rosemarywick/internal/core/document"
 	"rosemarywick.example/rosemarywick/internal/core/timer"
 	"rosemarywick.example/rosemarywick/internal/routing/router"
@@ -37,6 +38,9 @@
 	readHeaderTimeout  = 10 * time.Second
 	defaultIdleTimeout = 2 * time.Minute
 	maxRequestTimeout  = 10 * time.Minute
+	// maxHeaderBytes limits the head of a request before the limit of the configuration is checked. It is four times what the
+	// deployments allow.
+	maxHeaderBytes = 64 << 10
 )
 
 // Frontend serves HTTP requests of callers. The exported fields are set before Run or Handler.
@@ -52,9 +56,11 @@
 	// BodyLimit limits the size of a request body in bytes, for the default dialect. The body is kept in memory so that the
 	// request can be retried. Zero means 1 MiB.
 	BodyLimit int64
-	// MaxConnections limits the open connections of callers. Beyond it, the one that has been idle for longest is closed. Zero means
-	// that there is no limit.
+	// MaxConnections limits the open connections of callers. Beyond it, the one that has been idle for longest is closed. Zero
+	// means that there is no limit.
 	MaxConnections int
+	// Budget limits what is held for callers, and their connections. Nil means that there is no limit.
+	Budget *budget.Budget
 	// StopTimeout is how long Run waits for requests in flight and connections in use after ctx has ended. Zero means 30 s.
 	StopTimeout time.Duration
 	// Ready reports whether the platform's load balancer should route callers to this daemon. Nil means always.
@@ -97,10 +103,12 @@
 	}
 	server := &http.Server{
 		Handler: f.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: defaultIdleTimeout, ConnState: f.trackConnState,
-		ConnContext: requestContext,
+		ConnContext: requestContext, MaxHeaderBytes: maxHeaderBytes,
 	}
 	failed := make(chan error, 1)
-	callers := &callerListener{Listener: listener, config: f.Config, clock: f.Clock, log: f.Log, limit: f.MaxConnections}
+	callers := &callerListener{
+		Listener: listener, config: f.Config, clock: f.Clock, log: f.Log, limit: f.MaxConnections, budget: f.Budget,
+	}
 	go func() { failed <- server.Serve(callers) }()
 	select {
 	case err := <-failed:
--- a/internal/caller/front/handler.go
+++ b/internal/caller/front/handler.go
@@ -5,9 +5,11 @@
 
 	"github.com/gorilla/mux"
 
+	"rosemarywick.example/rosemarywick/internal/caller/budget"
 	"rosemarywick.example/rosemarywick/internal/core/cause"
 	"rosemarywick.example/rosemarywick/internal/routing/admission"
 	"rosemarywick.example/rosemarywick/internal/routing/router"
+	"rosemarywick.example/rosemarywick/internal/upstream/forward"
 )
 
 // newHandler returns the handler for all paths of callers and, with the default dialect, the readiness check.
@@ -24,8 +26,8 @@
 	return routes
 }
 
-// readyPath is the readiness check for the platform's load balancer. It cannot collide with a service, as service names do not
-// begin with a hyphen.
+// readyPath is the readiness check for the platform's load balancer. It cannot collide with a service, as service names do
+// not begin with a hyphen.
 const readyPath = "/-/ready"
 
 // serveReady responds with status 200 if the daemon is ready, and otherwise with 503.
@@ -37,7 +39,17 @@
 
 // serveRequest reads a request, routes it, and writes the response.
 func (f *Frontend) serveRequest(rw http.ResponseWriter, r *http.Request) {
+	holder := heldBy(r.Context())
+	holder.Await(false)
+	defer holder.Await(true)
+	defer holder.ReleaseAll(budget.Response)
+	defer holder.ReleaseAll(budget.Body)
 	dialect := f.activeDialect()
+	if f.headTooLarge(r) {
+		rw.Header().Set("Connection", "close")
+		rw.WriteHeader(http.StatusRequestHeaderFieldsTooLarge)
+		return
+	}
 	dialect.SetCommonHeaders(rw.Header(), r)
 	if f.draining.Load() {
 		rw.Header().Set("Connection", "close")
@@ -56,14 +68,51 @@
 		dialect.WriteRejection(rw, *rejected)
 		return
 	}
+	if holder != nil {
+		request.Room = responseRoom{holder: holder}
+	}
 	switch response := f.Router.Do(r.Context(), request).(type) {
 	case router.Rejected:
 		dialect.WriteRejection(rw, response)
 	case *router.UpstreamResponse:
+		if conn := connOf(r.Context()); conn != nil {
+			conn.readingBody.Store(false)
+		}
+		holder.Await(true)
 		f.writeUpstreamResponse(rw, r, dialect, response)
 	}
 }
 
+// headTooLarge reports whether the head of a request exceeds the limit of the configuration. Spaces that the parser dropped
+// are not counted.
+func (f *Frontend) headTooLarge(r *http.Request) bool {
+	if f.Config == nil {
+		return false
+	}
+	current := f.Config.Current()
+	if current == nil || current.CallerLimits.MaxHeaderBytes == 0 {
+		return false
+	}
+	length := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			length += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return int64(length) > current.CallerLimits.MaxHeaderBytes
+}
+
+// responseRoom is the room for responses to the requests of a connection.
+type responseRoom struct{ holder *budget.Holder }
+
+var _ forward.Room = responseRoom{}
+
+// Reserve takes room for n bytes of a response.
+func (r responseRoom) Reserve(n int64) bool { return r.holder.Reserve(budget.Response, n) }
+
+// Release gives up room for n bytes of a response.
+func (r responseRoom) Release(n int64) { r.holder.Release(budget.Response, n) }
+
 // activeDialect returns the configured dialect or the default one.
 func (f *Frontend) activeDialect() Dialect {
 	if f.Dialect != nil {
--- a/internal/caller/front/native.go
+++ b/internal/caller/front/native.go
@@ -11,6 +11,7 @@
 	"github.com/gorilla/mux"
 	"github.com/rs/zerolog"
 
+	"rosemarywick.example/rosemarywick/internal/caller/budget"
 	"rosemarywick.example/rosemarywick/internal/core/cause"
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/routing/router"
@@ -48,6 +49,9 @@
 	request, err := d.parseRequest(rw, r, id)
 	if err != nil {
 		d.log.Debug().Str("request", string(id)).Err(err).Msg("parse request: rejected")
+		if errors.Is(err, ErrNoRoom) {
+			return nil, &router.Rejected{Outcome: cause.NotRun, Cause: cause.NoRoom, RetryAfter: budget.RetryAfter}
+		}
 		return nil, &router.Rejected{Outcome: cause.NotRun, Cause: cause.BadRequest}
 	}
 	return request, nil
@@ -85,7 +89,7 @@
 		request.Key = declared.shardKey(r)
 		request.Delivery = declared.deliveryMode(r)
 	}
-	body, err := ReadBody(rw, r, d.bodyLimit)
+	body, err := ReadBody(rw, r, d.bodyLimit, 0)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/caller/front/readahead.go
+++ b/internal/caller/front/readahead.go
@@ -7,10 +7,12 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"rosemarywick.example/rosemarywick/internal/caller/budget"
 )
 
-// maxReadAhead limits the bytes of further requests that are held for one connection while a request is served. Beyond it, the
-// end of the connection is noticed only when the next request is read.
+// maxReadAhead limits the bytes of further requests that are held for one connection while a request is served. Beyond it,
+// the end of the connection is noticed only when the next request is read.
 const maxReadAhead = 32 << 10
 
 // errCallerGone means that the caller closed the connection while a request of its was being served.
@@ -20,6 +22,8 @@
 // received one byte of a further request, and would not notice that the caller closes the connection.
 type readAhead struct {
 	conn net.Conn
+	// holder counts the bytes that were read ahead.
+	holder *budget.Holder
 	// gone is called when the caller has closed the connection.
 	gone func()
 
@@ -52,8 +56,9 @@
 func (r *readAhead) run(done chan struct{}) {
 	defer close(done)
 	buffer := make([]byte, 2<<10)
-	for {
+	for r.holder.Reserve(budget.Ahead, int64(len(buffer))) {
 		n, err := r.conn.Read(buffer)
+		r.holder.Release(budget.Ahead, int64(len(buffer)-n))
 		r.mu.Lock()
 		r.content = append(r.content, buffer[:n]...)
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -70,8 +75,8 @@
 	}
 }
 
-// take stops reading and moves bytes that were read to p. If it returns neither bytes nor an error, the connection is to be read.
-// Bytes of a caller that has closed the connection are discarded.
+// take stops reading and moves bytes that were read to p. If it returns neither bytes nor an error, the connection is to be
+// read. Bytes of a caller that has closed the connection are discarded.
 func (r *readAhead) take(p []byte) (int, error) {
 	r.stop()
 	r.mu.Lock()
@@ -80,6 +85,7 @@
 		return 0, r.err
 	}
 	n := copy(p, r.content)
+	r.holder.Release(budget.Ahead, int64(n))
 	r.content = r.content[n:]
 	if len(r.content) == 0 {
 		r.content = nil
--- a/internal/core/cause/outcome.go
+++ b/internal/core/cause/outcome.go
@@ -53,6 +53,8 @@
 	UpstreamFailed Cause = "upstream-failed"
 	// TooLarge means that the body of the request exceeds the limit.
 	TooLarge Cause = "too-large"
+	// NoRoom means that there was no room in memory for the body of the request.
+	NoRoom Cause = "no-room"
 	// NoEntry means that no entry of the configuration matches the host name and path.
 	NoEntry Cause = "no-entry"
 	// NoConfiguration means that the daemon has no configuration yet.
--- a/internal/core/document/entry.go
+++ b/internal/core/document/entry.go
@@ -34,10 +34,12 @@
 	Weight  int
 }
 
-// CallerLimits limits the size of request bodies and the time that connections may stay idle. Zero means unlimited.
+// CallerLimits limits what callers may send, and how long they may take for the head of a request or stay idle. For zero, the
+// default of the front end applies.
 type CallerLimits struct {
-	MaxBodyBytes int64
-	IdleTimeout  time.Duration
+	MaxHeaderBytes, MaxBodyBytes int64
+	HeaderTimeout                time.Duration
+	IdleTimeout                  time.Duration
 }
 
 // MatchEntry returns the entry of the host name with the longest prefix of the path, or nil.
--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -60,6 +60,8 @@
 	RetryRatio, RetryBurst float64
 	// MaxDescriptors is the number of files and connections that the process may have open, or zero if it is not limited.
 	MaxDescriptors int
+	// Memory is the memory limit of the process in bytes, or zero if it is not limited.
+	Memory int64
 	// RateAllowance is what counts as obeying the limit that an upstream names.
 	RateAllowance ratelimit.Allowance
 }
@@ -113,14 +115,11 @@
 	maxBufferedBytes = 1 << 20
 	// outageGrace is the time after an outage of the store within which upstreams register again if their entries expired.
 	outageGrace = 2 * time.Second
-	// callerDescriptors is the fraction of the descriptors that connections of callers may use. The rest is for upstreams, other
-	// daemons, the store and the log.
-	callerDescriptors = 0.6
 	// acceptFraction is the fraction of StopTimeout in which requests are still accepted, until the load balancer has noticed
 	// that the daemon is not ready.
 	acceptFraction = 0.45
-	// endFraction is the fraction of StopTimeout after which requests that are left are ended, so that their callers get an answer.
-	// finishFraction is the fraction after which the connections of callers are closed.
+	// endFraction is the fraction of StopTimeout after which requests that are left are ended, so that their callers get an
+	// answer. finishFraction is the fraction after which the connections of callers are closed.
 	endFraction    = 0.92
 	finishFraction = 0.95
 	// grantFraction is the normal duration of a grant as a fraction of MaxGrantDuration. A server that stops responding is
@@ -205,7 +204,7 @@
 	d.front = &front.Frontend{
 		Address: d.CallerAddress, Router: d.router, Config: d.configuration, Clock: d.Timer, Log: d.Log,
 		Dialect: d.CallerDialect(d.configuration), StopTimeout: d.stopFraction(finishFraction - acceptFraction), Listening: d.Listening,
-		MaxConnections: int(float64(d.Limits.MaxDescriptors) * callerDescriptors),
+		Budget: d.newHeldBudget(),
 	}
 }
 
