--- a/internal/observe/records/meaning.go
+++ b/internal/observe/records/meaning.go
@@ -24,6 +24,7 @@
 	cause.ResponseTruncated:   "the answer ended before it was complete",
 	cause.UpstreamDraining:    "the upstream was leaving and took no new work",
 	cause.NoUpstream:          "no upstream of the service could take the request",
+	cause.NoRoom:              "there was no room in memory for the body of the request",
 	cause.RetryBudget:         "the request could have been sent again, but the retry budget was used up",
 	cause.DuplicateRequest:    "a request with the same idempotency key had been accepted before",
 	cause.ClaimUnavailable:    "the table could not record the idempotency key, so that the request was not run",
--- a/internal/observe/records/records_test.go
+++ b/internal/observe/records/records_test.go
@@ -341,7 +341,7 @@
 		cause.MapUnconfirmed, cause.QueueFull, cause.DeadlineUnmeetable, cause.DeadlinePassed, cause.TenantShare,
 		cause.UpstreamRefused, cause.UpstreamUnreachable, cause.UpstreamReset, cause.ResponseTruncated, cause.UpstreamDraining,
 		cause.NoUpstream, cause.RetryBudget, cause.DuplicateRequest, cause.ClaimUnavailable, cause.CallerGone,
-		cause.DaemonStopping, cause.SlowUpstream, cause.ResumedElsewhere,
+		cause.DaemonStopping, cause.SlowUpstream, cause.ResumedElsewhere, cause.NoRoom,
 	} {
 		if !records.IsKnownCause(value) {
 			t.Errorf("no meaning for %q", value)
