peer/relay, daemon/entry: an evacuation that arrives after a silence counts from its start

A daemon that was suspended or cut off adopted an evacuation with the full time for owners there, so that it could use them beyond the bound although it receives the updates again. The relay node now tells for how long it was without contact to the store before; the evacuation counts as begun then. The log line's age is this silence; the age of all tables says little, since a quiet table is confirmed every 4 s only.

Tested with go test ./internal/peer/relay ./internal/daemon/entry ./internal/routing/evacuation, the latter two and -run Age of relay with -race, and go test ./platform -run 'Evacuat|AllDomains'; golangci-lint without findings in these packages.

--- a/internal/daemon/entry/evacuations.go
+++ b/internal/daemon/entry/evacuations.go
@@ -35,8 +35,8 @@
 	decode   func(row table.Row) evacuation.Change
 	set      *evacuation.Set
 	registry *registry.Registry
-	// age returns how old the tables of this daemon were at most when they were last confirmed.
-	age func() time.Duration
+	// silence returns for how long this daemon was without contact to the store before the present changes.
+	silence func() time.Duration
 }
 
 // prepareEvacuations connects the evacuations to the registry, if they are in use. It is called before any table is followed.
@@ -47,7 +47,7 @@
 	set := &evacuation.Set{Timeout: d.Evacuations.Timeout, Domains: d.Evacuations.Domains}
 	d.evacuations = &evacuations{
 		clock: d.Timer, log: d.Log, decode: d.Evacuations.Decode, set: set, registry: d.registry,
-		age: func() time.Duration { return d.node.Age() },
+		silence: func() time.Duration { return d.node.Silence() },
 	}
 	d.registry.EvacuatedSince, d.registry.EvacuationTimeout = set.Since, d.Evacuations.Timeout
 }
@@ -81,12 +81,13 @@
 
 // reset adopts the rows of the first snapshot of the table.
 func (e *evacuations) reset(rows []table.Row) {
-	e.note(e.set.Reset(e.clock.Now(), e.decodeRows(rows)...))
+	e.note(e.set.Reset(e.clock.Now(), e.decodeRows(rows)...), 0)
 }
 
-// apply adopts changed rows.
+// apply adopts changed rows. Those that follow a silence count as written at its start.
 func (e *evacuations) apply(rows []table.Row) {
-	e.note(e.set.Apply(e.clock.Now(), e.decodeRows(rows)...))
+	now, age := e.clock.Now(), e.silence()
+	e.note(e.set.Apply(now, now.Add(-age), e.decodeRows(rows)...), age)
 }
 
 // decodeRows decodes the rows that are orders to evacuate a domain.
@@ -100,15 +101,15 @@
 	return result
 }
 
-// note logs what happened and puts it into effect.
-func (e *evacuations) note(events []evacuation.Event) {
+// note logs what happened, with the greatest age that the update can have, and puts it into effect.
+func (e *evacuations) note(events []evacuation.Event, age time.Duration) {
 	for _, event := range events {
 		switch event := event.(type) {
 		case evacuation.Began:
-			e.log.Warn().Str("evacuated", string(event.Domain)).Uint64("version", event.Version.Number()).Dur("age", e.age()).
+			e.log.Warn().Str("evacuated", string(event.Domain)).Uint64("version", event.Version.Number()).Dur("age", age).
 				Bool("in-snapshot", event.InSnapshot).Msg("failure domain is evacuated")
 		case evacuation.Ended:
-			e.log.Warn().Str("evacuated", string(event.Domain)).Uint64("version", event.Version.Number()).Dur("age", e.age()).
+			e.log.Warn().Str("evacuated", string(event.Domain)).Uint64("version", event.Version.Number()).Dur("age", age).
 				Dur("lasted", event.Lasted).Msg("evacuation of failure domain has ended")
 		case evacuation.Kept:
 			e.log.Warn().Str("evacuated", string(event.Domain)).Uint32("era", uint32(event.Version.Era())).
--- a/internal/peer/relay/age_test.go
+++ b/internal/peer/relay/age_test.go
@@ -17,13 +17,22 @@
 		for range 20 {
 			for _, d := range n.running() {
 				is.True(d.Age() <= idle)
+				is.Equal(d.Silence(), time.Duration(0))
 			}
 			sleep(500 * time.Millisecond)
 		}
 		n.store.set(func() { n.store.down = true })
 		sleep(10 * time.Second)
 		n.store.set(func() { n.store.down = false })
-		sleep(2 * time.Second)
+		sleep(silenceMemory / 2)
+		n.store.write("t/a", "late")
+		for _, d := range n.running() {
+			is.True(d.Silence() >= 8*time.Second)
+		}
+		sleep(2 * silenceMemory)
+		for _, d := range n.running() {
+			is.Equal(d.Silence(), time.Duration(0))
+		}
 		for _, d := range n.running() {
 			is.True(d.Age() <= idle)
 			is.True(d.GreatestAge() >= 9*time.Second)
--- a/internal/peer/relay/follow.go
+++ b/internal/peer/relay/follow.go
@@ -291,6 +291,9 @@
 	n.mu.Lock()
 	recovered := available && n.interrupted
 	n.interrupted = !available
+	if available {
+		n.contact.note(n.Clock.Now())
+	}
 	n.mu.Unlock()
 	n.confirm(confirmed)
 	if recovered {
--- a/internal/peer/relay/node.go
+++ b/internal/peer/relay/node.go
@@ -126,6 +126,8 @@
 	// greatestAge is the greatest age that the tables had when they were confirmed anew.
 	confirmedAt time.Time
 	greatestAge time.Duration
+	// contact is guarded by mu.
+	contact contact
 	// subscription is guarded by mu: that to a relay, or nil.
 	subscription *subscription
 	// subscribers is guarded by mu and holds the daemons that subscribe to this one.
--- a/internal/routing/evacuation/evacuation.go
+++ b/internal/routing/evacuation/evacuation.go
@@ -106,9 +106,9 @@
 	return s.adopt(now, now.Add(-s.Timeout), true, changes)
 }
 
-// Apply adopts changed rows.
-func (s *Set) Apply(now time.Time, changes ...Change) []Event {
-	return s.adopt(now, now, false, changes)
+// Apply adopts changed rows that may have been written at any time since a time before now.
+func (s *Set) Apply(now, since time.Time, changes ...Change) []Event {
+	return s.adopt(now, since, false, changes)
 }
 
 // Restored notes that the store has come back from an older copy, and was read at a version since. Rows that are missing at that
