forward, router: share signs of full upstreams in a service; a refused connection holds back no requests

Cause: a daemon among 87 sends a request to an upstream in 12 s, so that the 10 s for which an upstream counted as close to its limit seldom covered the next non-idempotent request. The wait of 1 ms on near upstreams was shorter than their processes need to reset a connection. A reset of a new connection held requests back like a full queue, although the server may have free slots.

Change: the sign of an upstream counts for a minute, and that of another one of the same service for 10 s (forward.Shared, which replaces ReuseLimit). The wait is 5 to 25 ms. The feedback Unconnected lowers the limit to requests in flight like Shed, but starts no hold.

Tests: upstream/forward and routing/router with -race, admission, retry, daemon/entry, observe/metrics.

--- a/internal/routing/admission/limit.go
+++ b/internal/routing/admission/limit.go
@@ -5,7 +5,8 @@
 
 import "time"
 
-// Feedback is what the result of one request showed about its upstream. It is one of Served, Shed and Abandoned.
+// Feedback is what the result of one request showed about its upstream. It is one of Served, Shed,
+// Unconnected and Abandoned.
 type Feedback interface {
 	feedback()
 }
@@ -18,12 +19,16 @@
 // Shed means that the upstream stated that it did not run the request.
 type Shed struct{}
 
+// Unconnected means that the upstream accepted no further connection, which says nothing about its queue.
+type Unconnected struct{}
+
 // Abandoned means that no response was received. It shows nothing about the capacity of the upstream.
 type Abandoned struct{}
 
-func (Served) feedback()    {}
-func (Shed) feedback()      {}
-func (Abandoned) feedback() {}
+func (Served) feedback()      {}
+func (Shed) feedback()        {}
+func (Unconnected) feedback() {}
+func (Abandoned) feedback()   {}
 
 // Limit is the maximum number of requests that this daemon may have in flight at one upstream. It is one of *AdaptiveLimit
 // and StaticLimit.
@@ -113,7 +118,7 @@
 	switch feedback := feedback.(type) {
 	case Served:
 		adaptive.onServed(inFlight, feedback.Latency, now)
-	case Shed:
+	case Shed, Unconnected:
 		adaptive.onShed(now)
 	case Abandoned:
 	}
--- a/internal/routing/admission/pace.go
+++ b/internal/routing/admission/pace.go
@@ -132,7 +132,7 @@
 		}
 	case Shed:
 		c.hold(now)
-	case Abandoned:
+	case Unconnected, Abandoned:
 	}
 }
 
--- a/internal/routing/router/service.go
+++ b/internal/routing/router/service.go
@@ -32,8 +32,8 @@
 	pool    *balance.Pool
 	budget  *retry.Budget
 	breaker *ownerBreaker
-	// reuse limits the reuse of connections to the upstreams.
-	reuse *forward.ReuseLimit
+	// connections is what was learned about connections to the upstreams.
+	connections *forward.Shared
 }
 
 // upstreamState is the configuration of one upstream, its client and its queue.
@@ -59,7 +59,7 @@
 		next.runtimeState, next.queue = previous.runtimeState, previous.queue
 	} else {
 		next.runtimeState = &runtimeState{
-			pool: &balance.Pool{Local: r.Host.Locality}, budget: r.newBudget(), breaker: newBreaker(), reuse: &forward.ReuseLimit{},
+			pool: &balance.Pool{Local: r.Host.Locality}, budget: r.newBudget(), breaker: newBreaker(), connections: &forward.Shared{},
 		}
 	}
 	weights := make(map[fleet.TenantName]int)
@@ -71,7 +71,7 @@
 		candidates = append(candidates, balance.Candidate{
 			ID: upstream.ID, Locality: upstream.Locality, Drained: upstream.Drained || !upstream.DrainDeadline.IsZero(),
 		})
-		next.upstreams[upstream.ID] = r.buildUpstream(previous, declared, upstream, weights, next.reuse)
+		next.upstreams[upstream.ID] = r.buildUpstream(previous, declared, upstream, weights, next.connections)
 	}
 	next.pool.SetCandidates(r.Clock.Now(), candidates)
 	if !declared.Keyed() {
@@ -85,7 +85,7 @@
 // address is the same.
 func (r *Router) buildUpstream(
 	previous *serviceState, declared *document.Service, upstream document.Upstream, weights map[fleet.TenantName]int,
-	reuse *forward.ReuseLimit,
+	shared *forward.Shared,
 ) *upstreamState {
 	result := &upstreamState{Upstream: upstream}
 	if previous != nil {
@@ -94,7 +94,7 @@
 		}
 	}
 	if result.client == nil {
-		result.client = r.newClient(declared, upstream, reuse)
+		result.client = r.newClient(declared, upstream, shared)
 	}
 	if declared.Keyed() {
 		result.queue = r.configureQueue(result.queue, declared, weights, 1, func(
--- a/internal/routing/router/upstream_full.go
+++ b/internal/routing/router/upstream_full.go
@@ -17,10 +17,10 @@
 const maxIdle = 9 * time.Second
 
 // newClient returns the client for an upstream of a service.
-func (r *Router) newClient(declared *document.Service, upstream document.Upstream, reuse *forward.ReuseLimit) *forward.Client {
+func (r *Router) newClient(declared *document.Service, upstream document.Upstream, shared *forward.Shared) *forward.Client {
 	client := &forward.Client{
 		Address: upstream.Address, Clock: r.Clock, MaxConnections: r.connectionLimit(declared), Dialect: r.Dialect,
-		BufferLimit: r.BufferLimit, HoldNewConnections: true, MaxIdle: maxIdle, Reuse: reuse,
+		BufferLimit: r.BufferLimit, HoldNewConnections: true, MaxIdle: maxIdle, Shared: shared,
 	}
 	if r.OnConnectionEvent != nil {
 		service := declared.Name
@@ -71,8 +71,9 @@
 	return false
 }
 
-// releaseFull releases the slot of a request that met a full upstream, which counts as a rejection by it.
+// releaseFull releases the slot of a request that met an upstream without room for a further connection, which counts as a
+// rejection by it.
 func (p *pendingRequest) releaseFull(slot *acquiredSlot) {
 	p.service.pool.RequestEnded(p.router.Clock.Now(), slot.upstream.ID, balance.Rejected{})
-	slot.queue.release(slot.upstream.ID, admission.Shed{})
+	slot.queue.release(slot.upstream.ID, admission.Unconnected{})
 }
--- a/internal/upstream/forward/client.go
+++ b/internal/upstream/forward/client.go
@@ -84,8 +84,8 @@
 	// MaxIdle is the idle age up to which connections are reused for idempotent requests if the upstream announces no Keep-Alive
 	// timeout. Zero means 4 s, as for non-idempotent ones.
 	MaxIdle time.Duration
-	// Reuse limits the reuse of connections. The clients of one service share it. It may be nil.
-	Reuse *ReuseLimit
+	// Shared is what the clients of one service have learned together. It may be nil.
+	Shared *Shared
 	// OnEvent is called with changes in how connections are used. It may be nil and must not block.
 	OnEvent func(Event)
 
@@ -169,7 +169,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", c.Address.String())
 	if isReset(err) && ctx.Err() == nil { // the reset arrived before connecting was seen to have succeeded
-		c.report(c.full.noteReset(c.Clock.Now(), start))
+		c.noteFull(c.Clock.Now(), start)
 		return nil, errors.Mark(err, errFull)
 	}
 	if err != nil {
--- a/internal/upstream/forward/full.go
+++ b/internal/upstream/forward/full.go
@@ -21,10 +21,16 @@
 	// takes about one round trip; a later one is more likely a crash of the upstream.
 	fullResetWindow = 250 * time.Millisecond
 	// fullMemory is how long an upstream that has reset a connection or refused a request as full counts as close to its limit.
-	fullMemory = 10 * time.Second
-	// minResetWait and maxResetWait bound the wait for a reset before a non-idempotent request is written. The upper bound applies
-	// when the opening of the connection was delayed by a lost packet.
-	minResetWait = time.Millisecond
+	// Each of 87 daemons sends a request to an upstream in 12 s, so that a shorter time would seldom cover the next one.
+	fullMemory = time.Minute
+	// sharedFullMemory is how long a sign of one upstream counts for the others of its service, which are often full together.
+	sharedFullMemory = 10 * time.Second
+	// seriesEnd is the time without a reset after which a further one begins a new series.
+	seriesEnd = 10 * time.Second
+	// minResetWait and maxResetWait bound the wait for a reset before a non-idempotent request is written. The lower bound leaves
+	// the upstream's process time to accept and reset the connection, which takes longer than the round trip if it is near; the
+	// upper one applies when the opening of the connection was delayed by a lost packet.
+	minResetWait = 5 * time.Millisecond
 	maxResetWait = 25 * time.Millisecond
 )
 
@@ -106,7 +112,7 @@
 		return UpstreamFull{Hold: max(0, f.until.Sub(now))}
 	}
 	first := f.hold == 0
-	if first || now.Sub(f.lastReset) > fullMemory {
+	if first || now.Sub(f.lastReset) > seriesEnd {
 		f.hold, f.since = 0, now
 	}
 	f.lastReset = now
@@ -167,7 +173,8 @@
 // awaitReset checks a new connection for a reset for about one round trip, if the upstream has recently been full. An error means
 // that the connection cannot be used and that nothing was sent on it.
 func (e *exchange) awaitReset() error {
-	if e.request.Reused || !e.request.NonIdempotent || !e.client.full.recent(e.client.Clock.Now()) {
+	now := e.client.Clock.Now()
+	if e.request.Reused || !e.request.NonIdempotent || !e.client.full.recent(now) && !e.client.Shared.recentlyFull(now) {
 		return nil
 	}
 	conn := e.connection
@@ -203,11 +210,16 @@
 	if now.Sub(e.connection.openedAt) > fullResetWindow {
 		return false
 	}
-	full := e.client.full.noteReset(now, e.connection.openedAt)
-	e.client.report(full)
+	e.client.noteFull(now, e.connection.openedAt)
 	return true
 }
 
+// noteFull records that the upstream reset a connection that was opened at a time.
+func (c *Client) noteFull(now, openedAt time.Time) {
+	c.Shared.noteFull(now)
+	c.report(c.full.noteReset(now, openedAt))
+}
+
 // responded records that the upstream responded to the request.
 func (e *exchange) responded() {
 	if e.request.Reused {
--- a/internal/upstream/forward/reuse.go
+++ b/internal/upstream/forward/reuse.go
@@ -19,13 +19,16 @@
 	reusePeriod = 30 * time.Second
 )
 
-// ReuseLimit limits the idle age up to which the connections to the upstreams of one service are reused, while reused connections
-// meet resets. The first reset limits the reuse for non-idempotent requests, whose outcome is lost by it, and a further one
-// within reusePeriod also that for idempotent requests. The zero value has no limit.
-type ReuseLimit struct {
+// Shared is what the clients of one service on one daemon learn together: up to which idle age connections are reused, and
+// whether upstreams are full. While reused connections meet resets, the age is limited: the first reset limits it for
+// non-idempotent requests, whose outcome is lost by it, and a further one within reusePeriod also for idempotent requests. The
+// zero value has no limit.
+type Shared struct {
 	mu sync.Mutex
 	// nonIdempotent and idempotent are guarded by mu.
 	nonIdempotent, idempotent ageLimit
+	// lastFull is guarded by mu: when an upstream last reset a new connection.
+	lastFull time.Time
 }
 
 // ageLimit is an idle age that applies until a time.
@@ -48,36 +51,56 @@
 }
 
 // maxAge returns the idle age up to which connections are reused.
-func (l *ReuseLimit) maxAge(now time.Time, nonIdempotent bool) time.Duration {
-	if l == nil {
+func (s *Shared) maxAge(now time.Time, nonIdempotent bool) time.Duration {
+	if s == nil {
 		return math.MaxInt64
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if nonIdempotent {
-		return l.nonIdempotent.current(now)
+		return s.nonIdempotent.current(now)
 	}
-	return l.idempotent.current(now)
+	return s.idempotent.current(now)
 }
 
 // noteReset records that a connection which had been idle was reset when it was used again.
-func (l *ReuseLimit) noteReset(now time.Time, idle time.Duration) ReuseShortened {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	repeated := now.Before(l.nonIdempotent.until)
-	l.nonIdempotent.shorten(now, idle/idleCut)
+func (s *Shared) noteReset(now time.Time, idle time.Duration) ReuseShortened {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	repeated := now.Before(s.nonIdempotent.until)
+	s.nonIdempotent.shorten(now, idle/idleCut)
 	if repeated {
-		l.idempotent.shorten(now, idle/idleCut)
+		s.idempotent.shorten(now, idle/idleCut)
 	}
-	return ReuseShortened{IdleAge: idle, Limit: l.nonIdempotent.age, Idempotent: repeated}
+	return ReuseShortened{IdleAge: idle, Limit: s.nonIdempotent.age, Idempotent: repeated}
+}
+
+// noteFull records that an upstream reset a new connection.
+func (s *Shared) noteFull(now time.Time) {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastFull = now
+}
+
+// recentlyFull reports whether an upstream has recently reset a new connection.
+func (s *Shared) recentlyFull(now time.Time) bool {
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.lastFull.IsZero() && now.Sub(s.lastFull) < sharedFullMemory
 }
 
 // noteIdleReset limits the reuse of connections after a reset of one that had been idle.
 func (c *Client) noteIdleReset(now time.Time, idle time.Duration) {
-	if c.Reuse == nil || idle < minSuspectIdle {
+	if c.Shared == nil || idle < minSuspectIdle {
 		return
 	}
-	c.report(c.Reuse.noteReset(now, idle))
+	c.report(c.Shared.noteReset(now, idle))
 }
 
 // mayReuse reports whether a request may use an idle connection. A non-idempotent one needs a connection that the upstream is not
@@ -87,7 +110,7 @@
 	if nonIdempotent {
 		expires = conn.expiresSafely
 	}
-	return now.Before(expires) && now.Sub(conn.idleSince) <= c.Reuse.maxAge(now, nonIdempotent)
+	return now.Before(expires) && now.Sub(conn.idleSince) <= c.Shared.maxAge(now, nonIdempotent)
 }
 
 // takeIdle removes and returns the most recently used connection that the request may use, or nil if there is none. The second
