--- a/internal/ownership/ranges/uneven_load_test.go
+++ b/internal/ownership/ranges/uneven_load_test.go
@@ -67,7 +67,7 @@
 	unevenServers, unevenSlots, unevenQueue = 137, 3, 12
 	unevenRate                              = 950.0
 	tileShare                               = 0.65
-	reportEvery, collectEvery, moveDelay     = 300 * time.Millisecond, 500 * time.Millisecond, 300 * time.Millisecond
+	reportEvery, collectEvery, moveDelay    = 300 * time.Millisecond, 500 * time.Millisecond, 300 * time.Millisecond
 	noiseInterval, noiseShare, noiseFactor  = 400 * time.Millisecond, 0.2, 3.0
 	zipfKeys, zipfExponent                  = 60_000, 0.41
 )
