--- a/internal/ownership/ranges/rebalance.go
+++ b/internal/ownership/ranges/rebalance.go
@@ -147,9 +147,9 @@
 }
 
 // moveLoad moves keys from one server to another: a piece of one of its ranges whose load is close to amount. From an overloaded
-// server it moves as few keys as possible. Otherwise the piece whose load is closest is moved: where keys are about equally busy, the
-// densest piece is the one that was requested often by chance, and would bring much less load than it was counted with. It returns
-// false if the load of none is close enough.
+// server it moves as few keys as possible. Otherwise the piece whose load is closest is moved: where keys are about equally busy,
+// the densest piece is the one that was requested often by chance, and would bring much less load than it was counted with. It
+// returns false if the load of none is close enough.
 func (p *Planner) moveLoad(from, to *Server, amount float64, reason MoveReason) bool {
 	outer, inner := piece{index: -1}, piece{index: -1}
 	better := p.closer
@@ -219,8 +219,8 @@
 	p.serverLoads[to.ID] += load
 }
 
-// better returns the piece that is better to move from an overloaded server: of those whose load is about the amount, the one with
-// the fewest keys.
+// better returns the piece that is better to move from an overloaded server: of those whose load is about the amount, the one
+// with the fewest keys.
 func (p *Planner) better(best, candidate piece, amount float64) piece {
 	if best.index >= 0 && p.distance(candidate, amount) <= pieceTolerance && p.distance(best, amount) <= pieceTolerance {
 		if candidate.keys.Size() < best.keys.Size() {
--- a/internal/peer/relay/replica.go
+++ b/internal/peer/relay/replica.go
@@ -152,8 +152,8 @@
 	}
 	// A relay logs the line when the store has responded, and its subscribers when the update has arrived: the difference is what
 	// the way of a change to a daemon took.
-	r.log.Info().Str("table", name).Uint64("version", after.Number()).Uint64("oldest", rows[0].Version.Number()).Int("rows", len(rows)).
-		Msg("changes of a table adopted")
+	r.log.Info().Str("table", name).Uint64("version", after.Number()).Uint64("oldest", rows[0].Version.Number()).
+		Int("rows", len(rows)).Msg("changes of a table adopted")
 	if consumer.Apply != nil {
 		consumer.Apply(rows)
 	}
--- a/internal/routing/balance/pick.go
+++ b/internal/routing/balance/pick.go
@@ -48,8 +48,8 @@
 	return first.ID, true
 }
 
-// pickBetter returns the better of two candidates that are chosen at random by weight, or the one of the preferred subset with the
-// least expected time if the measurements of all daemons are known. It returns nil if there are no candidates.
+// pickBetter returns the better of two candidates that are chosen at random by weight, or the one of the preferred subset with
+// the least expected time if the measurements of all daemons are known. It returns nil if there are no candidates.
 func (p *Pool) pickBetter(now time.Time, candidates []*upstreamEstimate, averages poolAverages) *upstreamEstimate {
 	if len(candidates) == 0 {
 		return nil
--- a/internal/upstream/forward/connection.go
+++ b/internal/upstream/forward/connection.go
@@ -32,7 +32,8 @@
 	reader *bufio.Reader
 	// connectTime is how long it took to open the connection.
 	connectTime time.Duration
-	// openedAt is when the connection was opened: whatever answers on it is the process that accepted it then. idleSince is when it last became idle, and idleFor for how long it then was.
+	// openedAt is when the connection was opened: whatever answers on it is the process that accepted it then. idleSince is when it
+	// last became idle, and idleFor for how long it then was.
 	openedAt, idleSince time.Time
 	idleFor             time.Duration
 	// received counts the bytes that were read. Only the goroutine that reads accesses it.
--- a/internal/upstream/rangegrants/assigner.go
+++ b/internal/upstream/rangegrants/assigner.go
@@ -40,8 +40,8 @@
 	Err error
 }
 
-// Reconnected means that no connection to the server has been open since Grant.ConnectedBefore. Nothing was sent: the process at the
-// address may be a later start of the server, which must be granted keys with a higher fence only.
+// Reconnected means that no connection to the server has been open since Grant.ConnectedBefore. Nothing was sent: the process at
+// the address may be a later start of the server, which must be granted keys with a higher fence only.
 type Reconnected struct{}
 
 // NoResponse means that no response arrived. Unless NotSent is set, the server may have applied the request or may still do so.
@@ -65,8 +65,8 @@
 	Duration time.Duration
 	// Handover is the state that the previous owner returned when it released the range.
 	Handover string
-	// ConnectedBefore, if set, is a time at which the server is known to have accepted a grant with this fence. A renewal is sent only on
-	// a connection that was opened before: one that ended shows that the server may have started again.
+	// ConnectedBefore, if set, is a time at which the server is known to have accepted a grant with this fence. A renewal is sent
+	// only on a connection that was opened before: one that ended shows that the server may have started again.
 	ConnectedBefore time.Time
 }
 
