front: one log line a second for refused connections; 431 names the attempt

A crowd beyond the limit of connections wrote a line for each of them. A request whose head exceeds maxHeaderBytes gets the common headers of a response, such as the id of the attempt.

Tested: go test -race ./internal/caller/...

--- a/internal/caller/front/connections.go
+++ b/internal/caller/front/connections.go
@@ -18,6 +18,10 @@
 // acceptRetryDelay is the pause after a temporary error of accept.
 const acceptRetryDelay = 50 * time.Millisecond
 
+// refusalLogInterval is the least time between two log lines about refused connections, since a crowd may cause thousands a
+// second.
+const refusalLogInterval = time.Second
+
 // callerListener accepts the connections of callers and bounds their number. The fields up to limit are set before Accept.
 type callerListener struct {
 	net.Listener
@@ -29,6 +33,10 @@
 	// budget holds room for each connection. Nil means that there is no limit.
 	budget *budget.Budget
 
+	// refused counts the connections that were refused since the last log line, at refusalLogged. Only Accept uses them.
+	refused       int
+	refusalLogged time.Time
+
 	closeOnce sync.Once
 	// closeErr is set by closeOnce.
 	closeErr error
@@ -63,11 +71,22 @@
 		if caller := l.admit(conn); caller != nil {
 			return caller, nil
 		}
-		l.log.Warn().Int("limit", l.limit).Msg("connection of a caller refused: all connections are in use")
+		l.logRefusal()
 		_ = conn.Close()
 	}
 }
 
+// logRefusal logs refused connections, at most one line in refusalLogInterval. Only Accept calls it.
+func (l *callerListener) logRefusal() {
+	l.refused++
+	now := l.clock.Now()
+	if now.Sub(l.refusalLogged) < refusalLogInterval {
+		return
+	}
+	l.log.Warn().Int("refused", l.refused).Msg("connections of callers refused: all connections are in use")
+	l.refused, l.refusalLogged = 0, now
+}
+
 // admit counts a new connection, and returns nil if the limit does not allow it.
 func (l *callerListener) admit(conn net.Conn) *callerConn {
 	for l.atLimit() {
--- a/internal/caller/front/handler.go
+++ b/internal/caller/front/handler.go
@@ -45,12 +45,12 @@
 	defer holder.ReleaseAll(budget.Response)
 	defer holder.ReleaseAll(budget.Body)
 	dialect := f.activeDialect()
+	dialect.SetCommonHeaders(rw.Header(), r)
 	if f.headTooLarge(r) {
 		rw.Header().Set("Connection", "close")
 		rw.WriteHeader(http.StatusRequestHeaderFieldsTooLarge)
 		return
 	}
-	dialect.SetCommonHeaders(rw.Header(), r)
 	if f.draining.Load() {
 		rw.Header().Set("Connection", "close")
 	}
