--- a/internal/ownership/ranges/rebalance.go
+++ b/internal/ownership/ranges/rebalance.go
@@ -231,8 +231,8 @@
 	return p.closer(best, candidate, amount)
 }
 
-// closer returns the piece whose load is closer to amount. One whose load differs from amount by half of it would only reverse the
-// imbalance and is never returned.
+// closer returns the piece whose load is closer to amount. One whose load differs from amount by half of it would only reverse
+// the imbalance and is never returned.
 func (p *Planner) closer(best, candidate piece, amount float64) piece {
 	distance := p.distance(candidate, amount)
 	if distance < 0.5 && (best.index < 0 || distance < p.distance(best, amount)) {
--- a/internal/upstream/rangegrants/claim.go
+++ b/internal/upstream/rangegrants/claim.go
@@ -11,8 +11,8 @@
 )
 
 // claimTable reads the table and writes it back under a new term number, so that a write of the previous assigner that is still
-// in flight fails. All ranges get new fences: this daemon has no connection that shows whether a server has started again since it
-// accepted the last ones. It returns false if the lease was lost meanwhile.
+// in flight fails. All ranges get new fences: this daemon has no connection that shows whether a server has started again since
+// it accepted the last ones. It returns false if the lease was lost meanwhile.
 func (t *term) claimTable(ctx context.Context) bool {
 	for t.leaseValid() && ctx.Err() == nil {
 		current, version, err := t.readTable(ctx)
