admission: do not count admissions on arrival as admissions from the queue

Cause: with priorities, a request that was admitted on arrival counted as one that came from the queue after no time. The mean interval became too short, so that waits were estimated too low at first and too high after a stall.

Change: only requests that waited count, as without priorities.

Tests of admission and router with -race.

--- a/internal/routing/admission/controller.go
+++ b/internal/routing/admission/controller.go
@@ -199,7 +199,7 @@
 // Dispatch admits queued requests while there is capacity, and refuses those that can no longer meet their deadlines.
 func (c *Controller) Dispatch(now time.Time) []Dequeued {
 	if c.Prioritized {
-		return c.dispatchPrioritized(now)
+		return c.dispatchPrioritized(now, nil)
 	}
 	var dequeued []Dequeued
 	for c.queue.length > 0 {
--- a/internal/routing/admission/prioritized.go
+++ b/internal/routing/admission/prioritized.go
@@ -30,7 +30,7 @@
 		c.lastAdmission = now
 	}
 	c.queue.enqueueAfterShare(request, weight)
-	dequeued := c.dispatchPrioritized(now)
+	dequeued := c.dispatchPrioritized(now, request)
 	for i, entry := range dequeued {
 		if entry.Request == request {
 			return entry.Decision, append(dequeued[:i:i], dequeued[i+1:]...)
@@ -53,8 +53,9 @@
 	return Queued{}, append(dequeued, Dequeued{Request: evicted, Decision: refusal})
 }
 
-// dispatchPrioritized is Dispatch for requests with priorities.
-func (c *Controller) dispatchPrioritized(now time.Time) []Dequeued {
+// dispatchPrioritized is Dispatch for requests with priorities. The admission of a request that has just arrived says nothing
+// about the time between two admissions from the queue.
+func (c *Controller) dispatchPrioritized(now time.Time, arrived *Request) []Dequeued {
 	dequeued := c.dropLate(now)
 	for c.queue.length > 0 {
 		queue, index := c.queue.first(func(request *Request) (standing, bool) {
@@ -68,7 +69,9 @@
 		if !ok {
 			return dequeued
 		}
-		c.recordAdmission(now)
+		if request != arrived {
+			c.recordAdmission(now)
+		}
 		dequeued = append(dequeued, Dequeued{Request: c.queue.dequeue(queue, index), Decision: Admitted{Upstream: id}})
 	}
 	return dequeued
