admission: a response does not end the hold of a server that states its load

Cause: a response that was not accompanied by a stated load ended the holds. The slot of a response that is passed on as a stream is released long after its head with the load was recorded, so that the hold which that load had begun ended.

Change: for 10 s after a stated load, only a stated load ends holds.

Test: a hold that began 1 s before the slot is released. Tests of admission and router.

--- a/internal/routing/admission/pace.go
+++ b/internal/routing/admission/pace.go
@@ -27,8 +27,11 @@
 	defaultWork = 100 * time.Millisecond
 	// maxPriority is the highest number of a priority for which there is a hold of its own.
 	maxPriority = 3
-	// statedWithin is how old a stated load may be to belong to the response that is processed.
+	// statedWithin is how old a stated load may be to belong to the response that is processed: reading a short body takes less.
 	statedWithin = 20 * time.Millisecond
+	// statingFor is how long after a stated load a server counts as one that states its load. Its responses alone do not end a hold
+	// then, since a slot may be released long after the response that came with the load.
+	statingFor = 10 * time.Second
 	// workWeight is the divisor of the moving average of the work. Responses that waited for an unknown time count less.
 	workWeight, queuedWorkWeight = 8, 64
 )
@@ -127,7 +130,7 @@
 	switch feedback := feedback.(type) {
 	case Served:
 		c.pace.observeWork(feedback.Latency, stated)
-		if !stated {
+		if c.pace.loadAt.IsZero() || now.Sub(c.pace.loadAt) > statingFor {
 			c.pace.release()
 		}
 	case Shed:
--- a/internal/routing/admission/prioritized_test.go
+++ b/internal/routing/admission/prioritized_test.go
@@ -114,3 +114,20 @@
 	is.Equal(returns.Arrive(now.Add(150*time.Millisecond), stranger), admission.DueReturn{}) // takes the place of the second one
 	is.Equal(returns.Reserved(now, now.Add(time.Second), 1), 0)
 }
+
+// Guards against a hold that ends with the response that began it, when the slot is released after the body has been passed on.
+func TestHoldOutlastsItsResponse(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	c, names := newPrioritized(now)
+	c.Hosts, c.Slots = func() int { return 87 }, 3
+	c.RecordLoad(now, admission.ServerLoad{Running: 3, Waiting: 9, Slots: 3})
+	now = now.Add(time.Second)
+	c.Release(now, "a", admission.Served{Latency: 100 * time.Millisecond})
+	request := newKind(names, "r", "urgent", now, 400*time.Millisecond, time.Second)
+	_, refused := first(c.Submit(now, request)).(admission.Refused)
+	is.True(refused)
+	c.RecordLoad(now, admission.ServerLoad{Running: 3, Slots: 3})
+	_, admitted := first(c.Submit(now, request)).(admission.Admitted)
+	is.True(admitted)
+}
