admission: a rejection holds back requests only to servers that state their load

A daemon that met a rejection sent nothing to the server for 0.75 of the time in which it runs a request of each daemon, also to servers that do not state their load. Their responses do not show when they have room again.

TestRejectionByFullServer states the load where it expects a hold, and has a case without.

--- a/internal/routing/admission/pace.go
+++ b/internal/routing/admission/pace.go
@@ -106,6 +106,9 @@
 	p.work += (latency - p.work) / weight
 }
 
+// stating reports whether the server states its load.
+func (p *pace) stating(now time.Time) bool { return !p.loadAt.IsZero() && now.Sub(p.loadAt) <= statingFor }
+
 // paced reports whether the controller admits to a server that other daemons send to as well.
 func (c *Controller) paced() bool { return c.Prioritized && c.hosts() > 1 }
 
@@ -123,18 +126,20 @@
 	}
 }
 
-// observePace updates the pace by the result of a request. Without a stated load, a rejection shows that the server is full, and
-// a response that it is not.
+// observePace updates the pace by the result of a request. A rejection holds back requests only to a server that states its load:
+// the responses of another one do not show how soon it has room again, and a hold would refuse requests that it could run.
 func (c *Controller) observePace(now time.Time, feedback Feedback) {
 	stated := now.Sub(c.pace.loadAt) <= statedWithin
 	switch feedback := feedback.(type) {
 	case Served:
 		c.pace.observeWork(feedback.Latency, stated)
-		if c.pace.loadAt.IsZero() || now.Sub(c.pace.loadAt) > statingFor {
+		if !c.pace.stating(now) {
 			c.pace.release()
 		}
 	case Shed:
-		c.hold(now)
+		if c.pace.stating(now) {
+			c.hold(now)
+		}
 	case Unconnected, Abandoned:
 	}
 }
@@ -161,7 +166,7 @@
 // AfterRejection decides about a request that the server has just rejected. It returns false if the request may be sent again
 // after a wait that it can afford; Submit admits it then.
 func (c *Controller) AfterRejection(now time.Time, request *Request) (Refused, bool) {
-	if !c.paced() {
+	if !c.paced() || !c.pace.stating(now) {
 		return Refused{}, false
 	}
 	c.hold(now)
--- a/internal/routing/router/load.go
+++ b/internal/routing/router/load.go
@@ -17,13 +17,15 @@
 	}
 }
 
-// recordLoad passes the load that the upstream of a slot stated to the balancer.
+// recordLoad passes the load that the upstream of a slot stated to the balancer, and to the queue of a server.
 func (p *pendingRequest) recordLoad(slot *acquiredSlot, stated []forward.Notice) {
 	for _, notice := range stated {
 		if load, ok := notice.(forward.Load); ok {
-			p.service.pool.RecordLoad(p.router.Clock.Now(), slot.upstream.ID, balance.Load{
+			now, stated := p.router.Clock.Now(), balance.Load{
 				Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, Pace: load.Pace,
-			})
+			}
+			p.service.pool.RecordLoad(now, slot.upstream.ID, stated)
+			p.service.recordServerLoad(now, slot.upstream.ID, stated)
 		}
 	}
 }
