upstream/forward, platform: a status that HTTP does not have is no response

A worker in trouble may send a final response with a status such as 000. net/http reads any three digits. Statuses of 600 and above reached callers as the worker's answer (TestInvalidStatusOfWorker: 600 != 502); those below 100, 101 and 104 to 199 counted as informational, so that the response behind them was awaited until the deadline, and what they stated about the upstream was adopted.

Every final status outside 200 to 599, and every informational one but 100, 102 and 103, now makes the response invalid: nothing is known of the request, the connection is closed, and nothing that it states counts. Requests, orders and probes read through forward; the store has its own check. Operators' and peers' protocols have no such status. TestInvalidStatus and TestInvalidStatusOfWorker fail before the change; those of orders and of the store passed and stay as guards.

--- a/internal/routing/admission/pace.go
+++ b/internal/routing/admission/pace.go
@@ -107,7 +107,9 @@
 }
 
 // stating reports whether the server states its load.
-func (p *pace) stating(now time.Time) bool { return !p.loadAt.IsZero() && now.Sub(p.loadAt) <= statingFor }
+func (p *pace) stating(now time.Time) bool {
+	return !p.loadAt.IsZero() && now.Sub(p.loadAt) <= statingFor
+}
 
 // paced reports whether the controller admits to a server that other daemons send to as well.
 func (c *Controller) paced() bool { return c.Prioritized && c.hosts() > 1 }
--- a/internal/upstream/forward/exchange.go
+++ b/internal/upstream/forward/exchange.go
@@ -14,6 +14,8 @@
 )
 
 const (
+	// maxStatus is the highest status of HTTP.
+	maxStatus = 599
 	// inlineWriteLimit is the largest request in bytes that is written before the response is read. It fits into the socket
 	// buffers. The rest of a larger request is written concurrently, since an upstream may respond before it has read it.
 	inlineWriteLimit = 8 << 10
@@ -145,6 +147,9 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "forward: read response")
 		}
+		if !isValidStatus(response.StatusCode) {
+			return nil, errors.Wrapf(errInvalidResponse, "status %03d", response.StatusCode)
+		}
 		e.request.Notices = append(e.request.Notices,
 			e.client.Dialect.Notices(e.request, response.StatusCode, response.Header)...)
 		if response.StatusCode < http.StatusOK {
@@ -166,6 +171,16 @@
 	return nil, errors.Mark(errTooManyStale, errInvalidResponse)
 }
 
+// isValidStatus reports whether a status is one that HTTP has for a response. Informational ones are those that a server may send
+// without being asked: a protocol is never switched here. net/http reads any three digits.
+func isValidStatus(status int) bool {
+	switch status {
+	case http.StatusContinue, http.StatusProcessing, http.StatusEarlyHints:
+		return true
+	}
+	return status >= http.StatusOK && status <= maxStatus
+}
+
 // handleResponse turns a response whose body is unread into the Result of the exchange.
 func (e *exchange) handleResponse(response *http.Response, timeToFirstByte time.Duration) Result {
 	e.reusable = !response.Close
