--- a/internal/caller/front/connections.go
+++ b/internal/caller/front/connections.go
@@ -11,12 +11,17 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"rosemarywick.example/rosemarywick/internal/caller/budget"
 	"rosemarywick.example/rosemarywick/internal/core/timer"
 )
 
 // acceptRetryDelay is the pause after a temporary error of accept.
 const acceptRetryDelay = 50 * time.Millisecond
 
+// refusalLogInterval is the least time between two log lines about refused connections, since a crowd may cause thousands a
+// second.
+const refusalLogInterval = time.Second
+
 // callerListener accepts the connections of callers and bounds their number. The fields up to limit are set before Accept.
 type callerListener struct {
 	net.Listener
@@ -25,6 +30,12 @@
 	log    zerolog.Logger
 	// limit is the number of connections that are kept open at a time, or zero if it is not limited.
 	limit int
+	// budget holds room for each connection. Nil means that there is no limit.
+	budget *budget.Budget
+
+	// refused counts the connections that were refused since the last log line, at refusalLogged. Only Accept uses them.
+	refused       int
+	refusalLogged time.Time
 
 	closeOnce sync.Once
 	// closeErr is set by closeOnce.
@@ -43,9 +54,9 @@
 	return l.closeErr
 }
 
-// Accept waits for the next connection and returns it as a callerConn. A lack of resources ends no server: the connection that
-// has been idle for longest is closed, and accepting goes on after a pause. If all connections are in use at the limit, a new
-// one is closed.
+// Accept waits for the next connection and returns it as a callerConn. A lack of resources ends no server: the connection
+// that has been idle for longest is closed, and accepting goes on after a pause. If all connections are in use at the limit,
+// a new one is closed.
 func (l *callerListener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
@@ -60,11 +71,22 @@
 		if caller := l.admit(conn); caller != nil {
 			return caller, nil
 		}
-		l.log.Warn().Int("limit", l.limit).Msg("connection of a caller refused: all connections are in use")
+		l.logRefusal()
 		_ = conn.Close()
 	}
 }
 
+// logRefusal logs refused connections, at most one line in refusalLogInterval. Only Accept calls it.
+func (l *callerListener) logRefusal() {
+	l.refused++
+	now := l.clock.Now()
+	if now.Sub(l.refusalLogged) < refusalLogInterval {
+		return
+	}
+	l.log.Warn().Int("refused", l.refused).Msg("connections of callers refused: all connections are in use")
+	l.refused, l.refusalLogged = 0, now
+}
+
 // admit counts a new connection, and returns nil if the limit does not allow it.
 func (l *callerListener) admit(conn net.Conn) *callerConn {
 	for l.atLimit() {
@@ -72,11 +94,22 @@
 			return nil
 		}
 	}
+	caller := &callerConn{Conn: conn, config: l.config, listener: l, cancelRequests: func() {}}
+	holder, ok := l.budget.Open(caller.cutOff)
+	for !ok {
+		if !l.closeLongestIdle() {
+			return nil
+		}
+		holder, ok = l.budget.Open(caller.cutOff)
+	}
 	l.mu.Lock()
 	l.open++
 	l.mu.Unlock()
-	caller := &callerConn{Conn: conn, config: l.config, listener: l, cancelRequests: func() {}}
-	caller.ahead = readAhead{conn: conn, gone: func() { caller.cancelRequests() }}
+	caller.holder = holder
+	caller.ahead = readAhead{conn: conn, holder: holder, gone: func() { caller.cancelRequests() }}
+	if l.budget != nil {
+		caller.setReceiveBuffer(budget.ReceiveBuffer)
+	}
 	return caller
 }
 
--- a/internal/caller/front/native.go
+++ b/internal/caller/front/native.go
@@ -11,6 +11,7 @@
 	"github.com/gorilla/mux"
 	"github.com/rs/zerolog"
 
+	"rosemarywick.example/rosemarywick/internal/caller/budget"
 	"rosemarywick.example/rosemarywick/internal/core/cause"
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/routing/router"
@@ -48,6 +49,9 @@
 	request, err := d.parseRequest(rw, r, id)
 	if err != nil {
 		d.log.Debug().Str("request", string(id)).Err(err).Msg("parse request: rejected")
+		if errors.Is(err, ErrNoRoom) {
+			return nil, &router.Rejected{Outcome: cause.NotRun, Cause: cause.NoRoom, RetryAfter: budget.RetryAfter}
+		}
 		return nil, &router.Rejected{Outcome: cause.NotRun, Cause: cause.BadRequest}
 	}
 	return request, nil
@@ -85,7 +89,7 @@
 		request.Key = declared.shardKey(r)
 		request.Delivery = declared.deliveryMode(r)
 	}
-	body, err := ReadBody(rw, r, d.bodyLimit)
+	body, err := ReadBody(rw, r, d.bodyLimit, 0)
 	if err != nil {
 		return nil, err
 	}
@@ -93,18 +97,6 @@
 	return request, nil
 }
 
-// ReadBody reads the body of a request. It fails if the body exceeds limit bytes; a limit of zero means 1 MiB.
-func ReadBody(rw http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	if limit == 0 {
-		limit = defaultBodyLimit
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(rw, r.Body, limit))
-	return body, errors.Wrap(err, "front: read body")
-}
-
 // WriteRejection writes the response for a request that was rejected.
 func (d *nativeDialect) WriteRejection(rw http.ResponseWriter, rejected router.Rejected) {
 	header := rw.Header()
--- a/internal/core/cause/outcome.go
+++ b/internal/core/cause/outcome.go
@@ -45,14 +45,20 @@
 	TenantShare Cause = "tenant-share"
 	// UpstreamRefused means that the upstream stated that it did not run the request.
 	UpstreamRefused Cause = "upstream-refused"
+	// UpstreamFull means that the upstream accepted no further connection, so that the request was not sent.
+	UpstreamFull Cause = "upstream-full"
 	// UpstreamLimit means that the upstream limits the requests that it takes from all daemons, and that the limit is used up.
 	UpstreamLimit Cause = "upstream-limit"
+	// UpstreamCold means that the upstream has started recently and takes few requests, and that their number is used up.
+	UpstreamCold Cause = "upstream-cold"
 	// UpstreamPaused means that the upstream has asked this daemon to send nothing for some time.
 	UpstreamPaused Cause = "upstream-paused"
 	// UpstreamFailed means that the upstream ran the request and responded with an error of its own.
 	UpstreamFailed Cause = "upstream-failed"
 	// TooLarge means that the body of the request exceeds the limit.
 	TooLarge Cause = "too-large"
+	// NoRoom means that there was no room in memory for the body of the request.
+	NoRoom Cause = "no-room"
 	// NoEntry means that no entry of the configuration matches the host name and path.
 	NoEntry Cause = "no-entry"
 	// NoConfiguration means that the daemon has no configuration yet.
@@ -65,6 +71,8 @@
 	ResponseTruncated Cause = "answer-cut"
 	// UpstreamDraining means that the upstream is shutting down.
 	UpstreamDraining Cause = "upstream-draining"
+	// DomainEvacuated means that the operators have evacuated the failure domain of the upstreams that could serve the request.
+	DomainEvacuated Cause = "domain-evacuated"
 	// NoUpstream means that no upstream of the service could take the request.
 	NoUpstream Cause = "no-upstream"
 	// RetryBudget means that the request could have been sent again, but the retry budget was used up.
--- a/internal/core/document/document.go
+++ b/internal/core/document/document.go
@@ -51,8 +51,12 @@
 	QueueLimit int
 	// MaxOwnerWait is the longest time that a request waits for an owner of its key. Zero lets it wait until its deadline.
 	MaxOwnerWait time.Duration
-	Upstreams    []Upstream
-	Routes       []Route
+	// ColdStart is how long an upstream is cold (slow) after a start, and ColdRate the number of requests a second that it takes
+	// from all daemons together while it is. Zero means that it takes as many as ever.
+	ColdStart time.Duration
+	ColdRate  float64
+	Upstreams []Upstream
+	Routes    []Route
 }
 
 // Keyed reports whether the servers of the service own keys.
@@ -60,6 +64,16 @@
 	return s.Key != nil
 }
 
+// SlotsOf returns the number of requests that an upstream of the service runs concurrently.
+func (s *Service) SlotsOf(id fleet.UpstreamID) int {
+	for i := range s.Upstreams {
+		if s.Upstreams[i].ID == id && s.Upstreams[i].Slots > 0 {
+			return s.Upstreams[i].Slots
+		}
+	}
+	return s.Slots
+}
+
 // Upstream is one declared back end of a service.
 type Upstream struct {
 	ID       fleet.UpstreamID
@@ -70,6 +84,8 @@
 	// DrainDeadline is the time from which a server that is shutting down gets no new work, even if its keys have not been
 	// moved. It is zero for an upstream that is not shutting down.
 	DrainDeadline time.Time
+	// Evacuated is set if the operators have evacuated the failure domain of the upstream. DrainDeadline is set then, too.
+	Evacuated bool
 	// Incarnation identifies one run of the upstream's process. It is empty if it is not known.
 	Incarnation fleet.Incarnation
 	// Slots is the number of requests that this upstream runs concurrently. Zero selects the value of the service.
--- a/internal/core/document/entry.go
+++ b/internal/core/document/entry.go
@@ -22,6 +22,8 @@
 	MaxAttempts int
 	// Bulk marks requests with large responses.
 	Bulk bool
+	// Priority is 0 for the most urgent requests and grows as they get less urgent.
+	Priority int
 	// Tenant is the tenant whose share the requests use.
 	Tenant fleet.TenantName
 	// Splits contains at least one service, and at least one weight is not zero.
@@ -34,10 +36,12 @@
 	Weight  int
 }
 
-// CallerLimits limits the size of request bodies and the time that connections may stay idle. Zero means unlimited.
+// CallerLimits limits what callers may send, and how long they may take for the head of a request or stay idle. For zero, the
+// default of the front end applies.
 type CallerLimits struct {
-	MaxBodyBytes int64
-	IdleTimeout  time.Duration
+	MaxHeaderBytes, MaxBodyBytes int64
+	HeaderTimeout                time.Duration
+	IdleTimeout                  time.Duration
 }
 
 // MatchEntry returns the entry of the host name with the longest prefix of the path, or nil.
--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -22,6 +22,7 @@
 	"rosemarywick.example/rosemarywick/internal/ownership/ranges"
 	"rosemarywick.example/rosemarywick/internal/peer/relay"
 	"rosemarywick.example/rosemarywick/internal/platform/table"
+	"rosemarywick.example/rosemarywick/internal/routing/balance"
 	"rosemarywick.example/rosemarywick/internal/routing/ratelimit"
 	"rosemarywick.example/rosemarywick/internal/routing/retry"
 	"rosemarywick.example/rosemarywick/internal/routing/router"
@@ -60,8 +61,11 @@
 	RetryRatio, RetryBurst float64
 	// MaxDescriptors is the number of files and connections that the process may have open, or zero if it is not limited.
 	MaxDescriptors int
-	// RateAllowance is what counts as obeying the limit that an upstream names.
-	RateAllowance ratelimit.Allowance
+	// Memory is the memory limit of the process in bytes, or zero if it is not limited.
+	Memory int64
+	// RateAllowance is what counts as obeying the limit that an upstream names, and ColdAllowance the limit of a cold upstream. The
+	// zero ColdAllowance means that cold upstreams are not limited.
+	RateAllowance, ColdAllowance ratelimit.Allowance
 }
 
 // Daemon is one router process. The exported fields are set before Run.
@@ -73,6 +77,8 @@
 	Store                                           Store
 	Tables                                          Tables
 	Limits                                          Limits
+	// Evacuations says how operators evacuate failure domains.
+	Evacuations Evacuations
 	// DecodeConfiguration decodes the operators' row, and DecodeUpstream an upstream's row.
 	DecodeConfiguration func(value []byte) (*document.Document, error)
 	DecodeUpstream      func(row table.Row) (registry.Entry, error)
@@ -93,13 +99,16 @@
 	runID         string
 	registry      *registry.Registry
 	configuration *configuration
-	ownershipMap  *ownershipMap
-	loadTracker   *loadTracker
-	node          *relay.Node
-	notices       *notices.Book
-	router        *router.Router
-	front         *front.Frontend
-	observer      *observer
+	// evacuations is nil if they are not in use.
+	evacuations  *evacuations
+	ownershipMap *ownershipMap
+	loadTracker  *loadTracker
+	node         *relay.Node
+	notices      *notices.Book
+	limits       *upstreamLimits
+	router       *router.Router
+	front        *front.Frontend
+	observer     *observer
 
 	mu sync.Mutex
 	// stopping is guarded by mu and set once the daemon is asked to stop; it is not ready from then on.
@@ -113,14 +122,11 @@
 	maxBufferedBytes = 1 << 20
 	// outageGrace is the time after an outage of the store within which upstreams register again if their entries expired.
 	outageGrace = 2 * time.Second
-	// callerDescriptors is the fraction of the descriptors that connections of callers may use. The rest is for upstreams, other
-	// daemons, the store and the log.
-	callerDescriptors = 0.6
 	// acceptFraction is the fraction of StopTimeout in which requests are still accepted, until the load balancer has noticed
 	// that the daemon is not ready.
 	acceptFraction = 0.45
-	// endFraction is the fraction of StopTimeout after which requests that are left are ended, so that their callers get an answer.
-	// finishFraction is the fraction after which the connections of callers are closed.
+	// endFraction is the fraction of StopTimeout after which requests that are left are ended, so that their callers get an
+	// answer. finishFraction is the fraction after which the connections of callers are closed.
 	endFraction    = 0.92
 	finishFraction = 0.95
 	// grantFraction is the normal duration of a grant as a fraction of MaxGrantDuration. A server that stops responding is
@@ -152,7 +158,11 @@
 	group.Go(func() error { return d.configuration.follow(servingCtx) })
 	d.router.OnStaleMap = d.refreshTables
 	group.Go(func() error { return d.router.Run(servingCtx) })
+	group.Go(func() error { return d.router.RunTrials(servingCtx) })
 	group.Go(func() error { return d.loadTracker.run(servingCtx) })
+	if d.evacuations != nil {
+		group.Go(func() error { return d.router.FollowEvacuations(servingCtx, d.configuration.Changed) })
+	}
 	group.Go(func() error {
 		defer stopServing()
 		return d.serve(ctx, servingCtx)
@@ -180,7 +190,11 @@
 			})
 		},
 	}
+	if d.Limits.ColdAllowance != (ratelimit.Allowance{}) {
+		d.registry.NoteCold = d.noteCold
+	}
 	d.notices.OnLeaving = d.registry.NoteLeaving
+	d.prepareEvacuations()
 	d.configuration = &configuration{
 		log: d.Log, decode: d.DecodeConfiguration, rowName: d.Tables.ConfigurationRow, registry: d.registry,
 	}
@@ -188,31 +202,43 @@
 		clock: d.Timer, log: d.Log,
 		storeTime: func() time.Duration { return d.Store.Reading().Latest(d.Timer.Uptime()) },
 	}
-	d.loadTracker = &loadTracker{host: d.Host.ID, clock: d.Timer, log: d.Log, notices: d.notices, allowance: d.Limits.RateAllowance}
+	d.loadTracker = &loadTracker{
+		host: d.Host.ID, clock: d.Timer, log: d.Log, notices: d.notices, allowance: d.Limits.RateAllowance, coldRates: d.coldRates,
+	}
+	d.loadTracker.fleet = &fleetLoads{
+		clock: d.Timer, log: d.Log, upstreams: d.unkeyedUpstreams,
+		onSums: func(service fleet.ServiceName, loads map[fleet.UpstreamID]balance.FleetLoad) {
+			d.router.SetFleetLoads(service, loads)
+			d.observeFleetLoads(service, loads)
+		},
+	}
 	d.node = d.newNode()
 	d.loadTracker.peers = d.node
+	d.limits = &upstreamLimits{
+		keeper: d.node, daemonCount: d.knownDaemons, clock: d.Timer, own: ratelimit.Limiter{Staggered: true},
+	}
 	d.observer = newObserver(d)
 	d.connectMetrics()
 	d.router = &router.Router{
 		Host: d.Host, Clock: d.Timer, Config: d.configuration, OwnershipMap: d.ownershipMap, LoadObserver: d.loadTracker,
 		Recorder: d.observer, HostCount: d.daemonCount, Dialect: d.UpstreamDialect, BufferLimit: maxBufferedBytes,
 		NewBudget: d.newBudget, Notices: d.notices,
-		RateLimits: &upstreamLimits{
-			keeper: d.node, allowance: d.Limits.RateAllowance, daemonCount: d.daemonCount, clock: d.Timer,
-			own: ratelimit.Limiter{Staggered: true},
-		},
+		RateLimits: d.limits, StatedAllowance: d.Limits.RateAllowance, ColdAllowance: d.Limits.ColdAllowance,
+		Probe:             d.probe,
+		OnConnectionEvent: d.observer.observeConnections, OnAdmissionEvent: d.observer.observeAdmission,
 	}
 	d.front = &front.Frontend{
 		Address: d.CallerAddress, Router: d.router, Config: d.configuration, Clock: d.Timer, Log: d.Log,
 		Dialect: d.CallerDialect(d.configuration), StopTimeout: d.stopFraction(finishFraction - acceptFraction), Listening: d.Listening,
-		MaxConnections: int(float64(d.Limits.MaxDescriptors) * callerDescriptors),
+		Budget: d.newHeldBudget(),
 	}
 }
 
-// RecordNotices adopts what a server stated about itself in a response to the assigner. It is called while the daemon runs.
-func (d *Daemon) RecordNotices(server ranges.Owner, stated []forward.Notice) {
+// RecordNotices adopts what a server stated about itself in a response to an order or a probe that was sent at a time. It is
+// called while the daemon runs.
+func (d *Daemon) RecordNotices(server ranges.Owner, sentAt time.Time, stated []forward.Notice) {
 	d.notices.Record(notices.Exchange{
-		Source: notices.Source{ID: server.ID, Incarnation: server.Incarnation}, SentAt: d.Timer.Now(), Notices: stated,
+		Source: notices.Source{ID: server.ID, Incarnation: server.Incarnation}, SentAt: sentAt, Notices: stated,
 	})
 }
 
@@ -223,7 +249,13 @@
 
 // daemonCount returns the highest number of daemons named in any range table, and at least one.
 func (d *Daemon) daemonCount() int {
-	count := 1
+	count, _ := d.knownDaemons()
+	return max(1, count)
+}
+
+// knownDaemons does what daemonCount does, but returns false if no range table names a number.
+func (d *Daemon) knownDaemons() (int, bool) {
+	count := 0
 	if current := d.configuration.Current(); current != nil {
 		for i := range current.Services {
 			if rangeTable := d.ownershipMap.table(current.Services[i].Name); rangeTable != nil {
@@ -231,7 +263,7 @@
 			}
 		}
 	}
-	return count
+	return count, count > 0
 }
 
 // newBudget returns the retry budget of a service on this daemon, which is its share of the fleet's budget.
--- a/internal/daemon/entry/metrics.go
+++ b/internal/daemon/entry/metrics.go
@@ -3,7 +3,10 @@
 import (
 	"rosemarywick.example/rosemarywick/internal/core/document"
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
+	"rosemarywick.example/rosemarywick/internal/observe/metrics"
 	"rosemarywick.example/rosemarywick/internal/ownership/ranges"
+	"rosemarywick.example/rosemarywick/internal/routing/balance"
+	"rosemarywick.example/rosemarywick/internal/routing/ratelimit"
 )
 
 // keysPerPartition is the number of adjacent keys that the metrics count as one partition. Ranges are split and merged, so
@@ -18,9 +21,18 @@
 	if d.node != nil {
 		d.observer.metrics.ExposeTableAges(d.node.Age, d.node.GreatestAge)
 	}
+	if d.evacuations != nil {
+		d.observer.metrics.ExposeEvacuations(d.evacuations.set)
+	}
 	if d.notices != nil {
 		d.observer.metrics.ExposeNotices(d.notices)
 	}
+	if d.limits != nil {
+		d.observer.metrics.ExposeDenials(map[string]func() int{
+			string(ratelimit.Stated): func() int { return d.limits.Denied(ratelimit.Stated) },
+			string(ratelimit.Cold):   func() int { return d.limits.Denied(ratelimit.Cold) },
+		})
+	}
 }
 
 // observeOwners updates churn and time without an owner from a new range table.
@@ -49,3 +61,35 @@
 	}
 	d.observer.metrics.ObserveLoad(service, owned)
 }
+
+// observePlan updates the utilization of the servers of a service and counts the ranges that a plan moves.
+func (d *Daemon) observePlan(service fleet.ServiceName, moves []ranges.MoveSum, highest, mean float64) {
+	d.observer.metrics.ObserveUtilization(service, highest, mean)
+	for _, sum := range moves {
+		d.observer.metrics.ObserveMoves(service, metrics.Moves{
+			Reason: string(sum.Reason), Moves: sum.Moves, Splits: sum.Splits, Keys: sum.Keys,
+		})
+	}
+}
+
+// observeFleetLoads updates the utilization of the upstreams of a service without keys.
+func (d *Daemon) observeFleetLoads(service fleet.ServiceName, loads map[fleet.UpstreamID]balance.FleetLoad) {
+	current := d.configuration.Current()
+	if current == nil {
+		return
+	}
+	declared := current.FindService(service)
+	if declared == nil || len(declared.Upstreams) == 0 {
+		return
+	}
+	highest, sum := 0.0, 0.0
+	for _, upstream := range declared.Upstreams {
+		slots := upstream.Slots
+		if slots == 0 {
+			slots = declared.Slots
+		}
+		used := loads[upstream.ID].InFlight / float64(max(1, slots))
+		highest, sum = max(highest, used), sum+used
+	}
+	d.observer.metrics.ObserveUtilization(service, highest, sum/float64(len(declared.Upstreams)))
+}
--- a/internal/peer/relay/node.go
+++ b/internal/peer/relay/node.go
@@ -94,6 +94,8 @@
 	Limiter *ratelimit.Limiter
 	// Reporter receives the load reports of other daemons while this one follows the store.
 	Reporter Reporter
+	// Loads adds up the loads of upstreams that daemons of all failure domains measure. It may be nil.
+	Loads LoadSums
 	// Serve is run while this daemon is a relay, or has no peer address. Its context ends with the role or when the daemon stops.
 	Serve func(ctx context.Context)
 
@@ -126,6 +128,8 @@
 	// greatestAge is the greatest age that the tables had when they were confirmed anew.
 	confirmedAt time.Time
 	greatestAge time.Duration
+	// contact is guarded by mu.
+	contact contact
 	// subscription is guarded by mu: that to a relay, or nil.
 	subscription *subscription
 	// subscribers is guarded by mu and holds the daemons that subscribe to this one.
@@ -213,6 +217,7 @@
 	case err := <-failed:
 		return errors.Wrap(err, "relay: connect to peers")
 	}
+	n.tasks.Go(func() { n.runLoads(ctx) })
 	n.runRoles(ctx)
 	return nil
 }
--- a/internal/routing/balance/pick.go
+++ b/internal/routing/balance/pick.go
@@ -20,10 +20,12 @@
 	Bulk bool
 	// HasCapacity reports whether an upstream can take a request. Nil means that all of them can.
 	HasCapacity func(fleet.UpstreamID) bool
+	// IsCold reports whether an upstream has started recently, so that it is slow and takes few requests. Nil means that none has.
+	IsCold func(fleet.UpstreamID) bool
 }
 
-// Pick returns the better of two upstreams that are chosen at random by weight ("power of two choices"). It returns false
-// if no upstream can be used now.
+// Pick returns the better of two upstreams that are chosen at random by weight ("power of two choices"), or the one with the
+// least expected time if the measurements of all daemons are known. It returns false if no upstream can be used now.
 func (p *Pool) Pick(now time.Time, criteria Criteria) (fleet.UpstreamID, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -34,8 +36,26 @@
 	if len(candidates) == 0 {
 		return "", false
 	}
+	averages := p.averages(now)
+	warm, cold := criteria.splitCold(candidates)
 	if criteria.Bulk {
-		candidates = p.inLocalDomain(candidates)
+		warm, cold = p.inLocalDomain(warm), p.inLocalDomain(cold)
+	}
+	first := p.pickBetter(now, warm, averages)
+	if len(cold) > 0 {
+		first = preferWarm(now, first, p.pickBetter(now, cold, averages), averages)
+	}
+	return first.ID, true
+}
+
+// pickBetter returns the better of two candidates that are chosen at random by weight, or the one of the preferred subset with
+// the least expected time if the measurements of all daemons are known. It returns nil if there are no candidates.
+func (p *Pool) pickBetter(now time.Time, candidates []*upstreamEstimate, averages poolAverages) *upstreamEstimate {
+	if len(candidates) == 0 {
+		return nil
+	}
+	if p.informed(now) {
+		return p.pickFromSubset(p.fleetView(now), candidates)
 	}
 	first := p.pickWeighted(now, candidates)
 	second := p.pickWeighted(now, candidates)
@@ -44,17 +64,16 @@
 			second = p.pickWeighted(now, candidates)
 		}
 	}
-	averages := p.averages(now)
 	if second.score(now, averages) < first.score(now, averages) {
 		first = second
 	}
-	return first.ID, true
+	return first
 }
 
 // dueTrial returns a suspected upstream whose next trial is due, if the request may be used for that. It schedules the
 // trial after this one.
 func (p *Pool) dueTrial(now time.Time, criteria Criteria) *upstreamEstimate {
-	if !criteria.Idempotent {
+	if !criteria.Idempotent || p.probed {
 		return nil
 	}
 	for _, upstream := range p.upstreams {
--- a/internal/routing/router/pending.go
+++ b/internal/routing/router/pending.go
@@ -47,8 +47,10 @@
 	queue      *admissionQueue
 	assignment fleet.Assignment
 	// waited is set if the request waited because of the upstream's own limit after it had the slot.
-	waited    bool
-	startedAt time.Time
+	waited bool
+	// limitCause is the cause of a refusal because of the upstream's limit.
+	limitCause cause.Cause
+	startedAt  time.Time
 }
 
 // claimIdempotencyKey claims the idempotency key of a request that must run at most once.
@@ -98,6 +100,9 @@
 			p.reachedSends++
 		}
 		p.avoidUpstream = slot.upstream.ID
+		if rejected := p.rejectFull(slot, result); rejected != nil {
+			return p.reject(*rejected)
+		}
 		switch decision := retry.Decide(p.retryRequest(), result, p.service.budget).(type) {
 		case retry.PassThrough:
 			return p.respond(slot, decision.Response)
@@ -116,8 +121,8 @@
 // maxSends is the maximum number of sends of one request, including those to unreachable upstreams.
 const maxSends = 8
 
-// preferAttemptCause reports that the daemon stops if that ended the wait of a request that was not sent. It reports the cause of
-// the last failed attempt instead of the deadline, if it was that attempt which left no time for another one.
+// preferAttemptCause reports that the daemon stops if that ended the wait of a request that was not sent. It reports the
+// cause of the last failed attempt instead of the deadline, if it was that attempt which left no time for another one.
 func (p *pendingRequest) preferAttemptCause(rejected rejection) rejection {
 	stopped := p.router.lifetime().Err() != nil || p.endsWithStop && !p.router.Clock.Now().Before(p.deadline)
 	if stopped && len(p.record.Attempts) == 0 {
@@ -166,13 +171,19 @@
 	return &acquiredSlot{upstream: upstream, queue: p.service.queue}, nil
 }
 
-// admitToAny waits for admission to any upstream of a service without keys. If all of them ask for a pause meanwhile, it decides
-// anew.
+// admitToAny waits for admission to any upstream of a service without keys. If all of them ask for a pause meanwhile, it
+// decides anew.
 func (p *pendingRequest) admitToAny() (fleet.UpstreamID, *rejection) {
 	for {
+		if rejected := p.refuseEvacuated(); rejected != nil {
+			return "", rejected
+		}
 		if rejected := p.awaitPauses(); rejected != nil {
 			return "", rejected
 		}
+		if rejected := p.rejectIfFull(p.service.upstreams); rejected != nil {
+			return "", rejected
+		}
 		id, rejected := p.admit(p.ctx, p.service.queue)
 		if rejected == nil || rejected.cause != cause.UpstreamPaused {
 			return id, rejected
@@ -182,11 +193,7 @@
 
 // admit waits for admission by a queue and returns the upstream that was selected.
 func (p *pendingRequest) admit(ctx context.Context, queue *admissionQueue) (fleet.UpstreamID, *rejection) {
-	candidate := &admission.Request{
-		Tenant: p.request.Tenant, Arrived: p.router.Clock.Now(), Deadline: p.deadline, Avoid: p.avoidUpstream,
-		Idempotent: p.request.Delivery == document.Idempotent, Bulk: p.request.Bulk,
-	}
-	switch decision := queue.admit(ctx, candidate).(type) {
+	switch decision := queue.admit(ctx, p.newCandidate()).(type) {
 	case admission.Admitted:
 		return decision.Upstream, nil
 	case admission.Refused:
@@ -204,7 +211,8 @@
 	slot.startedAt = p.router.Clock.Now()
 	outgoing := &forward.Request{
 		ID: p.request.ID, Method: p.request.Method, Target: p.request.Target, Header: p.request.Header,
-		Body: p.request.Body, Deadline: p.deadline, Hostname: p.request.Hostname, Upstream: slot.upstream.ID,
+		Body: p.request.Body, Room: p.request.Room, Deadline: p.deadline, Hostname: p.request.Hostname, Upstream: slot.upstream.ID,
+		NonIdempotent: p.request.Delivery != document.Idempotent,
 	}
 	ctx, cancel := p.ctx, context.CancelFunc(nil)
 	if p.service.Keyed() {
@@ -232,6 +240,10 @@
 
 // release releases a slot and updates the estimates of the upstream by the result.
 func (p *pendingRequest) release(slot *acquiredSlot, result forward.Result) {
+	if isFull(result) {
+		p.releaseFull(slot)
+		return
+	}
 	now := p.router.Clock.Now()
 	var observation balance.Observation = balance.Unreachable{}
 	var feedback admission.Feedback = admission.Abandoned{}
@@ -243,9 +255,7 @@
 		}
 		feedback = admission.Served{Latency: result.TimeToFirstByte}
 		p.service.breaker.markServed(slot.assignment)
-		if p.router.LoadObserver != nil && p.service.Keyed() {
-			p.router.LoadObserver.Served(p.service.Name, slot.upstream.ID, p.key, result.TimeToFirstByte)
-		}
+		p.observeResponse(slot, result)
 	case forward.Truncated:
 		observation = balance.Rejected{}
 	case forward.Rejected:
@@ -253,6 +263,7 @@
 		if p.service.pauseLeft(now, slot.upstream.ID) > 0 {
 			observation = balance.Paused{}
 		}
+		p.observeRejection(slot, result)
 		if result.WrongUpstream {
 			p.reportStaleMap()
 			observation, feedback = balance.Unreachable{}, admission.Abandoned{}
@@ -279,6 +290,9 @@
 		}
 	}
 	p.service.pool.RequestEnded(now, slot.upstream.ID, observation)
+	if _, unreachable := observation.(balance.Unreachable); unreachable {
+		p.noteUnreachable(slot, result)
+	}
 	slot.queue.release(slot.upstream.ID, feedback)
 }
 
@@ -289,7 +303,8 @@
 	}
 	p.finish(rejected.outcome, rejected.cause, rejected.status)
 	return Rejected{
-		Outcome: rejected.outcome, Cause: rejected.cause, RetryAfter: rejected.retryAfter, RecordedStatus: rejected.status,
+		Outcome: rejected.outcome, Cause: rejected.cause, RetryAfter: p.capRetryAfter(rejected),
+		RecordedStatus: rejected.status,
 	}
 }
 
--- a/internal/routing/router/request.go
+++ b/internal/routing/router/request.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"rosemarywick.example/rosemarywick/internal/core/cause"
@@ -31,10 +32,14 @@
 	LatencyTarget time.Duration
 	// MaxAttempts is the maximum number of upstreams to which the request may be sent. Zero means unlimited.
 	MaxAttempts int
+	// Priority is 0 for the most urgent requests and grows as they get less urgent.
+	Priority int
 	// Bulk is set for a request with a large response.
 	Bulk   bool
 	Header http.Header
-	Body   []byte
+	Body   forward.Body
+	// Room is the room for the response while it is held. Nil means that it is not limited.
+	Room forward.Room
 }
 
 // Response is the result of routing a request. It is one of *UpstreamResponse and Rejected.
@@ -54,6 +59,8 @@
 	// another upstream.
 	received forward.Responded
 	body     io.ReadCloser
+	// slotMu guards slot, which is released while the body is written to the caller.
+	slotMu sync.Mutex
 	// slot is nil once it has been released.
 	slot *acquiredSlot
 	done bool
--- a/internal/routing/router/response.go
+++ b/internal/routing/router/response.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 
@@ -29,11 +30,7 @@
 // respond wraps the response of an upstream for the caller.
 func (p *pendingRequest) respond(slot *acquiredSlot, responded forward.Responded) Response {
 	reason := cause.OK
-	target := p.request.LatencyTarget
-	if target == 0 {
-		target = p.service.LatencyTarget
-	}
-	if p.router.Clock.Now().Sub(p.started) > target {
+	if p.router.Clock.Now().Sub(p.started) > p.target() {
 		reason = cause.SlowUpstream
 	}
 	if responded.Status >= http.StatusInternalServerError {
@@ -46,14 +43,27 @@
 	if responded.Buffered {
 		response.releaseSlot(responded)
 	}
+	response.releaseOnceComplete()
 	return response
 }
 
 // releaseSlot releases the slot unless that has been done.
 func (r *UpstreamResponse) releaseSlot(result forward.Result) {
-	if r.slot != nil {
-		r.pending.release(r.slot, result)
-		r.slot = nil
+	r.slotMu.Lock()
+	slot := r.slot
+	r.slot = nil
+	r.slotMu.Unlock()
+	if slot != nil {
+		r.pending.release(slot, result)
+	}
+}
+
+// releaseOnceComplete releases the slot as soon as the upstream has sent the whole response, however slowly the caller takes
+// it.
+func (r *UpstreamResponse) releaseOnceComplete() {
+	received := r.received
+	if body, ok := received.Body.(forward.CompletingBody); ok {
+		body.OnComplete(func() { r.releaseSlot(received) })
 	}
 }
 
@@ -115,13 +125,21 @@
 	return n, err
 }
 
+// copyBufferSize is the size in bytes of the buffers for copying responses. They are used again, since they were almost half
+// of all that a daemon allocated on small traffic.
+const copyBufferSize = 32 << 10
+
+var copyBuffers = sync.Pool{New: func() any { return new([copyBufferSize]byte) }}
+
 // copyResponse copies a body. With flush it flushes after each read, so that the caller receives a slow stream as it is
 // produced.
 func copyResponse(w io.Writer, body io.Reader, flush bool) (int64, error) {
 	flusher, ok := w.(http.Flusher)
 	flush = flush && ok
 	caller := callerWriter{Writer: w}
-	buffer := make([]byte, 32<<10)
+	pooled, _ := copyBuffers.Get().(*[copyBufferSize]byte)
+	defer copyBuffers.Put(pooled)
+	buffer := pooled[:]
 	var written int64
 	for {
 		n, err := body.Read(buffer)
@@ -170,8 +188,8 @@
 	return written, ErrIncomplete
 }
 
-// fetchRest requests the bytes from an offset on from another upstream. It returns nil if the request must not be sent again, if
-// that fails, or if the other upstream has different content.
+// fetchRest requests the bytes from an offset on from another upstream. It returns nil if the request must not be sent again,
+// if that fails, or if the other upstream has different content.
 func (r *UpstreamResponse) fetchRest(from int64, tag string, total int64) *forward.Responded {
 	p := r.pending
 	broken := forward.Truncated{Err: ErrIncomplete}
@@ -186,6 +204,10 @@
 		p.refuseForLimit(slot, retryAfter)
 		return nil
 	}
+	if p.isWithheld(slot) {
+		slot.queue.release(slot.upstream.ID, abandoned)
+		return nil
+	}
 	original := p.request
 	ranged := *original
 	ranged.Header = original.Header.Clone()
@@ -211,7 +233,10 @@
 		p.release(slot, result)
 		return nil
 	}
+	r.slotMu.Lock()
 	r.body, r.received, r.slot = rest.Body, rest, slot
+	r.slotMu.Unlock()
+	r.releaseOnceComplete()
 	return &rest
 }
 
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -15,6 +15,7 @@
 	"rosemarywick.example/rosemarywick/internal/routing/admission"
 	"rosemarywick.example/rosemarywick/internal/routing/balance"
 	"rosemarywick.example/rosemarywick/internal/routing/idempotency"
+	"rosemarywick.example/rosemarywick/internal/routing/ratelimit"
 	"rosemarywick.example/rosemarywick/internal/routing/retry"
 	"rosemarywick.example/rosemarywick/internal/upstream/forward"
 	"rosemarywick.example/rosemarywick/internal/upstream/notices"
@@ -48,12 +49,18 @@
 	Finish(key idempotency.Key, result idempotency.RequestResult)
 }
 
-// LoadObserver is told which keyed requests were served and how long each took. The load of keys and the speed of servers
-// are derived from that.
+// LoadObserver is told of keyed requests: when each arrives, and where it was served and how long that took. The load of keys and
+// the speed of servers are derived from that.
 type LoadObserver interface {
+	// Arrived is told of each request once, before it has an owner, so that keys whose owner is full count with all their load.
+	Arrived(service fleet.ServiceName, key fleet.KeyHash)
 	Served(service fleet.ServiceName, server fleet.UpstreamID, key fleet.KeyHash, took time.Duration)
 	// Limited is told of a request that was not sent, because its server limits the requests that it takes.
 	Limited(service fleet.ServiceName, server fleet.UpstreamID, key fleet.KeyHash)
+	// ServedUnkeyed is told of a request of a service without keys that an upstream answered.
+	ServedUnkeyed(service fleet.ServiceName, upstream fleet.UpstreamID, took time.Duration)
+	// Rejected is told of a request that its owner refused because it was full.
+	Rejected(service fleet.ServiceName, server fleet.UpstreamID)
 }
 
 // Recorder receives the record of each request that has ended.
@@ -85,6 +92,16 @@
 	// may be nil; limits are not regarded then.
 	Notices    *notices.Book
 	RateLimits RateLimits
+	// StatedAllowance is what counts as obeying a limit that an upstream names, and ColdAllowance the limit of a cold one. The zero
+	// ColdAllowance means that cold upstreams are not limited.
+	StatedAllowance, ColdAllowance ratelimit.Allowance
+	// Probe asks an upstream for its health. It is used instead of a request to try an unreachable upstream that may be cold. Nil
+	// means that requests are used.
+	Probe func(ctx context.Context, upstream document.Upstream) bool
+	// OnConnectionEvent is called with changes in how connections to an upstream are used. It may be nil and must not block.
+	OnConnectionEvent func(fleet.ServiceName, fleet.UpstreamID, forward.Event)
+	// OnAdmissionEvent is called with what the queue of a server notices. It may be nil and must not block.
+	OnAdmissionEvent func(fleet.ServiceName, fleet.UpstreamID, admission.Event)
 	// Dialect translates requests and responses to the headers that the upstreams use. Nil selects the headers of this
 	// product.
 	Dialect forward.Dialect
@@ -112,6 +129,10 @@
 	end   context.CancelFunc
 
 	attempts attemptTracker
+
+	// trialSignal wakes RunTrials. trialOnce creates it; see trialWake.
+	trialOnce   sync.Once
+	trialSignal chan struct{}
 }
 
 // EndBy makes every request end by a time, because the daemon stops then. Requests that are not expected to end by then are
@@ -188,6 +209,9 @@
 			return p.reject(rejection{outcome: cause.NotRun, cause: cause.BadRequest})
 		}
 		p.key, p.record.Key, p.record.Keyed = key, key, true
+		if r.LoadObserver != nil {
+			r.LoadObserver.Arrived(request.Service, key)
+		}
 	}
 	if rejected := p.claimIdempotencyKey(); rejected != nil {
 		return p.reject(*rejected)
@@ -214,10 +238,12 @@
 	return fleet.KeyHash(number), err
 }
 
-// RecordLoad records the load that an upstream reported at a time.
+// RecordLoad records the load that an upstream reported at a time. One that came with the response to a request is recorded
+// before the request ends.
 func (r *Router) RecordLoad(name fleet.ServiceName, id fleet.UpstreamID, load balance.Load, at time.Time) {
 	if service := r.currentService(name); service != nil {
 		service.pool.RecordLoad(at, id, load)
+		service.recordServerLoad(at, id, load)
 	}
 }
 
--- a/internal/upstream/forward/client.go
+++ b/internal/upstream/forward/client.go
@@ -26,7 +26,8 @@
 	// retransmitted after 1 s.
 	dialTimeout = 1500 * time.Millisecond
 	// idleTimeout is shorter than the idle timeouts common among servers, so that a connection is rarely reused while the
-	// upstream is closing it. If a response has a Keep-Alive timeout, that timeout less idleMargin is used instead.
+	// upstream is closing it. If a response has a Keep-Alive timeout, that timeout less idleMargin is used instead. The margin
+	// covers that upstreams name whole seconds, and the time of the request's way.
 	idleTimeout = 4 * time.Second
 	idleMargin  = time.Second
 	// defaultBufferLimit is the largest response body in bytes that is read into memory before any of it is passed on. Such
@@ -47,7 +48,10 @@
 	Hostname string
 	// Header holds the caller's headers. Dialects drop the hop-by-hop headers.
 	Header http.Header
-	Body   []byte
+	Body   Body
+	// Room is the room for the response while it is held. Nil means that it is not limited, and that long responses are read
+	// only as fast as they are taken.
+	Room Room
 	// Deadline is the time by which the caller needs the response.
 	Deadline time.Time
 	// Upstream is the ID of the upstream that shall run the request. Another one may have taken over its address.
@@ -63,10 +67,14 @@
 	// OpenBefore, if set, asks for a connection that was opened before this time, so that the process that receives the request is
 	// the one that ran then. Send returns NotSent with ErrNoOpenConnection if there is none.
 	OpenBefore time.Time
+	// NonIdempotent is set for a request whose outcome must not be left unknown if that can be avoided, since it cannot be repeated.
+	NonIdempotent bool
 	// ConnectTime is set by Send to the time that it took to open a connection. It is zero if an idle one was reused.
 	ConnectTime time.Duration
 	// Reused is set by Send if the connection had carried other requests, so that a response may belong to one of them.
 	Reused bool
+	// ConnectedAt is set by Send to when the connection was opened. It is zero if there was none.
+	ConnectedAt time.Time
 	// Notices is set by Send to what the upstream stated about itself in the heads of the responses that it sent meanwhile.
 	Notices []Notice
 }
@@ -82,6 +90,18 @@
 	// BufferLimit is the largest response body in bytes that is read into memory before any of it is passed on. Zero means
 	// 64 KiB, and then only responses with a Content-Length are buffered.
 	BufferLimit int64
+	// HoldNewConnections keeps the client from opening connections for a time after the upstream has reset a new one.
+	HoldNewConnections bool
+	// MaxIdle is the idle age up to which connections are reused for idempotent requests if the upstream announces no Keep-Alive
+	// timeout. Zero means 4 s, as for non-idempotent ones.
+	MaxIdle time.Duration
+	// Shared is what the clients of one service have learned together. It may be nil.
+	Shared *Shared
+	// OnEvent is called with changes in how connections are used. It may be nil and must not block.
+	OnEvent func(Event)
+
+	// full is what is known about the connection limit of the upstream.
+	full fullState
 
 	once sync.Once
 	// slots is a semaphore of MaxConnections. A request holds a slot while it opens or uses a connection.
@@ -112,9 +132,7 @@
 	idle := c.idle
 	c.idle, c.closed = nil, true
 	c.mu.Unlock()
-	for _, conn := range idle {
-		_ = conn.Close()
-	}
+	closeAll(idle)
 }
 
 // Send sends the request once and never repeats it. Canceling ctx aborts the attempt, also while the response body is read.
@@ -128,7 +146,7 @@
 	conn, err := c.connect(ctx, request)
 	if err != nil {
 		<-c.slots
-		return NotSent{ContextDone: ctx.Err() != nil, Err: err}
+		return NotSent{ContextDone: ctx.Err() != nil, Full: errors.Is(err, errFull), Err: err}
 	}
 	exchange := &exchange{client: c, connection: conn, request: request, ctx: ctx}
 	return exchange.roundTrip()
@@ -140,14 +158,15 @@
 		return nil, context.Cause(ctx)
 	}
 	for !request.NewConnection {
-		conn := c.popIdle(request.OpenBefore)
+		conn, expired := c.takeIdle(request)
+		closeAll(expired)
 		if conn == nil {
 			break
 		}
 		// A refusal that is repeated on the connection would look like that of this try.
 		refusedBefore := slices.Contains(conn.refused, request.ID)
-		if !refusedBefore && c.Clock.Now().Before(conn.expires) && conn.checkIdle() == nil {
-			request.Reused = true
+		if !refusedBefore && conn.checkIdle() == nil {
+			request.Reused, request.ConnectedAt = true, conn.openedAt
 			return conn, nil
 		}
 		_ = conn.Close()
@@ -157,29 +176,22 @@
 	}
 	request.Reused = false
 	start := c.Clock.Now()
+	if c.HoldNewConnections && c.full.tryOpen(start) > 0 {
+		return nil, errFull
+	}
+	closeAll(c.makeRoom())
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", c.Address.String())
+	if isReset(err) && ctx.Err() == nil { // the reset arrived before connecting was seen to have succeeded
+		c.noteFull(c.Clock.Now(), start)
+		return nil, errors.Mark(err, errFull)
+	}
 	if err != nil {
 		return nil, errors.Wrap(err, "forward: connect")
 	}
-	request.ConnectTime = c.Clock.Now().Sub(start)
-	opened := newConnection(conn, request.ConnectTime)
-	opened.openedAt = c.Clock.Now()
-	return opened, nil
-}
-
-// popIdle removes and returns the most recently used idle connection that was opened before a time, or nil if there is none. A zero
-// time allows all connections.
-func (c *Client) popIdle(openBefore time.Time) *connection {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for i := len(c.idle) - 1; i >= 0; i-- {
-		if conn := c.idle[i]; openBefore.IsZero() || conn.openedAt.Before(openBefore) {
-			c.idle = slices.Delete(c.idle, i, i+1)
-			return conn
-		}
-	}
-	return nil
+	request.ConnectedAt = c.Clock.Now()
+	request.ConnectTime = request.ConnectedAt.Sub(start)
+	return newConnection(conn, request.ConnectedAt, request.ConnectTime), nil
 }
 
 // putIdle returns a connection to the pool. It also closes the idle connections that have expired, so that those opened
@@ -195,10 +207,9 @@
 	if c.closed {
 		expired = append(expired, conn)
 	} else {
+		conn.idleSince = now
 		c.idle = append(c.idle, conn)
 	}
 	c.mu.Unlock()
-	for _, old := range expired {
-		_ = old.Close()
-	}
+	closeAll(expired)
 }
--- a/internal/upstream/forward/exchange.go
+++ b/internal/upstream/forward/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -13,13 +14,18 @@
 )
 
 const (
+	// maxStatus is the highest status of HTTP.
+	maxStatus = 599
 	// inlineWriteLimit is the largest request in bytes that is written before the response is read. It fits into the socket
 	// buffers. The rest of a larger request is written concurrently, since an upstream may respond before it has read it.
 	inlineWriteLimit = 8 << 10
-	// maxStaleResponses limits the responses to earlier requests that are skipped on one connection, and maxStaleBytes the body of
-	// one of them.
+	// maxStaleResponses limits the responses to earlier requests that are skipped on one connection, and maxStaleBytes the body
+	// of one of them.
 	maxStaleResponses = 3
 	maxStaleBytes     = 1 << 20
+	// receiveBuffer bounds what the kernel receives of a response for which there is no room yet: at most twice as much. A link
+	// of 200 Mbit/s with a round trip of 6 ms needs 150 KB.
+	receiveBuffer = 96 << 10
 )
 
 var (
@@ -34,6 +40,9 @@
 	connection *connection
 	request    *Request
 	ctx        context.Context
+	// started is when the request was about to be written, and receivedBefore how many bytes the connection had received then.
+	started        time.Time
+	receivedBefore int64
 	// stopWatch stops resetting the connection when ctx ends. It returns false if ctx has ended already.
 	stopWatch func() bool
 	// writeDone is closed when the concurrent write of the request has ended. It is nil if the request was written inline.
@@ -41,69 +50,87 @@
 	// writeErr is the error of the concurrent write. It is set before writeDone is closed.
 	writeErr error
 	// reusable reports whether the response allows another request on the connection, and expires is until when.
-	reusable bool
-	expires  time.Time
+	reusable               bool
+	expires, expiresSafely time.Time
 }
 
 // roundTrip sends the request and reads the response headers, and also the body if it is short.
 func (e *exchange) roundTrip() Result {
-	start := e.client.Clock.Now()
+	if tcp, ok := e.connection.Conn.(*net.TCPConn); ok && !e.request.Reused && e.request.Room != nil {
+		_ = tcp.SetReadBuffer(receiveBuffer) // an error shows at the first read
+	}
 	e.stopWatch = context.AfterFunc(e.ctx, e.connection.reset)
+	if err := e.awaitReset(); err != nil {
+		full := e.failed(err)
+		e.finish(false)
+		return NotSent{ContextDone: e.ctx.Err() != nil, Full: full, Err: err}
+	}
+	start := e.client.Clock.Now()
+	e.started, e.receivedBefore = start, e.connection.received
 	writtenBefore := e.connection.written
-	if err := e.write(e.encode(start)); err != nil {
-		sent := e.connection.written > writtenBefore
+	if err := e.write(start); err != nil {
+		sent, full := e.connection.written > writtenBefore, e.failed(err)
 		e.finish(false)
 		if sent {
-			return NoResponse{ContextDone: e.ctx.Err() != nil, Err: err}
+			return NoResponse{ContextDone: e.ctx.Err() != nil, Full: full, Err: err}
 		}
-		return NotSent{ContextDone: e.ctx.Err() != nil, Err: err}
+		return NotSent{ContextDone: e.ctx.Err() != nil, Full: full, Err: err}
 	}
 	response, err := e.readHead() //nolint:bodyclose // the body is closed with the exchange
 	if err != nil {
+		full := e.failed(err)
 		e.finish(false)
 		if errors.Is(err, errInvalidResponse) {
 			return Truncated{Err: err}
 		}
-		return NoResponse{ContextDone: e.ctx.Err() != nil, Err: err}
+		return NoResponse{ContextDone: e.ctx.Err() != nil, Full: full, Err: err}
 	}
+	e.responded()
 	return e.handleResponse(response, e.client.Clock.Now().Sub(start))
 }
 
-// encode returns the request in its HTTP/1.1 form.
-func (e *exchange) encode(now time.Time) []byte {
+// encodeHead returns the head of the request in its HTTP/1.1 form, with room for the part of the body that is written with
+// it.
+func (e *exchange) encodeHead(now time.Time) []byte {
 	host, header := e.client.Dialect.EncodeHeader(e.request, e.request.Deadline.Sub(now))
 	if host == "" {
 		host = e.client.Address.String()
 	}
-	if len(e.request.Body) > 0 || e.request.Method == http.MethodPost || e.request.Method == http.MethodPut {
-		header.Set("Content-Length", strconv.Itoa(len(e.request.Body)))
+	length := e.request.Body.Len()
+	if length > 0 || e.request.Method == http.MethodPost || e.request.Method == http.MethodPut {
+		header.Set("Content-Length", strconv.FormatInt(length, 10))
 	} else {
 		header.Del("Content-Length")
 	}
 	var buffer bytes.Buffer
-	buffer.Grow(len(e.request.Body) + 512)
+	buffer.Grow(int(min(length, inlineWriteLimit)) + 512)
 	buffer.WriteString(e.request.Method + " " + e.request.Target + " HTTP/1.1\r\nHost: " + host + "\r\n")
 	_ = header.Write(&buffer) // writing to a bytes.Buffer does not fail
 	buffer.WriteString("\r\n")
-	buffer.Write(e.request.Body)
 	return buffer.Bytes()
 }
 
 // write writes the request, or its first part if the rest is written concurrently. An error means that the connection
 // cannot be used; connection.written tells whether any byte was sent.
-func (e *exchange) write(content []byte) error {
-	if len(content) <= inlineWriteLimit {
-		_, err := e.connection.Write(content)
-		return errors.Wrap(err, "forward: write request")
-	}
+func (e *exchange) write(now time.Time) error {
+	head := e.encodeHead(now)
+	// A short body is copied behind the head, so that a small request is one write. The rest is written from where it is held.
+	first, rest := e.request.Body.take(head, max(inlineWriteLimit-len(head), 0))
 	// The first part is written synchronously, so that a failure before any byte was sent is noticed.
-	if _, err := e.connection.Write(content[:inlineWriteLimit]); err != nil {
+	if _, err := e.connection.Write(first); err != nil {
 		return errors.Wrap(err, "forward: write request")
 	}
+	if len(rest) == 0 {
+		return nil
+	}
 	e.writeDone = make(chan struct{})
 	go func() {
 		defer close(e.writeDone)
-		_, e.writeErr = e.connection.Write(content[inlineWriteLimit:])
+		for _, block := range rest {
+			if _, e.writeErr = e.connection.Write(block); e.writeErr != nil {
+				return
+			}
+		}
 	}()
 	return nil
 }
@@ -120,6 +147,9 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "forward: read response")
 		}
+		if !isValidStatus(response.StatusCode) {
+			return nil, errors.Wrapf(errInvalidResponse, "status %03d", response.StatusCode)
+		}
 		e.request.Notices = append(e.request.Notices,
 			e.client.Dialect.Notices(e.request, response.StatusCode, response.Header)...)
 		if response.StatusCode < http.StatusOK {
@@ -141,13 +171,26 @@
 	return nil, errors.Mark(errTooManyStale, errInvalidResponse)
 }
 
+// isValidStatus reports whether a status is one that HTTP has for a response. Informational ones are those that a server may send
+// without being asked: a protocol is never switched here. net/http reads any three digits.
+func isValidStatus(status int) bool {
+	switch status {
+	case http.StatusContinue, http.StatusProcessing, http.StatusEarlyHints:
+		return true
+	}
+	return status >= http.StatusOK && status <= maxStatus
+}
+
 // handleResponse turns a response whose body is unread into the Result of the exchange.
 func (e *exchange) handleResponse(response *http.Response, timeToFirstByte time.Duration) Result {
 	e.reusable = !response.Close
-	e.expires = e.client.Clock.Now().Add(keepAliveTimeout(response.Header, idleTimeout+idleMargin) - idleMargin)
+	e.setExpiry(response.Header)
 	switch class := e.client.Dialect.Classify(e.request, response.StatusCode, response.Header).(type) {
 	case Refused:
 		e.connection.refused = append(e.connection.refused, e.request.ID)
+		if rejected, ok := class.Result.(Rejected); ok && !rejected.Draining && !rejected.WrongUpstream {
+			e.client.full.noteRefusal(e.client.Clock.Now())
+		}
 		e.reusable = e.reusable && len(e.connection.refused) < maxRefused
 		e.discardBody(response)
 		return class.Result
@@ -163,43 +206,48 @@
 	if limit == 0 {
 		limit = defaultBufferLimit
 	}
-	switch {
-	case response.ContentLength > limit:
-		return result
-	case response.ContentLength < 0 && e.client.BufferLimit == 0:
+	if response.ContentLength > limit || response.ContentLength < 0 && e.client.BufferLimit == 0 {
+		result.Body = e.newSpool(result.Body)
 		return result
 	}
 	return e.bufferBody(result, response.ContentLength, limit)
 }
 
-// bufferBody reads a short body into memory. A body of unknown length that exceeds the limit is passed on as a stream.
+// setExpiry sets until when the connection can be used again.
+func (e *exchange) setExpiry(header http.Header) {
+	now := e.client.Clock.Now()
+	if announced, ok := keepAliveTimeout(header); ok {
+		e.expires = now.Add(announced - idleMargin)
+		e.expiresSafely = e.expires
+		return
+	}
+	e.expires, e.expiresSafely = now.Add(max(e.client.MaxIdle, idleTimeout)), now.Add(idleTimeout)
+}
+
+// bufferBody reads a short body into memory. A body of unknown length that exceeds the limit, or one for which there is no
+// room, is passed on as a stream.
 func (e *exchange) bufferBody(result Responded, length, limit int64) Result {
-	content := make([]byte, 0, max(length, 0)+bytes.MinRead)
-	buffer := bytes.NewBuffer(content)
+	held := &heldBody{room: e.request.Room}
+	if held.room == nil {
+		held.room = unlimitedRoom{}
+	}
 	rest := result.Body
-	_, err := buffer.ReadFrom(io.LimitReader(rest, limit+1))
+	complete, err := held.readHeld(rest, length, limit)
 	if err != nil {
 		_ = rest.Close()
+		_ = held.Close()
 		if e.ctx.Err() != nil {
 			return NoResponse{ContextDone: true, Err: err}
 		}
 		return Truncated{Err: err}
 	}
-	if int64(buffer.Len()) > limit {
-		result.Body = &partlyBufferedBody{Reader: io.MultiReader(buffer, rest), Closer: rest}
-		return result
+	result.Body, result.Buffered = held, complete
+	if !complete {
+		held.rest = e.newSpool(rest)
 	}
-	_ = rest.Close()
-	result.Body, result.Buffered = io.NopCloser(buffer), true
 	return result
 }
 
-// partlyBufferedBody is a body whose first part has been read into memory.
-type partlyBufferedBody struct {
-	io.Reader
-	io.Closer
-}
-
 const (
 	// discardLimit is the largest body in bytes of a refused request that is read so that the connection can be reused.
 	discardLimit = 4 << 10
@@ -230,7 +278,7 @@
 	}
 	conn := e.connection
 	if complete && ctxActive && e.reusable && conn.reader.Buffered() == 0 {
-		conn.expires = e.expires
+		conn.expires, conn.expiresSafely = e.expires, e.expiresSafely
 		e.client.putIdle(conn)
 	} else {
 		conn.reset()
--- a/internal/upstream/forward/result.go
+++ b/internal/upstream/forward/result.go
@@ -41,7 +41,9 @@
 type NotSent struct {
 	// ContextDone reports whether the attempt failed because its context ended, which says nothing about the upstream.
 	ContextDone bool
-	Err         error
+	// Full reports whether the upstream accepts no further connection for now, as it has reset a new one.
+	Full bool
+	Err  error
 }
 
 // NoResponse means that bytes of the request may have reached the upstream and that no response, or only a part
@@ -49,7 +51,9 @@
 type NoResponse struct {
 	// ContextDone reports whether the attempt failed because its context ended.
 	ContextDone bool
-	Err         error
+	// Full reports whether a new connection was reset at once, which means that the upstream accepts no further one for now.
+	Full bool
+	Err  error
 }
 
 // Truncated means that the response ended early or was invalid, and that no part of it was passed on.
@@ -58,7 +62,7 @@
 }
 
 // Notice is what an upstream states about itself in a response, whatever the response says about the request. It is one of
-// RateLimit, Leaving, Pause and Malformed.
+// RateLimit, Leaving, Pause, Cold, Load and Malformed.
 type Notice interface {
 	notice()
 }
@@ -72,12 +76,25 @@
 // Pause means that the upstream refused the request and wants nothing more from this daemon for a time.
 type Pause struct{ Duration time.Duration }
 
+// Cold means that the upstream has started recently and is slow for a time, which is zero for one that is not.
+type Cold struct{ For time.Duration }
+
+// Load is the load of the upstream when it responded.
+type Load struct {
+	// Running and Waiting are the numbers of requests from all daemons, and Slots that of requests that run at a time.
+	Running, Waiting, Slots int
+	// Pace is how long work takes there at the moment, relative to the usual time. Zero means that it is not known.
+	Pace float64
+}
+
 // Malformed is a statement that can't be understood and is ignored.
 type Malformed struct{ Header, Value string }
 
 func (RateLimit) notice() {}
 func (Leaving) notice()   {}
 func (Pause) notice()     {}
+func (Cold) notice()      {}
+func (Load) notice()      {}
 func (Malformed) notice() {}
 
 func (Responded) result()  {}
--- a/internal/upstream/rangegrants/term.go
+++ b/internal/upstream/rangegrants/term.go
@@ -26,9 +26,14 @@
 	replan, moveEnded chan struct{}
 	// tasks counts the goroutines of servers, releases and probes.
 	tasks sync.WaitGroup
-	// tableVersion and lastMove, an uptime, are used only by the goroutine that plans.
-	tableVersion table.Version
-	lastMove     time.Duration
+	// tableVersion, lastMove and lastLeavingStep, which are uptimes, are used only by the goroutine that plans.
+	tableVersion              table.Version
+	lastMove, lastLeavingStep time.Duration
+	// collected is set from a collection of the load until the next plan that may move keys by it. Only the goroutine that plans
+	// uses it.
+	collected bool
+	// paces is the speed of the servers. Only the goroutine that plans uses it.
+	paces ranges.Paces
 
 	mu sync.Mutex
 	// table is guarded by mu: the table as last written.
@@ -134,6 +139,8 @@
 			_ = timer.Wait(ctx, t.Clock, moveBatchDelay)
 		case <-tick.C:
 			load = t.LoadSource.Collect(ctx, t.Service)
+			t.measurePaces(load.Stats)
+			t.collected = true
 		case <-ctx.Done():
 		}
 	}
@@ -164,18 +171,22 @@
 func (t *term) plan(ctx context.Context, load AggregateLoad) bool {
 	t.readmitServers()
 	now := t.Uptime.Uptime()
-	rebalance := now-t.lastMove >= minRebalanceInterval
+	// A move by a load that was used before would only delay that by the next collection.
+	rebalance := t.collected && now-t.lastMove >= minRebalanceInterval
+	t.collected = t.collected && !rebalance
 	planner := &ranges.Planner{
 		Servers: t.availableServers(load.Stats), Load: load.Load, Rebalance: rebalance, Now: t.Store.Reading().Earliest(now),
 		GrantsExpireAt: t.grantsExpireAt, Released: t.released, Ended: t.processEnded, Granted: t.granted, Refused: t.refused,
-		Unreachable: t.isDown,
+		Unreachable: t.isDown, Leaving: t.leavingServers(),
 	}
 	next, changed := planner.Next(t.table)
+	t.reportPlan(planner)
 	if daemonsChanged(next.Daemons, load.Daemons) {
 		next.Daemons, changed = load.Daemons, true
 	}
 	if changed {
 		t.logOwnerChanges(next)
+		t.logLeavingStep(planner.Leaving, now)
 		if next.Fence != t.table.Fence {
 			t.lastMove = now
 		}
@@ -261,16 +272,17 @@
 	return result
 }
 
-// mayGrant reports whether an assignment may be granted now: the server is not down, the table still contains the assignment, all
-// former owners are done, and the pending table, which may be in force already, does not assign any of its keys to another
-// server. The caller holds mu.
+// mayGrant reports whether an assignment may be granted now: the server is not down, the table still contains the assignment,
+// all former owners are done, the pending table, which may be in force already, does not assign any of its keys to another
+// server, and it is no new grant to a server that leaves. The caller holds mu.
 func (t *term) mayGrant(owner ranges.Owner, assignment ranges.Assignment) bool {
 	if _, down := t.down[owner]; down {
 		return false
 	}
 	current := t.table.Locate(assignment.Range.First)
 	return current != nil && current.Range == assignment.Range && current.Fence == assignment.Fence &&
-		current.Owner.SameProcess(owner) && t.formerOwnersDone(*current) && t.keptByPendingTable(*current)
+		current.Owner.SameProcess(owner) && t.formerOwnersDone(*current) && t.keptByPendingTable(*current) &&
+		t.mayBeFirstGrant(*current)
 }
 
 // formerOwnersDone reports whether no former owner of an assignment owns any of its keys. The caller holds mu.
