--- a/internal/upstream/registry/registry.go
+++ b/internal/upstream/registry/registry.go
@@ -5,14 +5,11 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
-	"rosemarywick.example/rosemarywick/internal/core/document"
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/core/timer"
 )
@@ -331,24 +328,3 @@
 		r.changed = nil
 	}
 }
-
-// Upstreams returns the usable upstreams of each service, ordered by ID.
-func (r *Registry) Upstreams() map[fleet.ServiceName][]document.Upstream {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	result := make(map[fleet.ServiceName][]document.Upstream)
-	for _, rec := range r.records {
-		upstream := document.Upstream{
-			ID: rec.ID, Address: rec.Address, Locality: rec.Locality, Incarnation: rec.Incarnation, Slots: rec.Slots,
-		}
-		if leavingSince := r.leavingSince(rec); !leavingSince.IsZero() {
-			upstream.DrainDeadline = leavingSince.Add(time.Duration(float64(r.DrainTimeout) * drainUseFraction))
-		}
-		r.applyEvacuation(&upstream)
-		result[rec.Service] = append(result[rec.Service], upstream)
-	}
-	for _, upstreams := range result {
-		slices.SortFunc(upstreams, func(a, b document.Upstream) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	}
-	return result
-}
