--- a/internal/routing/admission/pace.go
+++ b/internal/routing/admission/pace.go
@@ -16,8 +16,7 @@
 	// waits there for two times as long as it runs then, and misses a target of three times its work.
 	fullLoad = 3
 	// holdFraction is how long nothing is sent to a full server, in units of the time in which it can run one request of each
-	// daemon. Of 0.5, 0.75 and 1, 0.75 served most within the target at 1.5 to 5 times the capacity
-	// (docs/design/competing-callers.md).
+	// daemon: less leaves its queue full, and more leaves it idle (docs/design/competing-callers.md).
 	holdFraction = 0.75
 	// maxHold bounds that time. A server whose keys were moved away is found free again by then.
 	maxHold = 2500 * time.Millisecond
--- a/internal/routing/balance/cold.go
+++ b/internal/routing/balance/cold.go
@@ -6,8 +6,8 @@
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 )
 
-// coldSlowdown is how many times longer a request is taken to run at a cold upstream. It is chosen, not measured: a lower value
-// sends requests to cold upstreams that others would run sooner, a higher one leaves them idle while requests wait elsewhere.
+// coldSlowdown is how many times longer a request is taken to run at a cold upstream. A lower value sends requests to cold
+// upstreams that others would run sooner, a higher one leaves them idle while requests wait elsewhere.
 const coldSlowdown = 3
 
 // splitCold divides candidates into those that are not cold and those that are.
