upstream/rangegrants: a range whose first grant had no response gets a new fence

Such a range now gets a new fence at once, except while servers that the table does not name may own keys. go test -race -count=3 -run RandomFaults ./internal/upstream/rangegrants passes.

--- a/internal/upstream/rangegrants/server.go
+++ b/internal/upstream/rangegrants/server.go
@@ -213,6 +213,7 @@
 		silence := s.term.Uptime.Uptime() - s.lastResponse
 		s.term.Log.Warn().Err(resp.Err).Str("server", string(s.owner.ID)).Dur("silent", silence).
 			Msg("server did not answer a grant")
+		s.refenceUnanswered(key, resp)
 		if silence > maxSilence {
 			s.term.markDown(ctx, s.owner, false, "it does not respond")
 		} else {
@@ -222,6 +223,21 @@
 	return false
 }
 
+// refenceUnanswered makes a range get a new fence if its first grant had no response: the server may have accepted it and then started
+// again, and the next attempt could be accepted by the later start. While servers that the table does not name may own keys, the
+// fence stays: the owner that accepts it is the right one.
+func (s *serverTask) refenceUnanswered(key grantKey, resp NoResponse) {
+	s.term.mu.Lock()
+	state := s.grants[key]
+	unsure := s.term.Store.Reading().Earliest(s.term.Uptime.Uptime()) < s.term.table.UnsureUntil
+	refence := !resp.NotSent && !state.accepted && !unsure
+	state.refused = state.refused || refence
+	s.term.mu.Unlock()
+	if refence {
+		s.term.requestReplan()
+	}
+}
+
 // countResponse counts consecutive responses after which the server is taken as down.
 func (s *serverTask) countResponse(resp Response) {
 	switch resp.(type) {
