--- a/internal/routing/admission/controller.go
+++ b/internal/routing/admission/controller.go
@@ -63,10 +63,12 @@
 	// EndBy is when the daemon stops and every request must have ended, or zero. A request whose own deadline is later is refused
 	// unless it is expected to end by then.
 	EndBy time.Time
+	// HoldFull makes daemons send nothing for a time to a server that is full. It needs Prioritized and more than one host.
+	HoldFull bool
 	// Prioritized makes requests with an urgent priority, and those that can still meet their target, go before others.
 	Prioritized bool
 	// Hosts returns the number of daemons that share the upstream, and Slots is the number of its slots, if there is only one
-	// upstream. With Prioritized and more than one host, the controller holds requests back while the upstream is full. Hosts
+	// upstream. With HoldFull, the controller holds requests back while the upstream is full. Hosts
 	// may be nil.
 	Hosts func() int
 	Slots int
--- a/internal/routing/admission/pace.go
+++ b/internal/routing/admission/pace.go
@@ -105,13 +105,8 @@
 	p.work += (latency - p.work) / weight
 }
 
-// stating reports whether the server states its load.
-func (p *pace) stating(now time.Time) bool {
-	return !p.loadAt.IsZero() && now.Sub(p.loadAt) <= statingFor
-}
-
 // paced reports whether the controller admits to a server that other daemons send to as well.
-func (c *Controller) paced() bool { return c.Prioritized && c.hosts() > 1 }
+func (c *Controller) paced() bool { return c.HoldFull && c.Prioritized && c.hosts() > 1 }
 
 func (c *Controller) hosts() int {
 	if c.Hosts == nil {
@@ -127,20 +122,18 @@
 	}
 }
 
-// observePace updates the pace by the result of a request. A rejection holds back requests only to a server that states its load:
-// the responses of another one do not show how soon it has room again, and a hold would refuse requests that it could run.
+// observePace updates the pace by the result of a request. Without a stated load, a rejection shows that the server is full, and
+// a response that it is not.
 func (c *Controller) observePace(now time.Time, feedback Feedback) {
 	stated := now.Sub(c.pace.loadAt) <= statedWithin
 	switch feedback := feedback.(type) {
 	case Served:
 		c.pace.observeWork(feedback.Latency, stated)
-		if !c.pace.stating(now) {
+		if c.pace.loadAt.IsZero() || now.Sub(c.pace.loadAt) > statingFor {
 			c.pace.release()
 		}
 	case Shed:
-		if c.pace.stating(now) {
-			c.hold(now)
-		}
+		c.hold(now)
 	case Unconnected, Abandoned:
 	}
 }
@@ -167,7 +160,7 @@
 // AfterRejection decides about a request that the server has just rejected. It returns false if the request may be sent again
 // after a wait that it can afford; Submit admits it then.
 func (c *Controller) AfterRejection(now time.Time, request *Request) (Refused, bool) {
-	if !c.paced() || !c.pace.stating(now) {
+	if !c.paced() {
 		return Refused{}, false
 	}
 	c.hold(now)
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -98,6 +98,9 @@
 	// Probe asks an upstream for its health. It is used instead of a request to try an unreachable upstream that may be cold. Nil
 	// means that requests are used.
 	Probe func(ctx context.Context, upstream document.Upstream) bool
+	// HoldFull makes daemons send nothing for a time to a keyed server that is full. On the two deployments of
+	// docs/measurements.md it refuses more than it saves, so the entry daemon leaves it off.
+	HoldFull bool
 	// OnConnectionEvent is called with changes in how connections to an upstream are used. It may be nil and must not block.
 	OnConnectionEvent func(fleet.ServiceName, fleet.UpstreamID, forward.Event)
 	// OnAdmissionEvent is called with what the queue of a server notices. It may be nil and must not block.
--- a/internal/routing/router/service.go
+++ b/internal/routing/router/service.go
@@ -128,7 +128,7 @@
 		controller.TenantWeight = func(tenant fleet.TenantName) int { return max(1, weights[tenant]) }
 		controller.NewLimit = func(id fleet.UpstreamID) admission.Limit { return r.newLimit(declared, id) }
 		controller.EndBy = r.endBy
-		controller.Prioritized = r.document.HasPriorities()
+		controller.Prioritized, controller.HoldFull = r.document.HasPriorities(), r.HoldFull
 	})
 	return queue
 }
--- a/internal/upstream/rangegrants/server.go
+++ b/internal/upstream/rangegrants/server.go
@@ -223,9 +223,9 @@
 	return false
 }
 
-// refenceUnanswered makes a range get a new fence if its first grant had no response: the server may have accepted it and then started
-// again, and the next attempt could be accepted by the later start. While servers that the table does not name may own keys, the
-// fence stays: the owner that accepts it is the right one.
+// refenceUnanswered makes a range get a new fence if its first grant had no response: the server may have accepted it and then
+// started again, and the next attempt could be accepted by the later start. While servers that the table does not name may own
+// keys, the fence stays: the owner that accepts it is the right one.
 func (s *serverTask) refenceUnanswered(key grantKey, resp NoResponse) {
 	s.term.mu.Lock()
 	state := s.grants[key]
