--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(r *rig, trouble bool) (int, error){
 	"awaited-answers": awaitedAnswers,
 	"late-requests":   lateRequests,
+	"stalled-feed":    stalledFeed,
 }
 
 func main() {
