--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -22,10 +22,11 @@
 
 // cases maps the name of a case to the function that plays it. The function is told whether the disruption is to be made.
 var cases = map[string]func(r *rig, trouble bool) (int, error){
-	"awaited-answers": awaitedAnswers,
-	"joined-zone":     joinedZone,
-	"late-requests":   lateRequests,
-	"stalled-feed":    stalledFeed,
+	"awaited-answers":   awaitedAnswers,
+	"joined-zone":       joinedZone,
+	"late-requests":     lateRequests,
+	"stalled-feed":      stalledFeed,
+	"unsharded-retries": unshardedRetries,
 }
 
 func main() {
