entry, router, admission: what arrives late in a stop is never broken off

Cause: requests were accepted for 0.45 of the time to stop, which is later than the 3 s from which on a request must not be broken off once there are more than 6.7 s to stop. Each was passed on if the mean service time fitted.

A request whose body arrives later, and one that must not be repeated and has not started by then, are refused as not run unless their own deadlines end them in time.

--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -19,6 +19,7 @@
 	"rosemarywick.example/rosemarywick/internal/core/document"
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/daemon/shutdown"
 	"rosemarywick.example/rosemarywick/internal/ownership/ranges"
 	"rosemarywick.example/rosemarywick/internal/peer/relay"
 	"rosemarywick.example/rosemarywick/internal/platform/table"
@@ -52,8 +53,10 @@
 	DrainTimeout time.Duration
 	// ApplyTimeout is the time after which a configuration must be in force.
 	ApplyTimeout time.Duration
-	// StopTimeout is the time from a request to stop to the end of the process.
-	StopTimeout time.Duration
+	// StopTimeout is the time from a request to stop to the end of the process. A request that arrives later than
+	// CompleteRequestsFrom after the request to stop must not be broken off once it has been passed on. Zero means that there is
+	// no such time.
+	StopTimeout, CompleteRequestsFrom time.Duration
 	// MaxGrantDuration is the longest grant that servers accept.
 	MaxGrantDuration time.Duration
 	// RetryRatio and RetryBurst limit the retries of all daemons together, for each service: RetryRatio is the number
@@ -108,6 +111,7 @@
 	limits       *upstreamLimits
 	router       *router.Router
 	front        *front.Frontend
+	stop         shutdown.Schedule
 	observer     *observer
 
 	mu sync.Mutex
@@ -122,13 +126,9 @@
 	maxBufferedBytes = 1 << 20
 	// outageGrace is the time after an outage of the store within which upstreams register again if their entries expired.
 	outageGrace = 2 * time.Second
-	// acceptFraction is the fraction of StopTimeout in which requests are still accepted, until the load balancer has noticed
-	// that the daemon is not ready.
-	acceptFraction = 0.45
-	// endFraction is the fraction of StopTimeout after which requests that are left are ended, so that their callers get an
-	// answer. finishFraction is the fraction after which the connections of callers are closed.
-	endFraction    = 0.92
-	finishFraction = 0.95
+	// graceFraction is the fraction of StopTimeout for which requests are accepted, unless CompleteRequestsFrom is earlier, until the
+	// load balancer has noticed that the daemon is not ready.
+	graceFraction = 0.45
 	// grantFraction is the normal duration of a grant as a fraction of MaxGrantDuration. A server that stops responding is
 	// replaced after that time, and a grant has to outlast the election of an assigner.
 	grantFraction = 0.35
@@ -227,9 +227,13 @@
 		Probe:             d.probe,
 		OnConnectionEvent: d.observer.observeConnections, OnAdmissionEvent: d.observer.observeAdmission,
 	}
+	d.stop = shutdown.NewSchedule(shutdown.Bounds{
+		Timeout: d.Limits.StopTimeout, BalancerGrace: scaled(d.Limits.StopTimeout, graceFraction),
+		CompleteFrom: d.Limits.CompleteRequestsFrom,
+	})
 	d.front = &front.Frontend{
 		Address: d.CallerAddress, Router: d.router, Config: d.configuration, Clock: d.Timer, Log: d.Log,
-		Dialect: d.CallerDialect(d.configuration), StopTimeout: d.stopFraction(finishFraction - acceptFraction), Listening: d.Listening,
+		Dialect: d.CallerDialect(d.configuration), StopTimeout: d.stop.Close - d.stop.Accept, Listening: d.Listening,
 		Budget: d.newHeldBudget(),
 	}
 }
@@ -242,11 +246,6 @@
 	})
 }
 
-// stopFraction returns a fraction of StopTimeout.
-func (d *Daemon) stopFraction(fraction float64) time.Duration {
-	return scaled(d.Limits.StopTimeout, fraction)
-}
-
 // daemonCount returns the highest number of daemons named in any range table, and at least one.
 func (d *Daemon) daemonCount() int {
 	count, _ := d.knownDaemons()
@@ -274,8 +273,8 @@
 	}
 }
 
-// serve accepts requests until ctx ends. Then it reports that it is not ready, keeps accepting for acceptFraction of
-// StopTimeout so that the load balancer can notice, and returns when the last request has ended.
+// serve accepts requests until ctx ends. Then it reports that it is not ready, keeps accepting for a while so that the load
+// balancer can notice, and returns when the last request has ended.
 func (d *Daemon) serve(ctx, servingCtx context.Context) error {
 	acceptCtx, stopAccepting := context.WithCancel(servingCtx)
 	defer stopAccepting()
@@ -290,9 +289,11 @@
 	d.stopping = true
 	d.mu.Unlock()
 	d.front.DrainConnections()
-	d.router.EndBy(d.Timer.Now().Add(d.stopFraction(endFraction)))
-	d.Log.Info().Dur("accepting", d.stopFraction(acceptFraction)).Msg("daemon stopping; the balancer is told to use other daemons")
-	if err := timer.Wait(servingCtx, d.Timer, d.stopFraction(acceptFraction)); err != nil {
+	now := d.Timer.Now()
+	d.router.Stop(now.Add(d.stop.Accept), now.Add(d.stop.End))
+	d.Log.Info().Dur("accepting", d.stop.Accept).Dur("ending", d.stop.End).
+		Msg("daemon stopping; the balancer is told to use other daemons")
+	if err := timer.Wait(servingCtx, d.Timer, d.stop.Accept); err != nil {
 		return err
 	}
 	stopAccepting()
--- a/internal/daemon/host/host.go
+++ b/internal/daemon/host/host.go
@@ -145,7 +145,8 @@
 	d.operatorService.stopping.Store(true)
 	// Callers whose requests are left shortly before their connections are closed get an answer.
 	lastRequests := time.Duration(float64(d.Settings.StopTimeout) * endFraction)
-	d.requestPath.router.EndBy(d.Timer.Now().Add(d.Settings.BalancerGrace + lastRequests))
+	acceptUntil := d.Timer.Now().Add(d.Settings.BalancerGrace)
+	d.requestPath.router.Stop(acceptUntil, acceptUntil.Add(lastRequests))
 	ctx, cancel := context.WithTimeout(context.Background(), d.Settings.StopTimeout)
 	defer cancel()
 	_ = timer.Wait(ctx, d.Timer, d.Settings.BalancerGrace)
--- a/internal/routing/admission/admission_test.go
+++ b/internal/routing/admission/admission_test.go
@@ -185,19 +185,24 @@
 		left, deadline time.Duration
 		idempotent     bool
 		refused        bool
+		// late is how long ago the last request that must not be repeated could start.
+		late time.Duration
 	}{
-		"enough time":                {time.Second, 2 * time.Second, false, false},
-		"time for an idempotent one": {600 * time.Millisecond, 2 * time.Second, true, false},
-		"no time for another one":    {600 * time.Millisecond, 2 * time.Second, false, true},
-		"no time":                    {300 * time.Millisecond, 2 * time.Second, true, true},
-		"ends by its deadline":       {600 * time.Millisecond, 500 * time.Millisecond, false, false},
+		"enough time":                {time.Second, 2 * time.Second, false, false, 0},
+		"time for an idempotent one": {600 * time.Millisecond, 2 * time.Second, true, false, 0},
+		"no time for another one":    {600 * time.Millisecond, 2 * time.Second, false, true, 0},
+		"no time":                    {300 * time.Millisecond, 2 * time.Second, true, true, 0},
+		"ends by its deadline":       {600 * time.Millisecond, 500 * time.Millisecond, false, false, 0},
+		"starts late":                {time.Minute, 2 * time.Minute, false, true, time.Second},
+		"idempotent, starts late":    {time.Minute, 2 * time.Minute, true, false, time.Second},
+		"late, ends by its deadline": {time.Minute, 50 * time.Second, false, false, time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			controller, now := newController(1, 100), start
 			controller.Submit(now, newRequest("", time.Second))
 			controller.Release(now, "u", admission.Served{Latency: serviceTime})
-			controller.EndBy = now.Add(test.left)
+			controller.StartBy, controller.EndBy = now.Add(-test.late), now.Add(test.left)
 			request := newRequest("", test.deadline)
 			request.Idempotent = test.idempotent
 			decision, _ := controller.Submit(now, request)
@@ -216,7 +221,7 @@
 	queued := newRequest("", time.Minute)
 	decision, _ := controller.Submit(now, queued)
 	is.Equal(decision, admission.Decision(admission.Queued{}))
-	controller.EndBy = now.Add(time.Second)
+	controller.StartBy, controller.EndBy = now.Add(time.Second), now.Add(time.Second)
 	dequeued := controller.Release(now.Add(900*time.Millisecond), "u", admission.Served{Latency: 900 * time.Millisecond})
 	is.Equal(len(dequeued), 1)
 	refused, ok := dequeued[0].Decision.(admission.Refused)
--- a/internal/routing/admission/controller.go
+++ b/internal/routing/admission/controller.go
@@ -61,8 +61,9 @@
 	// ChooseUpstream selects one of the upstreams that have capacity. It returns false if none can be used.
 	ChooseUpstream func(now time.Time, request *Request, hasCapacity func(fleet.UpstreamID) bool) (fleet.UpstreamID, bool)
 	// EndBy is when the daemon stops and every request must have ended, or zero. A request whose own deadline is later is refused
-	// unless it is expected to end by then.
-	EndBy time.Time
+	// unless it is expected to end by then. One that must not be repeated is also refused if it would start after StartBy, as an
+	// expectation is no promise.
+	StartBy, EndBy time.Time
 	// HoldFull makes daemons send nothing for a time to a server that is full. It needs Prioritized and more than one host.
 	HoldFull bool
 	// Prioritized makes requests with an urgent priority, and those that can still meet their target, go before others.
@@ -270,6 +271,9 @@
 	}
 	needed := c.serviceTime
 	if !request.Idempotent {
+		if now.After(c.StartBy) {
+			return true
+		}
 		needed *= stopMargin
 	}
 	return now.Add(needed).After(c.EndBy)
--- a/internal/routing/router/keyed_test.go
+++ b/internal/routing/router/keyed_test.go
@@ -13,6 +13,7 @@
 	"rosemarywick.example/rosemarywick/internal/core/document"
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
 	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/routing/admission"
 )
 
 // fixedOwners is an ownership map that returns the same assignment for every key.
@@ -135,7 +136,7 @@
 					Config: configuration{&document.Document{Services: []document.Service{service}}},
 				}
 				started := time.Now()
-				stopping := func() { r.EndBy(started.Add(3 * time.Second)) }
+				stopping := func() { r.Stop(started.Add(3*time.Second), started.Add(3*time.Second)) }
 				if before {
 					go func() {
 						_ = timer.Wait(t.Context(), timer.System{}, time.Second)
@@ -154,3 +155,41 @@
 		})
 	}
 }
+
+// Guards against a request that arrives when a stopping daemon no longer accepts any, for example because its body took long, and
+// that is passed on although its work may outlast the daemon: only its own deadline limits that.
+func TestStopRefusesLateArrivals(t *testing.T) {
+	for name, test := range map[string]struct {
+		arrival, timeout time.Duration
+		cause            cause.Cause
+	}{
+		"in time":              {2 * time.Second, 20 * time.Second, cause.NoUpstream},
+		"late":                 {4 * time.Second, 20 * time.Second, cause.DaemonStopping},
+		"late, ends in time":   {4 * time.Second, 5 * time.Second, cause.NoUpstream},
+		"late, ends too late":  {4 * time.Second, 5300 * time.Millisecond, cause.DaemonStopping},
+		"after all has ended":  {10 * time.Second, time.Second, cause.DaemonStopping},
+		"before the last ends": {9 * time.Second, 100 * time.Millisecond, cause.NoUpstream},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := &Router{Clock: timer.System{}, Config: configuration{&document.Document{Services: []document.Service{
+					{Name: "s", Timeout: time.Minute, QueueLimit: 9, Slots: 2}, // without upstreams, which is the cause if it is accepted
+				}}}}
+				defer r.Close()
+				now := time.Now()
+				r.Stop(now.Add(3*time.Second), now.Add(9200*time.Millisecond))
+				_ = timer.Wait(t.Context(), timer.System{}, test.arrival)
+				response, ok := r.Do(t.Context(), &Request{
+					ID: "r", Service: "s", Method: http.MethodGet, Target: "/", Timeout: test.timeout,
+				}).(Rejected)
+				is.True(ok)
+				is.Equal(response.Outcome, cause.NotRun)
+				is.Equal(response.Cause, test.cause)
+				if test.cause == cause.DaemonStopping {
+					is.Equal(response.RetryAfter, admission.StoppingRetryAfter)
+				}
+			})
+		})
+	}
+}
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -123,8 +123,8 @@
 	services map[fleet.ServiceName]*serviceState
 	document *document.Document
 
-	// endBy is guarded by mu: when every request must have ended, or zero.
-	endBy time.Time
+	// acceptUntil and endBy are guarded by mu and set by Stop, and zero before. acceptUntil is not after endBy.
+	acceptUntil, endBy time.Time
 
 	endOnce sync.Once
 	// ended is a context that ends at endBy. endOnce creates it; see lifetime.
@@ -138,17 +138,19 @@
 	trialSignal chan struct{}
 }
 
-// EndBy makes every request end by a time, because the daemon stops then. Requests that are not expected to end by then are
-// refused before they are sent; one that is at an upstream at that time ends with an unknown outcome.
-func (r *Router) EndBy(at time.Time) {
+// Stop makes every request end by a time, because the daemon stops then. Requests that are not expected to end by then are
+// refused before they are sent; one that is at an upstream at that time ends with an unknown outcome. What arrives after
+// acceptUntil, and what must not be repeated and has not been sent by then, is refused unless its own deadline ends it in time: an
+// expectation is not enough for those.
+func (r *Router) Stop(acceptUntil, endBy time.Time) {
 	ended := r.lifetime()
 	r.mu.Lock()
-	r.endBy = at
+	r.acceptUntil, r.endBy = acceptUntil, endBy
 	for _, service := range r.services {
-		service.setEndBy(at)
+		service.setStop(acceptUntil, endBy)
 	}
 	r.mu.Unlock()
-	timeout := r.Clock.After(at.Sub(r.Clock.Now()))
+	timeout := r.Clock.After(endBy.Sub(r.Clock.Now()))
 	go func() {
 		defer timeout.Stop()
 		select {
@@ -159,7 +161,7 @@
 	}()
 }
 
-// lifetime returns a context that ends with the time set by EndBy, or with Close.
+// lifetime returns a context that ends with the time set by Stop, or with Close.
 func (r *Router) lifetime() context.Context {
 	r.endOnce.Do(func() { r.ended, r.end = context.WithCancel(context.Background()) })
 	return r.ended
@@ -198,7 +200,11 @@
 	if timeout <= 0 {
 		timeout = p.service.Timeout
 	}
-	p.deadline, p.endsWithStop = r.capDeadline(now.Add(timeout))
+	var arrivedLate bool
+	p.deadline, p.endsWithStop, arrivedLate = r.capDeadline(now, now.Add(timeout))
+	if arrivedLate && p.endsWithStop {
+		return p.reject(rejection{outcome: cause.NotRun, cause: cause.DaemonStopping, retryAfter: admission.StoppingRetryAfter})
+	}
 	var cancel context.CancelFunc
 	p.ctx, cancel = context.WithDeadline(ctx, p.deadline)
 	detach := context.AfterFunc(r.lifetime(), cancel)
@@ -222,14 +228,19 @@
 	return p.runAttempts()
 }
 
-// capDeadline returns the deadline, or the time set by EndBy if that is earlier, and whether it is.
-func (r *Router) capDeadline(deadline time.Time) (capped time.Time, endsWithStop bool) {
+// capDeadline returns the deadline of a request that arrives now, or the end set by Stop if that is earlier, and whether it is.
+// arrivedLate is set if requests are no longer accepted.
+func (r *Router) capDeadline(now, deadline time.Time) (capped time.Time, endsWithStop, arrivedLate bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.endBy.IsZero() && r.endBy.Before(deadline) {
-		return r.endBy, true
+	if r.endBy.IsZero() {
+		return deadline, false, false
+	}
+	arrivedLate = now.After(r.acceptUntil)
+	if r.endBy.Before(deadline) {
+		return r.endBy, true, arrivedLate
 	}
-	return deadline, false
+	return deadline, false, arrivedLate
 }
 
 // hashKey returns the hash under which the ownership map knows a key. A numeric key is its own hash.
--- a/internal/routing/router/service.go
+++ b/internal/routing/router/service.go
@@ -127,15 +127,15 @@
 		controller.ChooseUpstream = queue.choose(chooseUpstream)
 		controller.TenantWeight = func(tenant fleet.TenantName) int { return max(1, weights[tenant]) }
 		controller.NewLimit = func(id fleet.UpstreamID) admission.Limit { return r.newLimit(declared, id) }
-		controller.EndBy = r.endBy
+		controller.StartBy, controller.EndBy = r.acceptUntil, r.endBy
 		controller.Prioritized, controller.HoldFull = r.document.HasPriorities(), r.HoldFull
 	})
 	return queue
 }
 
-// setEndBy passes the time at which the daemon stops on to the queues of the service.
-func (s *serviceState) setEndBy(at time.Time) {
-	apply := func(controller *admission.Controller) { controller.EndBy = at }
+// setStop passes the times of the daemon's stop on to the queues of the service; see Router.Stop.
+func (s *serviceState) setStop(acceptUntil, endBy time.Time) {
+	apply := func(controller *admission.Controller) { controller.StartBy, controller.EndBy = acceptUntil, endBy }
 	if s.queue != nil {
 		s.queue.configure(apply)
 	}
