--- a/internal/daemon/host/host.go
+++ b/internal/daemon/host/host.go
@@ -17,6 +17,7 @@
 	"rosemarywick.example/rosemarywick/internal/core/settings"
 	"rosemarywick.example/rosemarywick/internal/core/timer"
 	"rosemarywick.example/rosemarywick/internal/daemon/certificates"
+	"rosemarywick.example/rosemarywick/internal/daemon/shutdown"
 	"rosemarywick.example/rosemarywick/internal/platform/hosts"
 	"rosemarywick.example/rosemarywick/internal/platform/objects"
 	"rosemarywick.example/rosemarywick/internal/platform/table"
@@ -136,20 +137,15 @@
 	stages.run(stageRequests, d.requestPath.front.Run)
 }
 
-// endFraction is the fraction of the stop timeout after which requests that are left are ended.
-const endFraction = 0.95
-
 // stop waits until the load balancer has noticed that the daemon is not ready, and then stops the stages in their order.
 func (d *Daemon) stop(stages *taskStages) {
 	d.Log.Info().Dur("timeout", d.Settings.StopTimeout).Msg("daemon stopping")
 	d.operatorService.stopping.Store(true)
-	// Callers whose requests are left shortly before their connections are closed get an answer.
-	lastRequests := time.Duration(float64(d.Settings.StopTimeout) * endFraction)
-	acceptUntil := d.Timer.Now().Add(d.Settings.BalancerGrace)
-	d.requestPath.router.Stop(acceptUntil, acceptUntil.Add(lastRequests))
+	schedule, now := d.stopSchedule(), d.Timer.Now()
+	d.requestPath.router.Stop(now.Add(schedule.Accept), now.Add(schedule.End))
 	ctx, cancel := context.WithTimeout(context.Background(), d.Settings.StopTimeout)
 	defer cancel()
-	_ = timer.Wait(ctx, d.Timer, d.Settings.BalancerGrace)
+	_ = timer.Wait(ctx, d.Timer, schedule.Accept)
 	stages.stop(stageRoles)
 	stages.stop(stageRequests)
 	d.peers.gossip.Leave()
@@ -157,6 +153,11 @@
 	stages.stop(stageFleet)
 }
 
+// stopSchedule returns how the time of a stop is divided.
+func (d *Daemon) stopSchedule() shutdown.Schedule {
+	return shutdown.NewSchedule(shutdown.Bounds{Timeout: d.Settings.StopTimeout, BalancerGrace: d.Settings.BalancerGrace})
+}
+
 // stopStage identifies a group of tasks that are stopped together. The stages are stopped in this order.
 type stopStage int
 
--- a/internal/daemon/host/requests.go
+++ b/internal/daemon/host/requests.go
@@ -39,9 +39,10 @@
 		MapConfirmations: d.unguardedServices, Claims: r.claims, Recorder: r,
 		HostCount: d.configuration.daemonCount,
 	}
+	schedule := d.stopSchedule()
 	r.front = &front.Frontend{
 		Address: d.Settings.CallerAddress, Listener: d.CallerListener, Router: r.router, Config: d.configuration,
-		Clock: d.Timer, Log: d.Log, StopTimeout: d.Settings.StopTimeout, Listening: d.Listening,
+		Clock: d.Timer, Log: d.Log, StopTimeout: schedule.Close - schedule.Accept, Listening: d.Listening,
 	}
 	return r
 }
