peer/relay: a relay with an overdue response is not available

source.available now regards the response of each table: one that is overdue by 0.7 s, longer than a feed waits for its beginning, makes the relay unavailable, and its followers turn to another one.

--- a/internal/peer/relay/fleet_test.go
+++ b/internal/peer/relay/fleet_test.go
@@ -39,13 +39,16 @@
 	down bool
 	// compacted is the version up to which the history was dropped.
 	compacted table.Version
+	// endless holds the hosts whose calls for the changes of table "t" get a response that goes on arriving and never ends.
+	endless map[fleet.HostID]bool
 	// silenced is closed for the calls in progress, and replaced, when their responses are lost.
 	silenced map[string]chan struct{}
 }
 
 func newMemoryStore() *memoryStore {
 	return &memoryStore{
-		rows: map[string]table.Row{}, changed: make(chan struct{}), cut: map[fleet.HostID]bool{}, silenced: map[string]chan struct{}{},
+		rows: map[string]table.Row{}, changed: make(chan struct{}), cut: map[fleet.HostID]bool{}, endless: map[fleet.HostID]bool{},
+		silenced: map[string]chan struct{}{},
 	}
 }
 
@@ -167,6 +170,13 @@
 	if err := v.begin(ctx, wait+600*time.Millisecond); err != nil {
 		return table.Changes{}, err
 	}
+	v.mu.Lock()
+	endless := v.endless[v.host] && name == "t"
+	v.mu.Unlock()
+	if endless {
+		<-ctx.Done()
+		return table.Changes{}, context.Cause(ctx)
+	}
 	timeout, silenced := timer.System{}.After(wait), v.silencedChannel(name)
 	defer timeout.Stop()
 	noResponse := timer.System{}.After(wait + 600*time.Millisecond)
--- a/internal/peer/relay/node.go
+++ b/internal/peer/relay/node.go
@@ -34,7 +34,10 @@
 	// contactInterval is the longest time between two responses of the store to a relay. contactLimit is the age of the latest
 	// one from which on the relay counts as cut off.
 	contactInterval = time.Second
-	contactLimit    = 1700 * time.Millisecond
+	contactLimit    = contactInterval + overdueLimit
+	// overdueLimit is how long after it is due the response to a call for changes may end. It exceeds the time after which a feed
+	// gives up a call whose response has not begun.
+	overdueLimit = 700 * time.Millisecond
 	// pollWait is the longest time that one call for the changes of a table waits. A response that was lost while the store
 	// answers other calls is noticed only after it, so the wait is pollFraction of the table's ApplyLimit if that is shorter.
 	// The rest of the limit is for the response that is overdue, the next call, and the way to the subscribers.
--- a/internal/peer/relay/silent_test.go
+++ b/internal/peer/relay/silent_test.go
@@ -26,6 +26,35 @@
 	}
 }
 
+// Guards against a relay that passes for one that reaches the store, and keeps its subscribers, although the response for one of its
+// tables does not end: that for another table says nothing about it.
+func TestRelayWithOverdueTableIsLeft(t *testing.T) {
+	const limit = 2 * time.Second
+	inBubble(t, func(t *testing.T) {
+		n := newNetworkWithin(t, 60, 4, limit)
+		sleep(started)
+		for _, domain := range []string{"d0", "d1"} {
+			relay := n.relayOf(domain)
+			n.store.set(func() { n.store.endless[relay.Local.ID] = true })
+			sleep(300 * time.Millisecond)
+			for range 20 {
+				sleep(100 * time.Millisecond)
+				n.store.write("t/a", time.Now().String())
+				var others []*daemon
+				for _, d := range n.running() {
+					if d != relay {
+						others = append(others, d)
+					}
+				}
+				n.awaitValueAt(others, "t/a", n.store.value("t/a"), limit)
+			}
+			n.awaitValue("t/a", n.store.value("t/a"), limit) // it has turned to another relay
+			n.store.set(func() { delete(n.store.endless, relay.Local.ID) })
+			sleep(started)
+		}
+	})
+}
+
 // Guards against calls to the store that grow when relays have to notice a silent connection early.
 func TestCallsWithApplyLimit(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
--- a/internal/peer/relay/source.go
+++ b/internal/peer/relay/source.go
@@ -29,6 +29,8 @@
 	failing map[string]bool
 	// responded is guarded by mu: the time of the latest response for each table.
 	responded map[string]time.Time
+	// due is guarded by mu: for each table with a call in progress, when the response is overdue.
+	due map[string]time.Time
 }
 
 var _ table.Feed = (*source)(nil)
@@ -42,6 +44,7 @@
 			return changes, err
 		}
 	}
+	s.begin(name, contactLimit)
 	snapshot, err := s.feed.Snapshot(ctx, name)
 	s.note(name, err)
 	if err != nil {
@@ -55,6 +58,7 @@
 
 // Changes stores the changes of a table after a version.
 func (s *source) Changes(ctx context.Context, name string, after table.Version, wait time.Duration) (table.Changes, error) {
+	s.begin(name, wait+overdueLimit)
 	changes, err := s.feed.Changes(ctx, name, after, wait)
 	if !errors.Is(err, table.ErrCompacted) {
 		s.note(name, err)
@@ -68,6 +72,16 @@
 	return changes, nil
 }
 
+// begin records that a call begins, whose whole response is to arrive within some time.
+func (s *source) begin(name string, allowed time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.due == nil {
+		s.due = make(map[string]time.Time)
+	}
+	s.due[name] = s.clock.Now().Add(allowed)
+}
+
 // note records the outcome of a call.
 func (s *source) note(name string, err error) {
 	select {
@@ -79,6 +93,7 @@
 	if s.failing == nil {
 		s.failing, s.responded = make(map[string]bool), make(map[string]time.Time)
 	}
+	delete(s.due, name)
 	if err != nil {
 		s.failing[name] = true
 	} else {
@@ -110,14 +125,19 @@
 	return len(s.failing) == 0 && s.confirmedAt().IsZero()
 }
 
-// available reports whether all tables are being followed, and the store has responded for the table contact within maxAge.
+// available reports whether all tables are being followed, none of the responses is overdue, and the store has responded for the
+// table contact within maxAge. A response for one table says nothing about the others, whose connections may have fallen silent.
 func (s *source) available(tables []string, contact string, maxAge time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.clock.Now()
 	for _, name := range tables {
 		if s.failing[name] || s.responded[name].IsZero() {
 			return false
 		}
+		if due, inProgress := s.due[name]; inProgress && now.After(due) {
+			return false
+		}
 	}
-	return s.clock.Now().Sub(s.responded[contact]) <= maxAge
+	return now.Sub(s.responded[contact]) <= maxAge
 }
