--- a/internal/peer/relay/node.go
+++ b/internal/peer/relay/node.go
@@ -41,8 +41,10 @@
 	// pollWait is the longest time that one call for the changes of a table waits. A response that was lost while the store
 	// answers other calls is noticed only after it, so the wait is pollFraction of the table's ApplyLimit if that is shorter.
 	// The rest of the limit is for the response that is overdue, the next call, and the way to the subscribers.
+	// A limit of less than a second can't be kept when a response is lost; minPollWait then bounds the number of calls.
 	pollWait     = 4 * time.Second
 	pollFraction = 0.4
+	minPollWait  = 100 * time.Millisecond
 	// avoidTime is how long a relay that was lost or cut off is not chosen if there is another one.
 	avoidTime = 2 * time.Second
 	// sendTimeout bounds the connection to a relay, or the wait for room in its queue.
--- a/internal/peer/relay/store.go
+++ b/internal/peer/relay/store.go
@@ -49,12 +49,14 @@
 	return followers
 }
 
-// pollWaitFor returns how long a call for the changes of a table waits, given the table's ApplyLimit.
+// pollWaitFor returns how long a call for the changes of a table waits, given the table's ApplyLimit. A change whose response is
+// lost right after the call began is adopted after the wait, overdueLimit and retryDelay.
 func pollWaitFor(limit time.Duration) time.Duration {
 	if limit == 0 {
 		return pollWait
 	}
-	return min(pollWait, time.Duration(float64(limit)*pollFraction))
+	wait := min(pollWait, time.Duration(float64(limit)*pollFraction), limit-overdueLimit-retryDelay)
+	return max(minPollWait, wait)
 }
 
 // available reports whether this daemon follows the store and the store responds.
--- a/internal/platform/table/follow.go
+++ b/internal/platform/table/follow.go
@@ -12,7 +12,8 @@
 )
 
 // Feed reports the changes of a table as they happen. A call fails if its response does not begin soon after it is due, so that
-// a store can be followed again within a second of its recovery. A response that has begun may take as long as ctx allows.
+// a store can be followed again within a second of its recovery, or if the response stops arriving. One that goes on arriving may
+// take as long as ctx allows.
 type Feed interface {
 	// Snapshot returns all rows of a table, and the version after which Changes continues.
 	Snapshot(ctx context.Context, name string) (Changes, error)
@@ -23,7 +24,8 @@
 const (
 	// defaultPollWait is used if Follower.PollWait is zero.
 	defaultPollWait = 20 * time.Second
-	// responseTimeout bounds the transfer of a response: a large configuration takes seconds over a slow link.
+	// responseTimeout bounds the transfer of a response that goes on arriving: a large configuration takes seconds over a slow link.
+	// It serves no promise; a feed notices earlier that a response stops arriving.
 	responseTimeout = 8 * time.Second
 	// minBackoff and maxBackoff bound the delay after a failure, which doubles with each further one.
 	minBackoff = 100 * time.Millisecond
