--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -126,8 +126,8 @@
 	maxBufferedBytes = 1 << 20
 	// outageGrace is the time after an outage of the store within which upstreams register again if their entries expired.
 	outageGrace = 2 * time.Second
-	// graceFraction is the fraction of StopTimeout for which requests are accepted, unless CompleteRequestsFrom is earlier, until the
-	// load balancer has noticed that the daemon is not ready.
+	// graceFraction is the fraction of StopTimeout for which requests are accepted, unless CompleteRequestsFrom is earlier, until
+	// the load balancer has noticed that the daemon is not ready.
 	graceFraction = 0.45
 	// grantFraction is the normal duration of a grant as a fraction of MaxGrantDuration. A server that stops responding is
 	// replaced after that time, and a grant has to outlast the election of an assigner.
