upstream/rangegrants: the rest of a range that shrank is no first grant

Cause: the assigner knows grants by range and fence, and a plan that moves a part of a range leaves the rest its fence. The rest counted as never granted and was sent on any connection, also on one to a process that had started since. What is known of a grant now passes on to each overlapping range with the same fence, and is kept as long as the table names that fence.

--- a/internal/upstream/rangegrants/leaving.go
+++ b/internal/upstream/rangegrants/leaving.go
@@ -51,8 +51,10 @@
 		return true // granted before, perhaps by an earlier assigner, or never owned
 	}
 	if task := t.serverTasks[assignment.Owner]; task != nil {
-		if state := task.grants[grantKey{keys: assignment.Range, fence: assignment.Fence}]; state != nil && state.accepted {
-			return true
+		for key, state := range task.grants {
+			if state.accepted && key.covers(grantKey{keys: assignment.Range, fence: assignment.Fence}) {
+				return true
+			}
 		}
 	}
 	for _, server := range t.Registry.Servers(t.Service) {
--- a/internal/upstream/rangegrants/rangegrants_test.go
+++ b/internal/upstream/rangegrants/rangegrants_test.go
@@ -231,6 +231,36 @@
 	}
 }
 
+// Guards against a server that is granted keys with the fence of its earlier start because a plan has moved a part of its range
+// meanwhile: the rest keeps its fence, and must not pass for a range that was never granted.
+func TestServerRestartsUnseenDuringMove(t *testing.T) {
+	for name, lostWrites := range map[string]bool{"store responds": false, "responses of the store are lost": true} {
+		t.Run(name, func(t *testing.T) {
+			runWithSeeds(t, 2, func(c *cluster, first *daemon, seed uint64) {
+				second := c.startDaemon("b")
+				sleep(time.Duration(15000+37*seed) * time.Millisecond)
+				if lostWrites {
+					c.store.update(func(s *fakeStore) { s.ackLossRate = 0.5 })
+				}
+				c.startServer("n") // it gets a part of the ranges of the others
+				sleep(time.Duration(seed) * 5 * time.Millisecond)
+				for _, id := range []fleet.UpstreamID{"s0", "s1"} {
+					c.mu.Lock()
+					earlier := c.servers[id].owner
+					c.mu.Unlock()
+					c.startServer(id)
+					c.updateServer(id, func(s *fakeServer) { s.listed = &earlier })
+				}
+				sleep(5 * time.Second)
+				c.store.update(func(s *fakeStore) { s.ackLossRate = 0 })
+				sleep(3 * time.Second)
+				c.awaitAllOwned(time.Second, "while the entries are the earlier ones")
+				c.stopAndCheck(first, second)
+			})
+		})
+	}
+}
+
 // closeServers makes servers refuse new connections.
 func (c *cluster) closeServers(ids ...fleet.UpstreamID) {
 	for _, id := range ids {
--- a/internal/upstream/rangegrants/server.go
+++ b/internal/upstream/rangegrants/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"rosemarywick.example/rosemarywick/internal/core/fleet"
@@ -135,7 +136,7 @@
 	}
 	if s.grants[key] == nil {
 		s.pruneGrants()
-		s.grants[key] = &grantState{}
+		s.grants[key] = s.inherit(key)
 	}
 	state := s.grants[key]
 	// Ticks may be a little early or late. If the lease is at risk, grants with the outage duration are sent at once.
@@ -149,6 +150,31 @@
 	return before, true
 }
 
+// inherit returns the state of a grant that was not sent yet. A plan that moves a part of a range leaves the rest its fence, so
+// that the server may have accepted the keys with it as a part of a larger range. A later start of the server must not accept
+// them with the same fence, so the grant counts as a renewal of the larger one, or gets a new fence if the outcome of that one
+// is not known. The caller holds the term's mu.
+func (s *serverTask) inherit(key grantKey) *grantState {
+	result := &grantState{}
+	for larger, state := range s.grants {
+		if !larger.covers(key) {
+			continue
+		}
+		switch {
+		case state.refused || state.acceptedAt.IsZero() && state.expiryUptime > 0 && !s.term.unsure():
+			result.refused = true
+		case state.acceptedAt.After(result.acceptedAt):
+			result.acceptedAt = state.acceptedAt
+		}
+	}
+	return result
+}
+
+// covers reports whether other is a grant of some keys of the range with the same fence.
+func (k grantKey) covers(other grantKey) bool {
+	return k.fence == other.fence && k.keys.Overlaps(other.keys)
+}
+
 // setExpiry records the uptime at which a grant has expired at the latest.
 func (s *serverTask) setExpiry(key grantKey, expiryUptime time.Duration) {
 	s.term.mu.Lock()
@@ -156,16 +182,24 @@
 	s.grants[key].expiryUptime = expiryUptime
 }
 
-// pruneGrants removes grants that have expired, except refused ones. The caller holds mu.
+// pruneGrants removes grants that have expired, except refused ones and those whose fences the server still has in the table: a
+// later start must not accept them. The caller holds mu.
 func (s *serverTask) pruneGrants() {
 	now := s.term.Uptime.Uptime()
 	for key, state := range s.grants {
-		if state.expiryUptime < now && !state.refused {
+		if state.expiryUptime < now && !state.refused && !s.assigned(key) {
 			delete(s.grants, key)
 		}
 	}
 }
 
+// assigned reports whether the table assigns keys of a grant to the server with the fence of the grant. The caller holds mu.
+func (s *serverTask) assigned(key grantKey) bool {
+	return slices.ContainsFunc(s.term.table.Assignments, func(assignment ranges.Assignment) bool {
+		return assignment.Owner.SameProcess(s.owner) && key.covers(grantKey{keys: assignment.Range, fence: assignment.Fence})
+	})
+}
+
 // handleResponse records the response to a grant. It returns false if no grants reach the server, so that its other assignments
 // are not tried.
 func (s *serverTask) handleResponse(ctx context.Context, a ranges.Assignment, sent, duration time.Duration, resp Response) bool {
@@ -229,8 +263,7 @@
 func (s *serverTask) refenceUnanswered(key grantKey, resp NoResponse) {
 	s.term.mu.Lock()
 	state := s.grants[key]
-	unsure := s.term.Store.Reading().Earliest(s.term.Uptime.Uptime()) < s.term.table.UnsureUntil
-	refence := !resp.NotSent && !state.accepted && !unsure
+	refence := !resp.NotSent && !state.accepted && !s.term.unsure()
 	state.refused = state.refused || refence
 	s.term.mu.Unlock()
 	if refence {
@@ -238,6 +271,11 @@
 	}
 }
 
+// unsure reports whether servers that the table does not name may own keys. The caller holds mu.
+func (t *term) unsure() bool {
+	return t.Store.Reading().Earliest(t.Uptime.Uptime()) < t.table.UnsureUntil
+}
+
 // countResponse counts consecutive responses after which the server is taken as down.
 func (s *serverTask) countResponse(resp Response) {
 	switch resp.(type) {
