peer/relay: a follower keeps its relay until a better one has delivered

A better relay is now tried beside the one that is followed. It takes its place once it has sent all changes of all tables and reaches the store, which its second heartbeat shows; relays send that at once. While a relay is tried its role is not claimed. A subscription that is not answered is sent again.

The fake network now loses messages on connections to a former process.

--- a/internal/peer/relay/fleet_test.go
+++ b/internal/peer/relay/fleet_test.go
@@ -309,26 +309,43 @@
 
 	mu      sync.Mutex
 	daemons map[fleet.HostID]*daemon
-	queues  map[[2]fleet.HostID]chan []byte
+	queues  map[[2]fleet.HostID]chan parcel
 	// silent holds the pairs of sender and receiver whose messages are lost.
 	silent map[[2]fleet.HostID]bool
-	// applyLimit is the time within which changes of table "t" must take effect.
+	// connections holds the process at the other end of the connection that a process has to a host.
+	connections map[connection]*daemon
+	// applyLimit is the time within which changes of table "t" must take effect. others are further tables.
 	applyLimit time.Duration
+	others     []Table
+}
+
+// connection identifies the connection that a process has to a host.
+type connection struct {
+	from *daemon
+	to   fleet.HostID
+}
+
+// parcel is a message on its way.
+type parcel struct {
+	from    *daemon
+	payload []byte
 }
 
 // endpoint is the network as one daemon sends to it.
 type endpoint struct {
 	*network
-	from fleet.HostID
+	from   fleet.HostID
+	sender *daemon
 }
 
-// Send delivers a message to the process that runs on the host at the time of its arrival.
+// Send delivers a message to the process that runs on the host at the time of its arrival. If that is another one than the sender
+// is connected with, the message is lost and ends the connection; if none runs, the connection stays.
 func (e endpoint) Send(ctx context.Context, to fleet.HostID, _ string, payload []byte) error {
 	e.mu.Lock()
 	key := [2]fleet.HostID{e.from, to}
 	queue := e.queues[key]
 	if queue == nil {
-		queue = make(chan []byte, 1024)
+		queue = make(chan parcel, 1024)
 		e.queues[key] = queue
 		go e.deliver(key, queue)
 	}
@@ -338,24 +355,21 @@
 		return nil
 	}
 	select {
-	case queue <- payload:
+	case queue <- parcel{from: e.sender, payload: payload}:
 		return nil
 	case <-ctx.Done():
 		return context.Cause(ctx)
 	}
 }
 
-func (n *network) deliver(key [2]fleet.HostID, queue <-chan []byte) {
+func (n *network) deliver(key [2]fleet.HostID, queue <-chan parcel) {
 	ctx := n.t.Context()
 	for {
 		select {
-		case payload := <-queue:
+		case message := <-queue:
 			_ = timer.Wait(ctx, timer.System{}, linkLatency)
-			n.mu.Lock()
-			receiver := n.daemons[key[1]]
-			n.mu.Unlock()
-			if receiver != nil {
-				receiver.receive(ctx, key[0], payload)
+			if receiver := n.receiverOf(connection{from: message.from, to: key[1]}); receiver != nil {
+				receiver.receive(ctx, key[0], message.payload)
 			}
 		case <-ctx.Done():
 			return
@@ -363,17 +377,38 @@
 	}
 }
 
+// receiverOf returns the process that gets a message which arrives on a connection, or nil.
+func (n *network) receiverOf(used connection) *daemon {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	running := n.daemons[used.to]
+	if running == nil {
+		return nil
+	}
+	connected := n.connections[used]
+	if connected == nil {
+		n.connections[used] = running
+		return running
+	}
+	if connected != running {
+		delete(n.connections, used)
+		return nil
+	}
+	return running
+}
+
 // newNetwork starts daemons that share a store, divided evenly between failure domains.
 func newNetwork(t *testing.T, daemons, domains int) *network {
 	return newNetworkWithin(t, daemons, domains, 0)
 }
 
 // newNetworkWithin starts such daemons, in which changes of table "t" must take effect within a limit.
-func newNetworkWithin(t *testing.T, daemons, domains int, applyLimit time.Duration) *network {
+func newNetworkWithin(t *testing.T, daemons, domains int, applyLimit time.Duration, others ...Table) *network {
 	n := &network{
+		others:     others,
 		applyLimit: applyLimit,
-		t:          t, store: newMemoryStore(), daemons: map[fleet.HostID]*daemon{}, queues: map[[2]fleet.HostID]chan []byte{},
-		silent: map[[2]fleet.HostID]bool{},
+		t:          t, store: newMemoryStore(), daemons: map[fleet.HostID]*daemon{}, queues: map[[2]fleet.HostID]chan parcel{},
+		silent: map[[2]fleet.HostID]bool{}, connections: map[connection]*daemon{},
 	}
 	n.store.write("t/a", "1")
 	for i := range daemons {
@@ -406,8 +441,9 @@
 			d.setServing(false)
 		},
 	}
+	d.Tables = append(d.Tables, n.others...)
 	d.Prepare()
-	d.links, d.address = endpoint{n, host.ID}, host.PeerAddress
+	d.links, d.address = endpoint{n, host.ID, d}, host.PeerAddress
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/internal/peer/relay/follow.go
+++ b/internal/peer/relay/follow.go
@@ -10,19 +10,25 @@
 	"rosemarywick.example/rosemarywick/internal/platform/table"
 )
 
-// subscription receives the messages of the relay that this daemon follows.
+// subscription receives the messages of a relay that this daemon follows or tries.
 type subscription struct {
 	relay    member
 	messages chan *wire.Relay
 	// ended is closed when no more messages are received.
 	ended chan struct{}
+	// startedAt is when it was sent, and heard is set once the relay has answered.
+	startedAt time.Time
+	heard     bool
 }
 
-// subscribe starts to accept messages of a relay and sends the positions of all copies to it.
+// subscribe starts to accept messages of a relay, which counts as tried until it is followed, and sends the positions of all
+// copies to it.
 func (n *Node) subscribe(ctx context.Context, relay member) (*subscription, error) {
-	current := &subscription{relay: relay, messages: make(chan *wire.Relay), ended: make(chan struct{})}
+	current := &subscription{
+		relay: relay, messages: make(chan *wire.Relay), ended: make(chan struct{}), startedAt: n.Clock.Now(),
+	}
 	n.mu.Lock()
-	n.subscription = current
+	n.tried = current
 	n.mu.Unlock()
 	if err := n.sendPositions(ctx, relay); err != nil {
 		n.endSubscription(current)
@@ -37,10 +43,25 @@
 	if n.subscription == ended {
 		n.subscription = nil
 	}
+	if n.tried == ended {
+		n.tried = nil
+	}
 	n.mu.Unlock()
 	close(ended.ended)
 }
 
+// unsubscribe ends a subscription and tells the relay, unless another subscription to the same host has taken its place.
+func (n *Node) unsubscribe(ctx context.Context, ended *subscription) {
+	n.endSubscription(ended)
+	if n.subscriptionTo(ended.relay.Host) != nil {
+		return
+	}
+	message := &wire.Relay{Body: &wire.Relay_Unsubscribe{Unsubscribe: &wire.Unsubscribe{}}}
+	if err := n.send(ctx, ended.relay.Host, message); err != nil {
+		n.Log.Debug().Err(err).Str("relay", string(ended.relay.Host)).Msg("end subscription")
+	}
+}
+
 // sendPositions asks a relay for the changes after the positions of all copies.
 func (n *Node) sendPositions(ctx context.Context, relay member) error {
 	message := &wire.Subscribe{}
@@ -58,63 +79,93 @@
 	// heardAt is when the latest message arrived. responded is set once the relay has stated that it reaches the store.
 	heardAt   time.Time
 	responded bool
-	// startedAt is when the subscription was sent, and renewedAt when the relay was last told that it goes on.
-	startedAt, renewedAt time.Time
+	// renewedAt is when the relay was last told that the subscription goes on.
+	renewedAt time.Time
 	// claimAt is when this daemon tries to replace the relay of its failure domain. It is zero while that relay is followed.
 	claimAt time.Time
 	// lost is the relay of the failure domain at the time at which claimAt was set.
 	lost member
 }
 
-// follow receives the tables from a relay until it is lost or cut off, a better one is known, or this daemon becomes a relay.
-func (n *Node) follow(ctx context.Context, relay member) {
-	current, err := n.subscribe(ctx, relay)
+// followRelays receives the tables from a relay, and from others that take its place, until there is none to follow or this
+// daemon becomes a relay.
+func (n *Node) followRelays(ctx context.Context, first member) {
+	current, err := n.subscribe(ctx, first)
 	if err != nil {
-		n.Log.Info().Err(err).Str("relay", string(relay.Host)).Msg("relay cannot be reached")
-		n.avoid(relay, false)
+		n.Log.Info().Err(err).Str("relay", string(first.Host)).Msg("relay cannot be reached")
+		n.avoid(first, false)
 		return
 	}
-	defer func() {
-		n.endSubscription(current)
-		if err := n.send(ctx, relay.Host, &wire.Relay{Body: &wire.Relay_Unsubscribe{Unsubscribe: &wire.Unsubscribe{}}}); err != nil {
-			n.Log.Debug().Err(err).Str("relay", string(relay.Host)).Msg("end subscription")
-		}
-	}()
+	for current != nil {
+		next := n.follow(ctx, current)
+		n.unsubscribe(ctx, current)
+		current = next
+	}
+}
+
+// follow receives the tables from the relay of a subscription until it is lost or cut off, a better one has delivered, or this
+// daemon becomes a relay. It returns the subscription to the better one, or nil. One that is still being tried when the present
+// relay ends is followed without having delivered.
+func (n *Node) follow(ctx context.Context, current *subscription) *subscription {
+	n.mu.Lock()
+	n.subscription, n.tried = current, nil
+	n.mu.Unlock()
 	now := n.Clock.Now()
-	state := &followState{subscription: current, heardAt: now, startedAt: now, renewedAt: now}
+	state := &followState{subscription: current, heardAt: current.startedAt, renewedAt: now}
+	if current.heard {
+		state.heardAt = now
+	}
 	tick := n.Clock.Every(heartbeatInterval)
 	defer tick.Stop()
+	next := &trial{}
+	defer next.cancel(n)
 	for {
 		changed := n.members.changedChannel()
 		select {
 		case message := <-current.messages:
-			state.heardAt = n.Clock.Now()
+			state.heardAt, current.heard = n.Clock.Now(), true
 			if !n.handleRelayMessage(ctx, state, message) {
-				return
+				return next.takeOver()
+			}
+		case result := <-next.result:
+			next.end()
+			if result.subscription != nil {
+				n.Log.Info().Str("relay", string(result.relay.Host)).Str("before", string(current.relay.Host)).
+					Msg("better relay has delivered and is followed")
+				return result.subscription
 			}
+			n.avoid(result.relay, false)
 		case <-tick.C:
 			if silence := n.Clock.Now().Sub(state.heardAt); silence > silenceLimit {
-				n.Log.Warn().Str("relay", string(relay.Host)).Dur("silence", silence).Msg("relay is lost")
-				n.avoid(relay, false)
-				return
+				n.Log.Warn().Str("relay", string(current.relay.Host)).Dur("silence", silence).Msg("relay is lost")
+				n.avoid(current.relay, false)
+				return next.takeOver()
 			}
-			if n.claimIfDue(ctx, state) {
-				return
+			if n.claimIfDue(ctx, state, next) {
+				return nil
 			}
 			n.keepSubscription(ctx, state)
 		case <-changed:
 		case <-ctx.Done():
-			return
+			return nil
 		}
-		if n.hasBetterRelay(state) {
-			return
+		if n.isRelay() {
+			return nil
 		}
+		n.tryBetterRelay(ctx, state, next)
 	}
 }
 
-// keepSubscription keeps the subscription from timing out at the relay, by an empty report.
+// keepSubscription keeps the subscription from timing out at the relay, by an empty report. It subscribes again if nothing was
+// heard, as a message is lost that is sent over a connection to an earlier process.
 func (n *Node) keepSubscription(ctx context.Context, state *followState) {
 	now := n.Clock.Now()
+	if !state.heard {
+		if err := n.sendPositions(ctx, state.relay); err != nil {
+			n.Log.Debug().Err(err).Str("relay", string(state.relay.Host)).Msg("subscribe again")
+		}
+		return
+	}
 	if now.Sub(state.renewedAt) < subscriberTimeout/3 {
 		return
 	}
@@ -226,30 +277,35 @@
 	return true
 }
 
-// hasBetterRelay reports whether this daemon became a relay itself, the relay that it follows was replaced, or the relay of its
-// own failure domain can be followed instead of that of another one.
-func (n *Node) hasBetterRelay(state *followState) bool {
-	if own := n.members.of(n.Local.Locality.Domain); n.holdsRole() || own.Host == n.Local.ID && own.Run != n.Process {
-		return true
-	}
-	if current := n.members.of(state.relay.domain); current.Run != state.relay.Run {
-		return true
-	}
-	if state.relay.domain == n.Local.Locality.Domain {
-		return false
+// isRelay reports whether this daemon is the relay of its failure domain, or an earlier process on its host was.
+func (n *Node) isRelay() bool {
+	own := n.members.of(n.Local.Locality.Domain)
+	return n.holdsRole() || own.Host == n.Local.ID && own.Run != n.Process
+}
+
+// betterRelay returns the relay that is to be followed instead of the present one, if that was replaced or is not of this
+// daemon's own failure domain. It returns false if there is none.
+func (n *Node) betterRelay(state *followState) (member, bool) {
+	replaced := n.members.of(state.relay.domain).Run != state.relay.Run
+	if !replaced && state.relay.domain == n.Local.Locality.Domain {
+		return member{}, false
 	}
 	next, ok := n.choose()
-	return ok && next.domain == n.Local.Locality.Domain
+	if !ok || next.Run == state.relay.Run || !replaced && next.domain != n.Local.Locality.Domain {
+		return member{}, false
+	}
+	return next, true
 }
 
 // claimIfDue tries to replace the relay of this daemon's failure domain if it has been lost, or if the relay that is followed has
-// been cut off from the store, for some time. It reports whether this daemon has become the relay.
-func (n *Node) claimIfDue(ctx context.Context, state *followState) bool {
+// been cut off from the store, for some time. A relay that is being tried is not lost. It reports whether this daemon has become
+// the relay.
+func (n *Node) claimIfDue(ctx context.Context, state *followState, tried *trial) bool {
 	own := n.members.of(n.Local.Locality.Domain)
 	cutOff := n.interruptedNow()
 	now := n.Clock.Now()
 	switch {
-	case !cutOff && state.relay.Run == own.Run:
+	case !cutOff && (state.relay.Run == own.Run || tried.inProgress(own)):
 		state.claimAt = time.Time{}
 	case state.claimAt.IsZero() || state.lost.version != own.version:
 		state.lost = own
@@ -308,12 +364,23 @@
 	return n.interrupted
 }
 
+// subscriptionTo returns the subscription to a host, or nil. If there are two, because a relay is tried that is a later process
+// of the one that is followed, it returns that to the later process.
+func (n *Node) subscriptionTo(host fleet.HostID) *subscription {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, current := range []*subscription{n.tried, n.subscription} {
+		if current != nil && current.relay.Host == host {
+			return current
+		}
+	}
+	return nil
+}
+
 // passToSubscription passes a message to the subscription to its sender, if there is one.
 func (n *Node) passToSubscription(ctx context.Context, from fleet.HostID, message *wire.Relay) {
-	n.mu.Lock()
-	current := n.subscription
-	n.mu.Unlock()
-	if current == nil || current.relay.Host != from {
+	current := n.subscriptionTo(from)
+	if current == nil {
 		return
 	}
 	select {
--- a/internal/peer/relay/node.go
+++ b/internal/peer/relay/node.go
@@ -135,8 +135,8 @@
 	greatestAge time.Duration
 	// contact is guarded by mu.
 	contact contact
-	// subscription is guarded by mu: that to a relay, or nil.
-	subscription *subscription
+	// subscription and tried are guarded by mu: those to the relay that is followed and to one that is tried, or nil.
+	subscription, tried *subscription
 	// subscribers is guarded by mu and holds the daemons that subscribe to this one.
 	subscribers map[fleet.HostID]*subscriber
 	// avoided is guarded by mu: until when a relay is not chosen, by the identifier of its process.
--- a/internal/peer/relay/role.go
+++ b/internal/peer/relay/role.go
@@ -39,7 +39,7 @@
 		case relaying:
 			n.followStore(ctx, n.runRelay)
 		case following:
-			n.follow(ctx, next.relay)
+			n.followRelays(ctx, next.relay)
 		case detached:
 			n.followStore(ctx, n.awaitRelay)
 		}
--- a/internal/peer/relay/serve.go
+++ b/internal/peer/relay/serve.go
@@ -114,7 +114,8 @@
 		changed, relaysChanged := n.replica.changedChannel(), n.members.changedChannel()
 		relays := n.members.generation()
 		s.mu.Lock()
-		if s.generation != generation {
+		subscribed := s.generation != generation
+		if subscribed {
 			positions, generation, beat = s.positions, s.generation, true
 		}
 		silence := n.Clock.Now().Sub(s.heardAt)
@@ -125,11 +126,7 @@
 		}
 		if beat || available != lastAvailable {
 			lastAvailable, beat = available, false
-			heartbeat := &wire.Heartbeat{
-				Available: available, Starting: n.starting(), Positions: wirePositions(positions),
-				NotRelay: !n.followsStore() && !n.holdsRole(), AgeMs: uint64(n.Age().Milliseconds()),
-			}
-			if n.send(ctx, s.host, &wire.Relay{Body: &wire.Relay_Heartbeat{Heartbeat: heartbeat}}) != nil {
+			if !n.sendHeartbeat(ctx, s.host, available, positions) {
 				return
 			}
 		}
@@ -141,6 +138,10 @@
 		if available && !n.sendUpdates(ctx, s.host, positions) {
 			return
 		}
+		// A subscriber that tries this relay waits until it knows that it has everything.
+		if available && subscribed && !n.sendHeartbeat(ctx, s.host, available, positions) {
+			return
+		}
 		select {
 		case <-changed:
 		case <-relaysChanged:
@@ -153,6 +154,17 @@
 	}
 }
 
+// sendHeartbeat sends a heartbeat to a subscriber that was sent the tables up to some positions. It returns false if that fails.
+func (n *Node) sendHeartbeat(
+	ctx context.Context, host fleet.HostID, available bool, positions map[string]table.Version,
+) bool {
+	heartbeat := &wire.Heartbeat{
+		Available: available, Starting: n.starting(), Positions: wirePositions(positions),
+		NotRelay: !n.followsStore() && !n.holdsRole(), AgeMs: uint64(n.Age().Milliseconds()),
+	}
+	return n.send(ctx, host, &wire.Relay{Body: &wire.Relay_Heartbeat{Heartbeat: heartbeat}}) == nil
+}
+
 // wirePositions returns positions in their form on the wire.
 func wirePositions(positions map[string]table.Version) []*wire.TablePosition {
 	var result []*wire.TablePosition
