peer/relay: the age of the tables is that of those with a time limit

The age was that of the table that was confirmed longest ago, whichever it was: range tables are polled for 4 s, so that the age in calm exceeded the limit of the others, with which the line compares it.

The age now regards the tables with an ApplyLimit, or all if none has one.

--- a/internal/peer/relay/age.go
+++ b/internal/peer/relay/age.go
@@ -2,8 +2,9 @@
 
 import "time"
 
-// Age returns how long ago all tables were last known to be those of the store, or zero before the first time. For a daemon that
-// follows a relay, the relay has told how old its own tables are.
+// Age returns how long ago the tables whose changes must take effect in time were last known to be those of the store, or zero
+// before the first time. The others are read less often, so that they would hide the age of these. For a daemon that follows a
+// relay, the relay has told how old its own tables are.
 func (n *Node) Age() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/peer/relay/age_test.go
+++ b/internal/peer/relay/age_test.go
@@ -39,3 +39,21 @@
 		}
 	})
 }
+
+// Guards against an age that is that of a table which is read seldom, so that it exceeds in calm the time within which the others'
+// changes must take effect, and says nothing about them.
+func TestAgeIsThatOfBoundedTables(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		const limit = 2 * time.Second
+		n := newNetworkWithin(t, 12, 2, limit, Table{Name: "seldom"})
+		sleep(started + 2*pollWait)
+		for range 50 {
+			for _, d := range n.running() {
+				if age := d.Age(); age > pollWaitFor(limit)+heartbeatInterval+100*time.Millisecond {
+					t.Fatalf("%s: age of the tables is %v in calm", d.Local.ID, age)
+				}
+			}
+			sleep(170 * time.Millisecond)
+		}
+	})
+}
--- a/internal/peer/relay/node.go
+++ b/internal/peer/relay/node.go
@@ -114,8 +114,9 @@
 	reservations reservations
 	// tableNames lists the tables that are spread, PeersTable included.
 	tableNames []string
-	// applyLimit is the shortest ApplyLimit of the tables, or zero if none has one.
-	applyLimit time.Duration
+	// boundedTables lists those with an ApplyLimit, or all if none has one. applyLimit is the shortest one, or zero.
+	boundedTables []string
+	applyLimit    time.Duration
 
 	// tasks are the goroutines of subscribers. stopped is closed when they have to end.
 	tasks   sync.WaitGroup
@@ -129,8 +130,8 @@
 	// interrupted is guarded by mu and set while the tables are not followed, neither in the store nor at a relay that
 	// reaches it.
 	interrupted bool
-	// confirmedAt is guarded by mu: when all tables were last known to be those of the store, or zero before. It never decreases.
-	// greatestAge is the greatest age that the tables had when they were confirmed anew.
+	// confirmedAt is guarded by mu: when the bounded tables were last known to be those of the store, or zero before. It never
+	// decreases. greatestAge is the greatest age that they had when they were confirmed anew.
 	confirmedAt time.Time
 	greatestAge time.Duration
 	// contact is guarded by mu.
@@ -167,17 +168,24 @@
 	for _, spread := range n.Tables {
 		n.replica.consumers[spread.Name] = spread.Consumer
 		n.tableNames = append(n.tableNames, spread.Name)
+		if spread.ApplyLimit > 0 {
+			n.boundedTables = append(n.boundedTables, spread.Name)
+		}
 		if spread.ApplyLimit > 0 && (n.applyLimit == 0 || spread.ApplyLimit < n.applyLimit) {
 			n.applyLimit = spread.ApplyLimit
 		}
 	}
+	if n.boundedTables == nil {
+		n.boundedTables = n.tableNames
+	}
 	n.stopped = make(chan struct{})
 }
 
 // newSource returns a source for tables that are followed until ctx ends.
 func (n *Node) newSource(ctx context.Context) *source {
 	return &source{
-		feed: n.Feed, replica: &n.replica, clock: n.Clock, ended: ctx.Done(), tables: n.tableNames, onOutcome: n.noteOutcome,
+		feed: n.Feed, replica: &n.replica, clock: n.Clock, ended: ctx.Done(), tables: n.tableNames,
+		bounded: n.boundedTables, onOutcome: n.noteOutcome,
 	}
 }
 
--- a/internal/peer/relay/source.go
+++ b/internal/peer/relay/source.go
@@ -18,10 +18,10 @@
 	clock   timer.Clock
 	// ended is closed when the tables are no longer followed, after which the outcomes of calls say nothing about the store.
 	ended <-chan struct{}
-	// tables lists the tables that are followed.
-	tables []string
+	// tables lists the tables that are followed, and bounded those whose changes must take effect in time.
+	tables, bounded []string
 	// onOutcome is called after each call, before its rows are stored, with whether the last calls for all tables succeeded.
-	// confirmed is when the store last responded for the table for which that is longest ago, or zero. It may be nil.
+	// confirmed is when the store last responded for the bounded table for which that is longest ago, or zero. It may be nil.
 	onOutcome func(available bool, confirmed time.Time)
 
 	mu sync.Mutex
@@ -100,17 +100,18 @@
 		delete(s.failing, name)
 		s.responded[name] = s.clock.Now()
 	}
-	available, confirmed := len(s.failing) == 0, s.confirmedAt()
+	available, confirmed := len(s.failing) == 0, s.confirmedAt(s.bounded)
 	s.mu.Unlock()
 	if s.onOutcome != nil {
 		s.onOutcome(available, confirmed)
 	}
 }
 
-// confirmedAt returns when the store last responded for the table for which that is longest ago, or zero. The caller holds mu.
-func (s *source) confirmedAt() time.Time {
+// confirmedAt returns when the store last responded for the one of some tables for which that is longest ago, or zero. The caller
+// holds mu.
+func (s *source) confirmedAt(tables []string) time.Time {
 	result := s.clock.Now()
-	for _, name := range s.tables {
+	for _, name := range tables {
 		if responded := s.responded[name]; responded.Before(result) {
 			result = responded
 		}
@@ -122,7 +123,7 @@
 func (s *source) starting() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.failing) == 0 && s.confirmedAt().IsZero()
+	return len(s.failing) == 0 && s.confirmedAt(s.tables).IsZero()
 }
 
 // available reports whether all tables are being followed, none of the responses is overdue, and the store has responded for the
