--- /dev/null
+++ b/internal/peer/relay/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package relay
+
+func init() { raceDetector = true }
--- a/internal/peer/relay/return_test.go
+++ b/internal/peer/relay/return_test.go
@@ -17,6 +17,9 @@
 // twice, at random times; its followers turn to those of other domains and back.
 func TestChangesWhileRelayReturns(t *testing.T) {
 	for _, size := range []struct{ daemons, domains int }{{60, 4}, {295, 6}} {
+		if raceDetector && size.daemons > 100 {
+			continue
+		}
 		for seed := range uint64(*returnSeeds) {
 			t.Run(fmt.Sprint(size.daemons, " daemons, seed ", seed), func(t *testing.T) {
 				inBubble(t, func(t *testing.T) {
