caller/budget, front: no connection gives way while its upstream is silent

Cause: from the head of a response on a connection counted as one that waits for its caller. That is a state of each read and each write now. Of several stalled connections the one that holds most is closed first.

--- a/internal/caller/budget/budget.go
+++ b/internal/caller/budget/budget.go
@@ -63,9 +63,11 @@
 	// The fields below are guarded by the budget's mu. total is the sum of held.
 	held  map[Purpose]int64
 	total int64
-	// place is the place among the waiting holders, or nil. progressed is the time of the last progress.
-	place      *list.Element
-	progressed time.Time
+	// reading and writing are set while the caller is to send or to take something. Only then the holder may be closed: it has a
+	// place among the waiting holders, which is nil otherwise. progressed is the time of the last progress.
+	reading, writing bool
+	place            *list.Element
+	progressed       time.Time
 	// closing is set once the holder was chosen to be closed, or has been closed. What it holds no longer counts.
 	closing bool
 }
@@ -85,13 +87,13 @@
 		return nil, false
 	}
 	b.connections++
-	holder.progressed = b.Clock.Now()
-	holder.place = b.waiting.PushBack(holder)
+	holder.reading = true
+	holder.placeLocked()
 	return holder, true
 }
 
-// Reserve takes room for n bytes. If room is short, connections that have made no progress for stallTimeout are closed for
-// it, the one without progress for the longest time first. It returns false if that does not suffice.
+// Reserve takes room for n bytes. If room is short, connections that wait for their callers and have made no progress for
+// stallTimeout are closed for it, the one that holds most first. It returns false if that does not suffice.
 func (h *Holder) Reserve(purpose Purpose, n int64) bool {
 	if h == nil {
 		return true
@@ -158,21 +160,26 @@
 	b.byPurpose[purpose] += n
 }
 
-// closeStalledLocked makes the connection end that has made no progress for the longest time, if that is at least
-// stallTimeout, among those that hold more than least bytes. What it holds counts as free at once, since its goroutine ends
-// within milliseconds. It returns false if there is none beside h.
+// closeStalledLocked makes the connection end that holds most, and more than least bytes, among those that wait for their callers
+// and have made no progress for stallTimeout. Of several that hold as much, it is the one without progress for the longest time.
+// What it holds counts as free at once, since its goroutine ends within milliseconds. It returns false if there is none beside h.
 func (b *Budget) closeStalledLocked(h *Holder, least int64) bool {
+	now := b.Clock.Now()
+	var chosen *Holder
 	for place := b.waiting.Front(); place != nil; place = place.Next() {
 		stalled, _ := place.Value.(*Holder)
-		if b.Clock.Now().Sub(stalled.progressed) < stallTimeout {
-			return false
+		if now.Sub(stalled.progressed) < stallTimeout {
+			break
 		}
-		if stalled != h && stalled.total > least {
-			b.closeLocked(stalled)
-			return true
+		if stalled != h && stalled.total > least && (chosen == nil || stalled.total > chosen.total) {
+			chosen = stalled
 		}
 	}
-	return false
+	if chosen == nil {
+		return false
+	}
+	b.closeLocked(chosen)
+	return true
 }
 
 // closeLocked makes a connection end.
--- a/internal/caller/front/conn.go
+++ b/internal/caller/front/conn.go
@@ -68,10 +68,9 @@
 // Write writes to the caller. A caller that takes nothing for the time for which it may be idle is cut off.
 func (c *callerConn) Write(p []byte) (int, error) {
 	_ = c.SetWriteDeadline(time.Now().Add(c.idleTimeout())) // an error shows at the write
+	c.holder.BeginWrite()
 	n, err := c.Conn.Write(p)
-	if n > 0 {
-		c.holder.Progressed()
-	}
+	c.holder.EndWrite()
 	return n, err //nolint:wrapcheck // http.Server interprets the errors of a connection
 }
 
--- a/internal/caller/front/handler.go
+++ b/internal/caller/front/handler.go
@@ -78,7 +78,6 @@
 		if conn := connOf(r.Context()); conn != nil {
 			conn.readingBody.Store(false)
 		}
-		holder.Await(true)
 		f.writeUpstreamResponse(rw, r, dialect, response)
 	}
 }
--- a/internal/caller/front/held_test.go
+++ b/internal/caller/front/held_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -19,11 +22,19 @@
 	"rosemarywick.example/rosemarywick/internal/caller/front"
 	"rosemarywick.example/rosemarywick/internal/core/document"
 	"rosemarywick.example/rosemarywick/internal/core/timer"
+	"rosemarywick.example/rosemarywick/internal/upstream/standin"
 )
 
 // startHeld starts a front end with a budget in front of the workers of a fixture, and returns its address.
 func startHeld(t *testing.T, limits document.CallerLimits, held *budget.Budget) string {
-	f := newFixture(t, 1, 1, nil)
+	return startHeldBefore(t, limits, held, nil)
+}
+
+// startHeldBefore is startHeld with workers that adjust changes, if it is set.
+func startHeldBefore(
+	t *testing.T, limits document.CallerLimits, held *budget.Budget, adjust func(*standin.Worker),
+) string {
+	f := newFixture(t, 1, 1, adjust)
 	f.doc.CallerLimits = limits
 	listening := make(chan netip.AddrPort, 1)
 	frontend := &front.Frontend{
@@ -70,6 +81,81 @@
 	}
 }
 
+// Guards against a connection that is closed for want of room while its upstream is silent within a response: nothing is owed by its
+// caller then. A caller that does not take the response gives way as before.
+func TestAwaitedResponseKeepsItsConnection(t *testing.T) {
+	const size = 200_000
+	for name, takes := range map[string]bool{"caller takes": true, "caller takes nothing": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			held := &budget.Budget{Limits: budget.Limits{Room: 4 << 20, SmallRoom: 1 << 20}, Clock: timer.System{}}
+			address := startHeldBefore(t, document.CallerLimits{}, held, func(w *standin.Worker) {
+				w.InjectFault = func(r *http.Request) standin.Fault {
+					if takes && strings.HasPrefix(r.URL.Path, "/download") {
+						return standin.FaultStall
+					}
+					return standin.FaultNone
+				}
+			})
+			conn, err := net.Dial("tcp", address)
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			length := size
+			if !takes {
+				length = 64 << 20 // more than the kernel takes
+				is.NoErr(conn.(*net.TCPConn).SetReadBuffer(4 << 10))
+			}
+			_, err = fmt.Fprintf(conn, "GET /tasks/download/manual/%d HTTP/1.1\r\nHost: h\r\nRosemarywick-Timeout: 20s\r\n\r\n", length)
+			is.NoErr(err)
+			_ = timer.Wait(t.Context(), timer.System{}, 500*time.Millisecond)
+			stop := make(chan struct{})
+			var crowd sync.WaitGroup
+			for range 8 { // room is short until the response is there
+				crowd.Go(func() { postUntil(address, 2<<20, stop) })
+			}
+			defer crowd.Wait()
+			defer close(stop)
+			if !takes {
+				for held.Closed() == 0 { // the test times out if it does not give way
+					_ = timer.Wait(t.Context(), timer.System{}, 10*time.Millisecond)
+				}
+				return
+			}
+			is.NoErr(conn.SetReadDeadline(time.Now().Add(20 * time.Second)))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			body, err := io.ReadAll(response.Body)
+			is.NoErr(err)
+			is.NoErr(response.Body.Close())
+			is.Equal(len(body), size)
+		})
+	}
+}
+
+// postUntil sends bodies piece by piece, each on a connection of its own, until stop is closed.
+func postUntil(address string, length int, stop <-chan struct{}) {
+	piece := make([]byte, 64<<10)
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			continue
+		}
+		_, _ = fmt.Fprintf(conn, "POST /tasks/x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", length)
+		for sent := 0; sent < length; sent += len(piece) {
+			if _, err := conn.Write(piece); err != nil { // it was refused
+				break
+			}
+			_ = timer.Wait(context.Background(), timer.System{}, 30*time.Millisecond)
+		}
+		_ = conn.Close()
+	}
+}
+
 // Guards against limits of the configuration for the head of a request that are not applied, on a new connection or on a used
 // one.
 func TestHeadLimits(t *testing.T) {
--- a/internal/upstream/standin/handler.go
+++ b/internal/upstream/standin/handler.go
@@ -37,6 +37,8 @@
 	FaultSlow Fault = "slow"
 	// FaultNoResponse runs the request and does not respond until the client has closed the connection.
 	FaultNoResponse Fault = "silent"
+	// FaultStall runs a download and is silent for stallDelay between the head of the response and its body.
+	FaultStall Fault = "stall"
 )
 
 // Load is the load report of a worker: the numbers of running and of queued requests.
@@ -45,8 +47,11 @@
 	Waiting int `json:"waiting"`
 }
 
-// slowDelay is the delay of FaultSlow.
-const slowDelay = 80 * time.Millisecond
+// slowDelay is the delay of FaultSlow, and stallDelay that of FaultStall.
+const (
+	slowDelay  = 80 * time.Millisecond
+	stallDelay = 2500 * time.Millisecond
+)
 
 // ServeHTTP serves health probes, load reports, orders and all other requests.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
@@ -210,6 +215,14 @@
 		}
 		rw = &truncatingWriter{ResponseWriter: rw, remaining: limit}
 	}
+	if fault == FaultStall {
+		rw.Header().Set("Content-Length", strconv.Itoa(size))
+		rw.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(rw).Flush() // an error shows at the write of the body
+		_ = timer.Wait(r.Context(), w.Clock, stallDelay)
+		_, _ = rw.Write(content) // the client notices a broken connection
+		return
+	}
 	http.ServeContent(rw, r, "", time.Time{}, strings.NewReader(string(content)))
 }
 
