peer/relay: a relay that is avoided is not tried, and one that is cut off stays known as such

Found by reading the change before: in an outage of the store a follower could try the relay of its own domain again and again, and the attempt's end marked it as unreachable in place of cut off, so that none was left to follow and the daemon would have read the store itself. TestOutageOfStore and the other tests of the package pass.

--- a/internal/peer/relay/follow.go
+++ b/internal/peer/relay/follow.go
@@ -134,7 +134,7 @@
 					Msg("better relay has delivered and is followed")
 				return result.subscription
 			}
-			n.avoid(result.relay, false)
+			n.avoid(result.relay, result.cutOff)
 		case <-tick.C:
 			if silence := n.Clock.Now().Sub(state.heardAt); silence > silenceLimit {
 				n.Log.Warn().Str("relay", string(current.relay.Host)).Dur("silence", silence).Msg("relay is lost")
@@ -291,7 +291,7 @@
 		return member{}, false
 	}
 	next, ok := n.choose()
-	if !ok || next.Run == state.relay.Run || !replaced && next.domain != n.Local.Locality.Domain {
+	if !ok || n.isAvoided(next) || next.Run == state.relay.Run || !replaced && next.domain != n.Local.Locality.Domain {
 		return member{}, false
 	}
 	return next, true
--- a/internal/peer/relay/role.go
+++ b/internal/peer/relay/role.go
@@ -98,6 +98,13 @@
 	n.avoided[relay.Run] = avoidance{until: now.Add(avoidTime), cutOff: cutOff}
 }
 
+// isAvoided reports whether a relay is not chosen at present if there is another one.
+func (n *Node) isAvoided(relay member) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.Clock.Now().Before(n.avoided[relay.Run].until)
+}
+
 // holdsRole reports whether this daemon is the relay of its failure domain.
 func (n *Node) holdsRole() bool {
 	own := n.members.of(n.Local.Locality.Domain)
--- a/internal/peer/relay/trial.go
+++ b/internal/peer/relay/trial.go
@@ -24,6 +24,8 @@
 	relay member
 	// subscription is that to the relay if it has delivered, or if the attempt was stopped before trialLimit, and else nil.
 	subscription *subscription
+	// cutOff is set if the relay has answered as one that does not reach the store.
+	cutOff bool
 }
 
 // inProgress reports whether a relay is being tried.
@@ -65,17 +67,17 @@
 	tryCtx, stop := context.WithCancel(ctx)
 	results := make(chan trialResult, 1)
 	t.relay, t.stop, t.result = better, stop, results
-	n.tasks.Go(func() { results <- trialResult{relay: better, subscription: n.awaitDelivery(tryCtx, better)} })
+	n.tasks.Go(func() { results <- n.awaitDelivery(tryCtx, better) })
 }
 
-// awaitDelivery subscribes to a relay and adopts what it sends. It returns the subscription once the relay has sent all changes
-// of all tables and reaches the store, or when ctx ends. It returns nil if the relay can't be reached or does not deliver within
-// trialLimit.
-func (n *Node) awaitDelivery(ctx context.Context, relay member) *subscription {
+// awaitDelivery subscribes to a relay and adopts what it sends, until the relay has sent all changes of all tables and reaches
+// the store, ctx ends, or trialLimit has passed.
+func (n *Node) awaitDelivery(ctx context.Context, relay member) trialResult {
+	result := trialResult{relay: relay}
 	current, err := n.subscribe(ctx, relay)
 	if err != nil {
 		n.Log.Info().Err(err).Str("relay", string(relay.Host)).Msg("better relay cannot be reached")
-		return nil
+		return result
 	}
 	limit, again := n.Clock.After(trialLimit), n.Clock.Every(heartbeatInterval)
 	defer limit.Stop()
@@ -90,8 +92,10 @@
 			case *wire.Relay_Heartbeat:
 				// The changes follow the first heartbeat, and the second one names what was sent.
 				if beats++; beats > 1 && body.Heartbeat.GetAvailable() && n.hasAll(body.Heartbeat.GetPositions()) {
-					return current
+					result.subscription = current
+					return result
 				}
+				result.cutOff = !body.Heartbeat.GetAvailable() && unavailabilityOf(body.Heartbeat) != notRelay
 			}
 		case <-again.C:
 			if current.heard {
@@ -103,9 +107,10 @@
 		case <-limit.C:
 			n.Log.Info().Str("relay", string(relay.Host)).Int("heartbeats", beats).Msg("better relay has not delivered")
 			n.unsubscribe(ctx, current)
-			return nil
+			return result
 		case <-ctx.Done():
-			return current
+			result.subscription = current
+			return result
 		}
 	}
 }
