--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -140,8 +140,8 @@
 
 // Stop makes every request end by a time, because the daemon stops then. Requests that are not expected to end by then are
 // refused before they are sent; one that is at an upstream at that time ends with an unknown outcome. What arrives after
-// acceptUntil, and what must not be repeated and has not been sent by then, is refused unless its own deadline ends it in time: an
-// expectation is not enough for those.
+// acceptUntil, and what must not be repeated and has not been sent by then, is refused unless its own deadline ends it in time:
+// an expectation is not enough for those.
 func (r *Router) Stop(acceptUntil, endBy time.Time) {
 	ended := r.lifetime()
 	r.mu.Lock()
